--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Common tasks; each works on a machine with only Go and make.
+GO ?= go
+MODULES := coord daemon
+SEED ?= 1
+DURATION ?= 30s
+
+.PHONY: build test lint fmt generate tools demo soak bench fuzz
+
+build:
+	cd daemon && $(GO) build -o ../bin/ ./cmd/...
+
+test:
+	@for m in $(MODULES); do (cd $$m && $(GO) test ./...) || exit 1; done
+
+tools:
+	cd tools && GOWORK=off $(GO) build -o ../bin/ tool
+
+lint: tools
+	@out=$$(bin/gofumpt -l coord daemon | grep -v -E '\.(pb|twirp)\.go$$'); \
+	if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@for m in $(MODULES); do (cd $$m && $(GO) vet ./... && ../bin/staticcheck ./...) || exit 1; done
+
+fmt: tools
+	bin/gofumpt -w coord daemon
+
+generate: tools
+	cd daemon && PATH=$(CURDIR)/bin:$$PATH ../bin/buf generate
+
+demo: build
+	bin/cactusctl demo
+
+soak: build
+	bin/cactusctl soak -seed $(SEED) -duration $(DURATION)
+
+bench: build
+	bin/cactusctl bench
--- /dev/null
+++ b/daemon/bundle/bundle.go
@@ -0,0 +1,179 @@
+// Package bundle defines the configuration bundle: what operators decide, as one
+// versioned value that is checked, signed and put in force as a whole.
+package bundle
+
+// Bundle is the content of one configuration version. Keys in JSON are the
+// field names in snake case; unknown fields are refused.
+type Bundle struct {
+	Models      []Model      `json:"models"`
+	Services    []Service    `json:"services"`
+	Rollouts    []Rollout    `json:"rollouts"`
+	DataCentres []DataCentre `json:"data_centres"`
+	VMs         []VM         `json:"vms"`
+	Workspaces  []Workspace  `json:"workspaces"`
+	Limits      Limits       `json:"limits"`
+	Keys        Keys         `json:"keys"`
+}
+
+// Model is a model with its versions and price.
+type Model struct {
+	Name string `json:"name"`
+	// Current is the version that new sessions get outside a roll-out.
+	Current  string    `json:"current"`
+	Versions []Version `json:"versions"`
+	// Prices in millionths of the billing currency per million tokens.
+	InputPrice  uint64 `json:"input_price"`
+	OutputPrice uint64 `json:"output_price"`
+	// EngineShare is the share of engines that load the model, 0 to 1; 0 means
+	// every engine whose settings list the model.
+	EngineShare float64 `json:"engine_share"`
+}
+
+// VersionState tells whether a version takes new work.
+type VersionState string
+
+// Values of VersionState.
+const (
+	VersionServing   VersionState = "serving"
+	VersionWithdrawn VersionState = "withdrawn"
+)
+
+// Version is one version of a model.
+type Version struct {
+	Name  string       `json:"name"`
+	State VersionState `json:"state"`
+	// Weights names the object in the weight store.
+	Weights string `json:"weights"`
+}
+
+// Service is a plain service.
+type Service struct {
+	Name       string      `json:"name"`
+	Operations []Operation `json:"operations"`
+}
+
+// Operation is a group of calls of a plain service. The first operation that
+// matches a call decides; calls that match none are refused.
+type Operation struct {
+	Method string `json:"method"`
+	// Path is a pattern of path.Match.
+	Path       string `json:"path"`
+	Idempotent bool   `json:"idempotent"`
+	// Price in millionths of the billing currency per call.
+	Price uint64 `json:"price"`
+}
+
+// RolloutState tells what a roll-out does now.
+type RolloutState string
+
+// Values of RolloutState.
+const (
+	RolloutRunning RolloutState = "running"
+	RolloutPaused  RolloutState = "paused"
+	RolloutHalted  RolloutState = "halted"
+	RolloutDone    RolloutState = "done"
+)
+
+// Rollout moves new sessions of a model from one version to another in steps.
+type Rollout struct {
+	ID    string `json:"id"`
+	Model string `json:"model"`
+	From  string `json:"from"`
+	To    string `json:"to"`
+	// Steps are the shares of sessions, ascending, 0 to 1.
+	Steps []float64 `json:"steps"`
+	// Step is the index of the step in force.
+	Step  int          `json:"step"`
+	State RolloutState `json:"state"`
+	// Generation makes stop notices of earlier roll-outs of the version void.
+	Generation uint64 `json:"generation"`
+}
+
+// DataCentreState tells whether a data centre takes new work.
+type DataCentreState string
+
+// Values of DataCentreState.
+const (
+	DataCentreServing DataCentreState = "serving"
+	DataCentreOut     DataCentreState = "out"
+)
+
+// DataCentre is a data centre.
+type DataCentre struct {
+	Name   string          `json:"name"`
+	Region string          `json:"region"`
+	State  DataCentreState `json:"state"`
+}
+
+// VM lists a VM that operators took out of service. VMs that are not listed serve.
+type VM struct {
+	Name string `json:"name"`
+	Out  bool   `json:"out"`
+}
+
+// WithdrawalPolicy tells what happens to sessions of a withdrawn version.
+type WithdrawalPolicy string
+
+// Values of WithdrawalPolicy; the empty value means WithdrawalRefuse.
+const (
+	// WithdrawalRefuse answers requests of the session with version_withdrawn.
+	WithdrawalRefuse WithdrawalPolicy = "refuse"
+	// WithdrawalMove moves the session to the current version and announces it.
+	WithdrawalMove WithdrawalPolicy = "move"
+)
+
+// Workspace is a customer of the system.
+type Workspace struct {
+	Name string `json:"name"`
+	// KeyHashes are hex SHA-256 hashes of the workspace's API keys.
+	KeyHashes []string `json:"key_hashes"`
+	// Allowed lists models ("diary"), versions ("diary@3") and services
+	// ("service:tickets").
+	Allowed []string `json:"allowed"`
+	// QualityTarget is the mean rating that answers must reach, 0 to 1.
+	QualityTarget float64 `json:"quality_target"`
+	// Weight is the share in admission relative to other workspaces; 0 means 1.
+	Weight float64 `json:"weight"`
+	// MaxConcurrent bounds requests in progress on one router; 0 means the limit
+	// of the router alone.
+	MaxConcurrent int `json:"max_concurrent"`
+	// MaxBufferBytes bounds answer bytes buffered on one router; 0 means the
+	// default of Limits.
+	MaxBufferBytes int64            `json:"max_buffer_bytes"`
+	OnWithdrawal   WithdrawalPolicy `json:"on_withdrawal"`
+	// ExploreShare is the share of requests that may go to another model to learn
+	// its quality, 0 to 1.
+	ExploreShare float64 `json:"explore_share"`
+}
+
+// Limits are bounds that hold for every process. Zero means the default.
+type Limits struct {
+	// IsolatedServeSeconds is how long an isolated process goes on serving.
+	IsolatedServeSeconds int `json:"isolated_serve_seconds"`
+	// RetryPercent is the retry budget as a share of first attempts.
+	RetryPercent int `json:"retry_percent"`
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// WorkspaceBufferBytes bounds buffered answers of one workspace on one router.
+	WorkspaceBufferBytes int64 `json:"workspace_buffer_bytes"`
+	// RequestBufferBytes bounds buffered answer bytes of one request.
+	RequestBufferBytes int64 `json:"request_buffer_bytes"`
+	// LedgerShards is the number of shards of the charge ledger.
+	LedgerShards int `json:"ledger_shards"`
+	// ConcurrentLoads bounds loads from the weight store at one time.
+	ConcurrentLoads int `json:"concurrent_loads"`
+}
+
+// Keys are the operators' public keys.
+type Keys struct {
+	Operators []OperatorKey `json:"operators"`
+	// SignOffs is the number of different operators that must sign the next bundle.
+	SignOffs int `json:"sign_offs"`
+}
+
+// OperatorKey is one operator's Ed25519 public key.
+type OperatorKey struct {
+	Name string `json:"name"`
+	// PublicKey is standard base64.
+	PublicKey string `json:"public_key"`
+}
