--- /dev/null
+++ b/daemon/config/config.go
@@ -0,0 +1,183 @@
+// Package config reads and checks the settings files of the router and the
+// agent. Settings say what one process is and where its neighbours are; what
+// operators decide for the whole system is in the bundle.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"cactusknot.example/daemon/strict"
+)
+
+// Node holds the settings that both roles share.
+type Node struct {
+	// VM is the name of the VM in the platform's VM list.
+	VM         string `json:"vm" validate:"required,max=64"`
+	DataCentre string `json:"data_centre" validate:"required,max=64"`
+	Region     string `json:"region" validate:"required,max=64"`
+	// InternalListen is the address (IP:port) for other cactusknot processes.
+	InternalListen string `json:"internal_listen" validate:"required,hostname_port"`
+	// AdminListen is the address for health checks, metrics and explain.
+	AdminListen string   `json:"admin_listen" validate:"required,hostname_port"`
+	TLS         TLS      `json:"tls"`
+	Platform    Platform `json:"platform"`
+	// RootKeys are the base64 Ed25519 public keys that a starting process trusts.
+	RootKeys []string `json:"root_keys" validate:"required,min=1,dive,base64"`
+	// Peers are internal addresses asked for the configuration at start.
+	Peers    []string `json:"peers" validate:"dive,hostname_port"`
+	LogLevel string   `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
+	// FatalInvariants ends the process on a violated invariant.
+	FatalInvariants bool `json:"fatal_invariants"`
+}
+
+// TLS names the PEM files of this process.
+type TLS struct {
+	CA   string `json:"ca" validate:"required"`
+	Cert string `json:"cert" validate:"required"`
+	Key  string `json:"key" validate:"required"`
+}
+
+// Platform holds the addresses of the platform's services.
+type Platform struct {
+	Store  string `json:"store" validate:"required,url"`
+	VMList string `json:"vm_list" validate:"required,url"`
+	// Rating and Weights are optional; empty turns ratings or loads off.
+	Rating  string `json:"rating" validate:"omitempty,url"`
+	Weights string `json:"weights" validate:"omitempty,url"`
+}
+
+// Router holds the settings of the router role.
+type Router struct {
+	Node
+	// Listen is the address for callers.
+	Listen string `json:"listen" validate:"required,hostname_port"`
+	// SessionSecrets are base64 secrets of session tokens; the first signs, all verify.
+	SessionSecrets []string `json:"session_secrets" validate:"required,min=1,dive,base64,min=44"`
+	// MaxRequests bounds requests in progress.
+	MaxRequests int `json:"max_requests" validate:"required,min=1,max=100000"`
+	// BufferBytes bounds the answer bytes buffered for all callers.
+	BufferBytes int64 `json:"buffer_bytes" validate:"required,min=65536"`
+	// DrainDelayMs is how long a stopping router goes on accepting after it has
+	// failed its readiness check. Default 5000.
+	DrainDelayMs int `json:"drain_delay_ms" validate:"min=0,max=600000"`
+	// DefaultDeadlineMs is used for requests without X-Deadline-Ms. Default 600000.
+	DefaultDeadlineMs int `json:"default_deadline_ms" validate:"min=0,max=3600000"`
+	// LedgerLines bounds the queue of charges. Default 200000.
+	LedgerLines int `json:"ledger_lines" validate:"min=0"`
+}
+
+// BackendKind tells what an agent's backend server is.
+type BackendKind string
+
+// Values of BackendKind.
+const (
+	BackendEngine  BackendKind = "engine"
+	BackendService BackendKind = "service"
+)
+
+// Backend describes the backend server beside an agent.
+type Backend struct {
+	Kind BackendKind `json:"kind" validate:"required,oneof=engine service"`
+	URL  string      `json:"url" validate:"required,url"`
+	// Service is the plain service's name; required for kind "service".
+	Service string `json:"service" validate:"required_if=Kind service"`
+	// Models lists the models that the engine may load; required for kind "engine".
+	Models []string `json:"models" validate:"required_if=Kind engine"`
+	// Fencing is "enforced" when the backend server refuses old fencing tokens.
+	Fencing string `json:"fencing" validate:"omitempty,oneof=enforced ignored"`
+	// MaxConcurrent is what the backend server bears when warm.
+	MaxConcurrent int `json:"max_concurrent" validate:"required,min=1,max=10000"`
+	// MaxQueuedTokens bounds the prompt and answer tokens of admitted requests.
+	MaxQueuedTokens int `json:"max_queued_tokens" validate:"required,min=1"`
+	// ColdConcurrent is what it bears right after its start.
+	ColdConcurrent int `json:"cold_concurrent" validate:"required,min=1,ltefield=MaxConcurrent"`
+}
+
+// Agent holds the settings of the agent role.
+type Agent struct {
+	Node
+	Backend Backend `json:"backend"`
+	// Records and RecordBytes bound the at-most-once records. Defaults 100000, 32 MiB.
+	Records     int   `json:"records" validate:"min=0"`
+	RecordBytes int64 `json:"record_bytes" validate:"min=0"`
+	// LedgerLines bounds the queue of charges. Default 200000.
+	LedgerLines int `json:"ledger_lines" validate:"min=0"`
+}
+
+// Defaults of optional settings.
+const (
+	defaultDrainDelayMs = 5000
+	defaultDeadlineMs   = 600_000
+	defaultLedgerLines  = 200_000
+	defaultRecords      = 100_000
+	defaultRecordBytes  = 32 << 20
+)
+
+// LoadRouter reads and checks a router's settings file. The error is one line
+// with file, field path and reason.
+func LoadRouter(file string) (*Router, error) {
+	r := &Router{DrainDelayMs: defaultDrainDelayMs, DefaultDeadlineMs: defaultDeadlineMs, LedgerLines: defaultLedgerLines}
+	if err := load(file, r); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// LoadAgent reads and checks an agent's settings file. The error is one line
+// with file, field path and reason.
+func LoadAgent(file string) (*Agent, error) {
+	a := &Agent{Records: defaultRecords, RecordBytes: defaultRecordBytes, LedgerLines: defaultLedgerLines}
+	if err := load(file, a); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+func load(file string, v any) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if err := strict.Decode(data, v); err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	if err := validate(v); err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return nil
+}
+
+func validate(v any) error {
+	check := validator.New(validator.WithRequiredStructEnabled())
+	check.RegisterTagNameFunc(jsonName)
+	err := check.Struct(v)
+	var problems validator.ValidationErrors
+	if !errors.As(err, &problems) {
+		return err
+	}
+	return fieldError(problems[0])
+}
+
+func jsonName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return name
+}
+
+func fieldError(problem validator.FieldError) error {
+	_, path, _ := strings.Cut(problem.Namespace(), ".")
+	path = strings.TrimPrefix(path, "Node.")
+	reason := "must be " + problem.Tag()
+	if problem.Param() != "" {
+		reason += " " + problem.Param()
+	}
+	if problem.Tag() == "required" || problem.Tag() == "required_if" {
+		reason = "is required"
+	}
+	return &strict.FieldError{Path: path, Reason: reason}
+}
--- /dev/null
+++ b/daemon/strict/strict.go
@@ -0,0 +1,142 @@
+// Package strict decodes JSON settings and refuses what it doesn't know: unknown
+// fields, wrong types and trailing data are errors that name the field's path.
+package strict
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"reflect"
+	"sort"
+	"strings"
+)
+
+// FieldError names the path of a field and what is wrong with it.
+type FieldError struct {
+	Path   string
+	Reason string
+}
+
+// Error returns "path: reason".
+func (e *FieldError) Error() string {
+	if e.Path == "" {
+		return e.Reason
+	}
+	return e.Path + ": " + e.Reason
+}
+
+// Decode parses data into v, a pointer to a struct with json tags. The first
+// problem is returned as a *FieldError.
+func Decode(data []byte, v any) error {
+	var raw any
+	if err := single(data, &raw); err != nil {
+		return &FieldError{Reason: err.Error()}
+	}
+	if err := unknown("", raw, reflect.TypeOf(v).Elem()); err != nil {
+		return err
+	}
+	return typed(data, v)
+}
+
+func single(data []byte, raw *any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	if err := d.Decode(raw); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("data after the JSON value")
+	}
+	return nil
+}
+
+func typed(data []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		return &FieldError{Path: typeErr.Field, Reason: fmt.Sprintf("%s where %s is expected", typeErr.Value, typeErr.Type)}
+	}
+	if err != nil {
+		return &FieldError{Reason: err.Error()}
+	}
+	return nil
+}
+
+// unknown walks raw along t and reports the first key without a field.
+func unknown(path string, raw any, t reflect.Type) error {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	switch value := raw.(type) {
+	case map[string]any:
+		return unknownKeys(path, value, t)
+	case []any:
+		if t.Kind() != reflect.Slice && t.Kind() != reflect.Array {
+			return nil
+		}
+		for i, element := range value {
+			if err := unknown(fmt.Sprintf("%s[%d]", path, i), element, t.Elem()); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func unknownKeys(path string, value map[string]any, t reflect.Type) error {
+	if t.Kind() == reflect.Map {
+		for key, element := range value {
+			if err := unknown(join(path, key), element, t.Elem()); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	if t.Kind() != reflect.Struct {
+		return nil
+	}
+	fields := fieldTypes(t)
+	keys := make([]string, 0, len(value))
+	for key := range value {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
+		field, ok := fields[key]
+		if !ok {
+			return &FieldError{Path: join(path, key), Reason: "unknown field"}
+		}
+		if err := unknown(join(path, key), value[key], field); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func fieldTypes(t reflect.Type) map[string]reflect.Type {
+	fields := make(map[string]reflect.Type, t.NumField())
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if f.Anonymous && name == "" {
+			maps.Copy(fields, fieldTypes(f.Type))
+			continue
+		}
+		if name == "" {
+			name = f.Name
+		}
+		fields[name] = f.Type
+	}
+	return fields
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
