--- /dev/null
+++ b/coord/stats/sequential.go
@@ -0,0 +1,174 @@
+package stats
+
+import "math"
+
+// Method is a family of sequential tests. Each is a mixture of non-negative
+// supermartingales that start at 1, so by Ville's inequality the probability
+// that one ever exceeds 1/level under its null hypothesis is at most level. All
+// are functions of pooled counters alone: no look at an earlier time is stored.
+type Method int
+
+// Values of Method.
+const (
+	// EmpiricalBernstein adapts to the observed spread of the ratings. Zero value.
+	EmpiricalBernstein Method = iota
+	// Betting bounds the wealth of a fixed-fraction bettor from below by the chord
+	// of the logarithm; it is exact for ratings of only 0 and 1.
+	Betting
+	// Hoeffding assumes the largest variance that ratings in [0,1] can have.
+	Hoeffding
+)
+
+// String returns the name of the method.
+func (m Method) String() string {
+	return [...]string{"empirical-bernstein", "betting", "hoeffding"}[m]
+}
+
+const (
+	// The bets form a geometric grid. The smallest suits a version with 1,000
+	// times the ratings of the other; above 0.58 the evidence of the empirical
+	// Bernstein form is no longer monotone in the mean tested.
+	smallestBet = 0.0005
+	betRatio    = 2.0
+	betCount    = 11
+
+	// The common mean of both versions is searched on a grid and then refined.
+	coarseSteps = 40
+	refineSteps = 24
+)
+
+var bets = makeBets()
+
+type bet struct {
+	size float64
+	// psi is -log(1-size)-size, the cumulant bound of the empirical Bernstein form.
+	psi float64
+}
+
+func makeBets() [betCount]bet {
+	var out [betCount]bet
+	size := smallestBet
+	for i := range out {
+		out[i] = bet{size: size, psi: -math.Log1p(-size) - size}
+		size *= betRatio
+	}
+	return out
+}
+
+// Against is a counter with the mean it is tested against.
+type Against struct {
+	Counter Counter
+	Mean    float64
+}
+
+// Evidence is the state of a test.
+type Evidence struct {
+	// LogE is the natural logarithm of the e-value; 0 is neutral.
+	LogE float64
+	// Fired is true when the null hypothesis is rejected.
+	Fired bool
+}
+
+// Sequential is a test that may be evaluated at any time and any number of times.
+type Sequential struct {
+	Method Method
+	// Level bounds the probability that a test of a true null hypothesis ever fires.
+	Level float64
+	// Margin is the drop of the mean that is tolerated, in units of the rating.
+	Margin float64
+}
+
+// Below tests that the ratings, each part against its own mean, are lower on
+// average than these means less the margin.
+func (s Sequential) Below(parts ...Against) Evidence {
+	return s.evidence(s.Method.logBelow(parts, s.Margin))
+}
+
+// Worse tests that the candidate's mean is lower than that of base less the
+// margin. The unknown mean of base is taken where it is least favourable.
+func (s Sequential) Worse(candidate, base Counter) Evidence {
+	if candidate.Count == 0 || base.Count == 0 {
+		return Evidence{}
+	}
+	if candidate.Mean() >= base.Mean()-s.Margin {
+		// At the mean of base neither part is above 1, so nothing can fire.
+		return Evidence{}
+	}
+	return s.evidence(s.leastFavourable(candidate, base))
+}
+
+func (s Sequential) evidence(logE float64) Evidence {
+	return Evidence{LogE: logE, Fired: logE >= -math.Log(s.Level)}
+}
+
+// leastFavourable returns the smallest evidence over the mean m of base. For the
+// true m the product of "candidate below m-margin" and "base above m" is a
+// supermartingale under the null hypothesis, so the minimum is a valid e-value.
+func (s Sequential) leastFavourable(candidate, base Counter) float64 {
+	mirrored := base.mirrored()
+	at := func(m float64) float64 {
+		below := s.Method.logBelow([]Against{{candidate, m}}, s.Margin)
+		above := s.Method.logBelow([]Against{{mirrored, 1 - m}}, 0)
+		return below + above
+	}
+	step := (1 - s.Margin) / coarseSteps
+	best, bestValue := s.Margin, at(s.Margin)
+	for i := 1; i <= coarseSteps; i++ {
+		m := s.Margin + float64(i)*step
+		if v := at(m); v < bestValue {
+			best, bestValue = m, v
+		}
+	}
+	low, high := math.Max(s.Margin, best-step), math.Min(1, best+step)
+	return math.Min(bestValue, goldenMinimum(at, low, high))
+}
+
+// goldenMinimum returns the smallest value that a golden-section search finds.
+func goldenMinimum(f func(float64) float64, low, high float64) float64 {
+	const ratio = 0.6180339887498949
+	a, b := high-ratio*(high-low), low+ratio*(high-low)
+	fa, fb := f(a), f(b)
+	for range refineSteps {
+		if fa < fb {
+			high, b, fb = b, a, fa
+			a = high - ratio*(high-low)
+			fa = f(a)
+			continue
+		}
+		low, a, fa = a, b, fb
+		b = low + ratio*(high-low)
+		fb = f(b)
+	}
+	return math.Min(fa, fb)
+}
+
+// logBelow returns the logarithm of the mixture over all bets.
+func (m Method) logBelow(parts []Against, margin float64) float64 {
+	var scores [betCount]float64
+	top := math.Inf(-1)
+	for i := range bets {
+		for _, p := range parts {
+			scores[i] += m.score(bets[i], p.Counter, p.Mean-margin)
+		}
+		top = math.Max(top, scores[i])
+	}
+	total := 0.0
+	for _, s := range scores {
+		total += math.Exp(s - top)
+	}
+	return top + math.Log(total/betCount)
+}
+
+// score returns the log wealth of one bet that the mean is below mean.
+func (m Method) score(b bet, c Counter, mean float64) float64 {
+	n := float64(c.Count)
+	shortfall := n*mean - c.Sum
+	switch m {
+	case Betting:
+		return c.Sum*math.Log1p(-b.size*(1-mean)) + (n-c.Sum)*math.Log1p(b.size*mean)
+	case Hoeffding:
+		return b.size*shortfall - n*b.size*b.size/8
+	default:
+		return b.size*shortfall - b.psi*c.squaresAround(mean)
+	}
+}
