--- /dev/null
+++ b/coord/limit/detector.go
@@ -0,0 +1,148 @@
+package limit
+
+import (
+	"math/bits"
+	"time"
+)
+
+const (
+	// concurrencyBins is the number of power-of-two bins of concurrency; the last
+	// bin holds everything from 2^15.
+	concurrencyBins = 16
+	// promptOffsetTokens makes first-token times of short and long prompts
+	// comparable: time grows with (tokens + offset).
+	promptOffsetTokens = 256
+	// baselineWeight is the weight of a new sample in a baseline. About 50
+	// samples replace the baseline.
+	baselineWeight = 0.04
+	// baselineMinSamples is the number of samples a bin needs before it is used.
+	baselineMinSamples = 8
+	// cacheExpectedTokens is the smallest expected hit that counts as evidence.
+	cacheExpectedTokens = 64
+	// cacheHitFraction is the part of the expected tokens below which a lookup
+	// counts as a miss.
+	cacheHitFraction = 0.1
+)
+
+// Sample describes a first token.
+type Sample struct {
+	// FirstToken is the time from dispatch to the first token.
+	FirstToken time.Duration
+	// PromptTokens is the length of the prompt.
+	PromptTokens int
+	// ExpectedCached and Cached are prompt tokens that the agent expected in the
+	// prefix cache and that the engine reports as found there. Leave both zero
+	// when unknown.
+	ExpectedCached int
+	Cached         int
+}
+
+// detector infers a cold start from first tokens. Baselines are kept for each
+// power of two of concurrency, so that load alone does not look like a cold
+// start.
+type detector struct {
+	bins      [concurrencyBins]baseline
+	slow      int
+	misses    int
+	smoothed  float64
+	slowLimit int
+	factor    float64
+}
+
+type baseline struct {
+	nsPerToken float64
+	samples    int
+}
+
+// normalised returns the time of s in ns per token that was not cached.
+func normalised(s Sample) float64 {
+	tokens := max(s.PromptTokens-s.Cached, 0) + promptOffsetTokens
+	return float64(s.FirstToken) / float64(tokens)
+}
+
+func binOf(running int) int {
+	return min(bits.Len(uint(max(running, 1)))-1, concurrencyBins-1)
+}
+
+// expected returns the baseline for a concurrency: its own bin, else the nearest
+// lower bin with samples, else the nearest higher one. A lower bin gives a lower
+// baseline, so the factor must allow for load.
+func (d *detector) expected(running int) (float64, bool) {
+	bin := binOf(running)
+	for i := bin; i >= 0; i-- {
+		if d.bins[i].samples >= baselineMinSamples {
+			return d.bins[i].nsPerToken, true
+		}
+	}
+	for i := bin + 1; i < concurrencyBins; i++ {
+		if d.bins[i].samples >= baselineMinSamples {
+			return d.bins[i].nsPerToken, true
+		}
+	}
+	return 0, false
+}
+
+// healthy tells whether s is near the baseline; true without a baseline.
+func (d *detector) healthy(s Sample, running int) bool {
+	want, known := d.expected(running)
+	return !known || normalised(s) <= want*d.factor
+}
+
+// observe takes a sample and returns a reason when the evidence for a cold start
+// is complete.
+func (d *detector) observe(s Sample, running int, learn bool) (ColdReason, bool) {
+	d.smooth(s)
+	if d.lostCache(s) {
+		return ColdCacheLost, true
+	}
+	if !d.healthy(s, running) {
+		d.slow++
+		if d.slow >= d.slowLimit {
+			return ColdFirstToken, true
+		}
+		return "", false
+	}
+	// One healthy sample cancels one slow one, so that a few outliers among many
+	// healthy samples never add up.
+	d.slow = max(d.slow-1, 0)
+	if learn {
+		d.learn(s, running)
+	}
+	return "", false
+}
+
+// lostCache counts misses of prefixes that were expected to be cached. A hit
+// clears the count.
+func (d *detector) lostCache(s Sample) bool {
+	if s.ExpectedCached < cacheExpectedTokens {
+		return false
+	}
+	if float64(s.Cached) >= cacheHitFraction*float64(s.ExpectedCached) {
+		d.misses = 0
+		return false
+	}
+	d.misses++
+	return d.misses >= d.slowLimit
+}
+
+func (d *detector) learn(s Sample, running int) {
+	b := &d.bins[binOf(running)]
+	b.samples++
+	weight := max(baselineWeight, 1/float64(b.samples))
+	b.nsPerToken += weight * (normalised(s) - b.nsPerToken)
+}
+
+// smooth keeps the first-token time that is reported to routers.
+func (d *detector) smooth(s Sample) {
+	const weight = 0.2
+	if d.smoothed == 0 {
+		d.smoothed = float64(s.FirstToken)
+		return
+	}
+	d.smoothed += weight * (float64(s.FirstToken) - d.smoothed)
+}
+
+func (d *detector) clearEvidence() {
+	d.slow = 0
+	d.misses = 0
+}
