Add the choice of the backend server

Cause: routers choose on reports that lag and must not all choose the same agent, nor one that is excluded or leaving.

--- /dev/null
+++ b/daemon/balance/choose.go
@@ -0,0 +1,164 @@
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// suspectedPenalty makes a suspected agent a last resort.
+	suspectedPenalty = 1000
+	// minSpeed and maxSpeed bound the ratio of an agent's first-token time to the
+	// median. Without the upper bound a cold agent would get no requests and its
+	// ramp would never open.
+	minSpeed = 0.5
+	maxSpeed = 4
+	// fullPenalty is added to the load of an agent without an estimated free place,
+	// for each missing place.
+	fullPenalty = 4
+	// maxHolders bounds the agents looked at for a cached prefix.
+	maxHolders = 4
+)
+
+// Request is what the choice needs of a request.
+type Request struct {
+	// Target is model@version, or the service's name.
+	Target string
+	// Prefix is the hash of the prompt's prefix; 0 for none.
+	Prefix uint64
+	// Tried are the VMs of earlier attempts, which are chosen only when no other
+	// remains.
+	Tried []string
+}
+
+// Choose returns the agent for the request, or false when no agent in service has
+// the target. The agent may be full: it decides on current data itself.
+func (s *Snapshot) Choose(random *rand.Rand, now time.Time, r Request) (*Agent, bool) {
+	p := s.pools[r.Target]
+	if p == nil {
+		return nil, false
+	}
+	best, cost := s.sample(random, now, p, p.near, r.Tried)
+	if best < 0 || !s.usable(best, now, p) {
+		best, cost = s.scan(now, p, r.Tried)
+	}
+	if best < 0 {
+		return nil, false
+	}
+	if holder := s.holder(now, p, r, cost); holder >= 0 {
+		best = holder
+	}
+	a := &s.agents[best]
+	if !s.mayServe(a) {
+		s.cfg.Check.Assert(false, InvariantExcludedChosen, "vm %s, data centre %s, phase %s", a.VM, a.DataCentre, a.Phase)
+		return nil, false
+	}
+	return a, true
+}
+
+// sample returns the cheapest of a few random candidates.
+func (s *Snapshot) sample(random *rand.Rand, now time.Time, p *pool, from []int32, tried []string) (int32, float64) {
+	best, cost := int32(-1), math.Inf(1)
+	if len(from) == 0 {
+		return best, cost
+	}
+	first := random.IntN(len(from))
+	at := first
+	for n := range min(s.cfg.Choices, len(from)) {
+		if n > 0 {
+			// A second draw among the others keeps two choices distinct.
+			at = (first + 1 + random.IntN(len(from)-1)) % len(from)
+		}
+		i := from[at]
+		if slices.Contains(tried, s.agents[i].VM) {
+			continue
+		}
+		if c := s.cost(&s.agents[i], now, p); c < cost {
+			best, cost = i, c
+		}
+	}
+	return best, cost
+}
+
+// scan returns the cheapest of all candidates. It is used when the sample has no
+// free place. Tried agents and other regions come last.
+func (s *Snapshot) scan(now time.Time, p *pool, tried []string) (int32, float64) {
+	best, cost := int32(-1), math.Inf(1)
+	for pass := range 2 {
+		for _, from := range [2][]int32{p.near, p.far} {
+			for _, i := range from {
+				again := slices.Contains(tried, s.agents[i].VM)
+				if again != (pass == 1) {
+					continue
+				}
+				if c := s.cost(&s.agents[i], now, p); c < cost {
+					best, cost = i, c
+				}
+			}
+		}
+		if best >= 0 {
+			return best, cost
+		}
+	}
+	return best, cost
+}
+
+// holder returns a near agent that has the prefix cached and is worth it, or -1.
+func (s *Snapshot) holder(now time.Time, p *pool, r Request, cost float64) int32 {
+	if r.Prefix == 0 {
+		return -1
+	}
+	best := int32(-1)
+	holders := p.prefixes[r.Prefix]
+	for _, i := range holders[:min(len(holders), maxHolders)] {
+		a := &s.agents[i]
+		if s.load(a, now, p) > s.cfg.AffinityMaxLoad || slices.Contains(r.Tried, a.VM) {
+			continue
+		}
+		if c := s.cost(a, now, p) * s.cfg.AffinityGain; c < cost {
+			best, cost = i, c
+		}
+	}
+	return best
+}
+
+// usable tells whether a candidate is expected to have a free place and is not
+// suspected.
+func (s *Snapshot) usable(i int32, now time.Time, p *pool) bool {
+	a := &s.agents[i]
+	return a.Suspicion < 1 && s.load(a, now, p) <= 1
+}
+
+// load estimates the load with one more request: reported requests, moved towards
+// the mean of the candidates as the report ages, and the router's own requests
+// since the report.
+func (s *Snapshot) load(a *Agent, now time.Time, p *pool) float64 {
+	if a.Limit <= 0 {
+		return 1 + fullPenalty
+	}
+	age := max(now.Sub(a.At), 0)
+	trust := math.Exp2(-float64(age) / float64(s.cfg.ReportHalfLife))
+	reported := trust*reportedLoad(a) + (1-trust)*p.meanLoad
+	own := a.Flight.Count() - a.FlightAtReport
+	return max(reported*float64(a.Limit)+float64(own), 0)/float64(a.Limit) + 1/float64(a.Limit)
+}
+
+// cost estimates the time that a request needs at an agent in ms: the typical
+// time, scaled by the agent's speed and load, and the network.
+func (s *Snapshot) cost(a *Agent, now time.Time, p *pool) float64 {
+	load := s.load(a, now, p)
+	if load > 1 {
+		load += fullPenalty * (load - 1)
+	}
+	speed := 1.0
+	if a.FirstTokenMS > 0 {
+		speed = min(max(a.FirstTokenMS/p.typicalMS, minSpeed), maxSpeed)
+	}
+	cost := p.typicalMS*speed*load + s.cfg.DistanceMS[min(a.Distance, OtherRegion)]
+	if a.Suspicion >= 1 {
+		cost *= suspectedPenalty
+	}
+	return cost * (1 + a.Suspicion)
+}
--- /dev/null
+++ b/daemon/balance/snapshot.go
@@ -0,0 +1,155 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"cactusknot.example/coord/invariant"
+)
+
+// InvariantExcludedChosen: an excluded, leaving or out-of-service agent is never
+// chosen.
+const InvariantExcludedChosen invariant.Name = "excluded_chosen"
+
+// Config sets the choice. Zero values select the defaults.
+type Config struct {
+	// Choices is the number of random candidates compared.
+	Choices int
+	// ReportHalfLife is the age at which a report counts half and the mean of the
+	// candidates counts half.
+	ReportHalfLife time.Duration
+	// DistanceMS is the cost of each distance in ms.
+	DistanceMS [3]float64
+	// AffinityMaxLoad is the estimated load (requests over limit) up to which an
+	// agent is preferred for its cached prefix.
+	AffinityMaxLoad float64
+	// AffinityGain is the factor on the cost of an agent that has the prefix.
+	AffinityGain float64
+	// Check counts violations; may be nil.
+	Check *invariant.Checker
+}
+
+// Defaults of Config.
+const (
+	// DefaultChoices: see docs/decisions/load-and-limits.md for the figures.
+	DefaultChoices         = 2
+	DefaultReportHalfLife  = 2 * time.Second
+	DefaultAffinityMaxLoad = 0.8
+	DefaultAffinityGain    = 0.7
+)
+
+// defaultDistanceMS holds round trips within a data centre, between data centres
+// of a region and between regions.
+var defaultDistanceMS = [3]float64{0.2, 1.5, 80}
+
+func (c Config) withDefaults() Config {
+	if c.Choices == 0 {
+		c.Choices = DefaultChoices
+	}
+	if c.ReportHalfLife == 0 {
+		c.ReportHalfLife = DefaultReportHalfLife
+	}
+	if c.DistanceMS == [3]float64{} {
+		c.DistanceMS = defaultDistanceMS
+	}
+	if c.AffinityMaxLoad == 0 {
+		c.AffinityMaxLoad = DefaultAffinityMaxLoad
+	}
+	if c.AffinityGain == 0 {
+		c.AffinityGain = DefaultAffinityGain
+	}
+	return c
+}
+
+// Snapshot is an immutable view of the agents. It is safe for concurrent use.
+type Snapshot struct {
+	cfg       Config
+	agents    []Agent
+	exclusion Exclusion
+	pools     map[string]*pool
+}
+
+// pool holds the candidates of one target.
+type pool struct {
+	// near are the candidates of the region, far those of other regions.
+	near []int32
+	far  []int32
+	// prefixes maps a prefix to the near candidates that have it cached.
+	prefixes map[uint64][]int32
+	// meanLoad is the mean reported load of the near candidates.
+	meanLoad float64
+	// typicalMS is the median reported first-token time of the near candidates.
+	typicalMS float64
+}
+
+// NewSnapshot indexes the agents. It keeps agents and exclusion; the caller does
+// not change them afterwards.
+func NewSnapshot(cfg Config, agents []Agent, exclusion Exclusion) *Snapshot {
+	s := &Snapshot{
+		cfg:       cfg.withDefaults(),
+		agents:    agents,
+		exclusion: exclusion,
+		pools:     make(map[string]*pool),
+	}
+	for i := range agents {
+		if s.mayServe(&agents[i]) {
+			s.index(int32(i))
+		}
+	}
+	for _, p := range s.pools {
+		s.summarise(p)
+	}
+	return s
+}
+
+// mayServe tells whether an agent may get new work at all.
+func (s *Snapshot) mayServe(a *Agent) bool {
+	return inService(a.Phase) && !s.exclusion.covers(a)
+}
+
+func (s *Snapshot) index(i int32) {
+	a := &s.agents[i]
+	for _, target := range a.Targets {
+		p := s.pools[target]
+		if p == nil {
+			p = &pool{prefixes: make(map[uint64][]int32)}
+			s.pools[target] = p
+		}
+		if a.Distance >= OtherRegion {
+			p.far = append(p.far, i)
+			continue
+		}
+		p.near = append(p.near, i)
+		for _, prefix := range a.Prefixes {
+			p.prefixes[prefix] = append(p.prefixes[prefix], i)
+		}
+	}
+}
+
+func (s *Snapshot) summarise(p *pool) {
+	var load float64
+	var times []float64
+	for _, i := range p.near {
+		a := &s.agents[i]
+		load += reportedLoad(a)
+		if a.FirstTokenMS > 0 {
+			times = append(times, a.FirstTokenMS)
+		}
+	}
+	p.meanLoad = load / float64(max(len(p.near), 1))
+	p.typicalMS = 1
+	if len(times) > 0 {
+		slices.Sort(times)
+		p.typicalMS = times[len(times)/2]
+	}
+}
+
+func reportedLoad(a *Agent) float64 {
+	if a.Limit <= 0 {
+		return 1
+	}
+	return float64(a.Limit-a.Free) / float64(a.Limit)
+}
+
+// Agents returns the agents of the snapshot; the caller does not change them.
+func (s *Snapshot) Agents() []Agent { return s.agents }
