--- /dev/null
+++ b/daemon/bench/queueing/record.go
@@ -0,0 +1,151 @@
+package queueing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// histogramMax and histogramDigits bound the HDR histograms, which hold µs.
+	histogramMax    = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+// record collects the outcomes of one run.
+type record struct {
+	started        int
+	ended          int
+	unresolved     int
+	attempts       int
+	refusals       int
+	budgetRefusals int
+	duplicates     int
+	outcomes       [4]int
+	samples        []sample
+}
+
+// sample is the end of one request.
+type sample struct {
+	arrived time.Duration
+	first   time.Duration
+	total   time.Duration
+	outcome outcome
+}
+
+func newRecord() *record { return &record{} }
+
+func (r *record) end(q *request, o outcome) {
+	r.ended++
+	r.outcomes[o]++
+	if q.answers > 1 {
+		r.duplicates++
+	}
+	r.samples = append(r.samples, sample{
+		arrived: q.arrived,
+		first:   q.first,
+		total:   q.router.cluster.loop.now - q.arrived,
+		outcome: o,
+	})
+}
+
+// Percentiles are latencies of answered requests.
+type Percentiles struct {
+	P50 time.Duration
+	P95 time.Duration
+	P99 time.Duration
+}
+
+// Counts are the requests that arrived in an interval.
+type Counts struct {
+	Requests int
+	// InTime counts complete answers within the deadline.
+	InTime int
+	// Refused, Broken and TimedOut count the others.
+	Refused  int
+	Broken   int
+	TimedOut int
+}
+
+// percentiles returns first-token and total latencies of the answered requests
+// that arrived in [from, to).
+func (r *record) percentiles(from, to time.Duration) (first, total Percentiles) {
+	f := hdrhistogram.New(1, histogramMax, histogramDigits)
+	t := hdrhistogram.New(1, histogramMax, histogramDigits)
+	for _, s := range r.samples {
+		if s.arrived < from || s.arrived >= to || s.outcome != outcomeDone {
+			continue
+		}
+		_ = f.RecordValue(s.first.Microseconds())
+		_ = t.RecordValue(s.total.Microseconds())
+	}
+	return quantiles(f), quantiles(t)
+}
+
+func quantiles(h *hdrhistogram.Histogram) Percentiles {
+	at := func(q float64) time.Duration {
+		return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+	}
+	return Percentiles{P50: at(50), P95: at(95), P99: at(99)}
+}
+
+func (r *record) counts(from, to time.Duration) Counts {
+	var c Counts
+	for _, s := range r.samples {
+		if s.arrived < from || s.arrived >= to {
+			continue
+		}
+		c.Requests++
+		switch s.outcome {
+		case outcomeDone:
+			c.InTime++
+		case outcomeRefused:
+			c.Refused++
+		case outcomeBroken:
+			c.Broken++
+		case outcomeTimeout:
+			c.TimedOut++
+		}
+	}
+	return c
+}
+
+// p99WithFailures returns the p99 of the total latency in [from, to), where a
+// request that was not answered counts as longer than any other.
+func (r *record) p99WithFailures(from, to time.Duration) time.Duration {
+	const failed = time.Hour
+	var all []time.Duration
+	for _, s := range r.samples {
+		if s.arrived < from || s.arrived >= to {
+			continue
+		}
+		if s.outcome != outcomeDone {
+			all = append(all, failed)
+			continue
+		}
+		all = append(all, s.total)
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[len(all)*99/100]
+}
+
+// Spread summarises a figure over seeds.
+type Spread struct {
+	Median float64
+	Min    float64
+	Max    float64
+}
+
+// SpreadOf returns the median and the range of the values; zeros for none.
+func SpreadOf(values []float64) Spread {
+	if len(values) == 0 {
+		return Spread{}
+	}
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return Spread{Median: sorted[len(sorted)/2], Min: sorted[0], Max: sorted[len(sorted)-1]}
+}
--- /dev/null
+++ b/daemon/bench/queueing/request.go
@@ -0,0 +1,224 @@
+package queueing
+
+import (
+	"time"
+
+	"cactusknot.example/coord/limit"
+)
+
+// request is one request of a caller.
+type request struct {
+	id      int
+	router  *router
+	lengths lengths
+	arrived time.Duration
+	first   time.Duration
+	tried   []string
+	// attempts counts the attempts; events of earlier ones are ignored.
+	attempts int
+	retries  int
+	ended    bool
+	// answers counts complete answers; more than one is a duplicate.
+	answers int
+	// current is the sequence of the present attempt, for cancelling.
+	current *attempt
+}
+
+// attempt is one dispatch of a request to a server.
+type attempt struct {
+	request  *request
+	number   int
+	server   *server
+	permit   *limit.Permit
+	sequence *sequence
+	at       time.Duration
+	closed   bool
+}
+
+type outcome uint8
+
+const (
+	outcomeDone outcome = iota
+	outcomeRefused
+	outcomeBroken
+	outcomeTimeout
+)
+
+func (r *router) accept(l lengths) {
+	c := r.cluster
+	q := &request{id: c.record.started, router: r, lengths: l, arrived: c.loop.now}
+	c.record.started++
+	r.budget.Attempt()
+	c.loop.after(c.workload.Deadline, func() { q.expire() })
+	q.dispatch()
+}
+
+func (q *request) dispatch() {
+	if q.ended {
+		return
+	}
+	c := q.router.cluster
+	index := c.policy.choose(q.router, q)
+	if index < 0 {
+		q.retryOr(outcomeRefused)
+		return
+	}
+	s := c.servers[index]
+	q.attempts++
+	c.record.attempts++
+	q.tried = append(q.tried, s.vm)
+	a := &attempt{request: q, number: q.attempts, server: s, at: c.loop.now}
+	q.current = a
+	q.router.view[index].Flight.Start()
+	c.loop.after(c.delay(q.router.dc, s.dc), a.arrive)
+	c.loop.after(c.workload.FirstTokenTimeout, a.firstTokenTimeout)
+}
+
+// arrive is the attempt at the agent.
+func (a *attempt) arrive() {
+	s := a.server
+	c := s.cluster
+	if a.closed {
+		return
+	}
+	if !s.alive {
+		c.loop.after(connectTimeout, func() { a.end(outcomeBroken, nil) })
+		return
+	}
+	l := a.request.lengths
+	permit, refusal := s.admission.Admit(l.prompt + c.workload.AnswerMax)
+	if refusal == limit.NotRefused && !s.engine.up {
+		permit.Fail()
+		refusal = limit.RefusedDown
+	}
+	if refusal != limit.NotRefused {
+		c.record.refusals++
+		a.reply(func() { a.end(outcomeRefused, nil) })
+		return
+	}
+	a.permit = permit
+	a.sequence = &sequence{lengths: l, first: a.first, done: a.done, failed: a.failed}
+	s.engine.submit(a.sequence)
+}
+
+// reply runs a function at the router with the agent's state.
+func (a *attempt) reply(run func()) {
+	s := a.server
+	r := a.request.router
+	rep := s.report()
+	s.cluster.loop.after(s.cluster.delay(r.dc, s.dc), func() {
+		r.update(s, rep)
+		run()
+	})
+}
+
+func (a *attempt) first(cached int) {
+	c := a.server.cluster
+	l := a.request.lengths
+	a.permit.FirstToken(limit.Sample{
+		FirstToken:   c.loop.now - a.at,
+		PromptTokens: l.prompt,
+		Cached:       cached,
+	})
+	a.reply(func() {
+		if !a.closed && a.request.first == 0 {
+			a.request.first = c.loop.now - a.request.arrived
+		}
+	})
+}
+
+func (a *attempt) done() {
+	a.permit.Complete()
+	a.reply(func() { a.end(outcomeDone, nil) })
+}
+
+// failed is called when the engine stopped with the request in it.
+func (a *attempt) failed() {
+	a.permit.Fail()
+	if !a.server.alive {
+		a.server.cluster.loop.after(connectTimeout, func() { a.end(outcomeBroken, nil) })
+		return
+	}
+	a.reply(func() { a.end(outcomeBroken, nil) })
+}
+
+// firstTokenTimeout cancels an attempt that has no first token yet.
+func (a *attempt) firstTokenTimeout() {
+	if a.closed || a.request.first > 0 {
+		return
+	}
+	a.end(outcomeTimeout, a.cancel)
+}
+
+func (a *attempt) cancel() {
+	if a.sequence == nil || a.sequence.cancelled {
+		return
+	}
+	a.sequence.cancelled = true
+	a.permit.Release()
+}
+
+// end closes the attempt at the router.
+func (a *attempt) end(o outcome, cancel func()) {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	q := a.request
+	r := q.router
+	r.view[a.server.index].Flight.Done()
+	if cancel != nil {
+		r.cluster.loop.after(r.cluster.delay(r.dc, a.server.dc), cancel)
+	}
+	if o == outcomeDone {
+		q.answers++
+		q.finish(o)
+		return
+	}
+	q.retryOr(o)
+}
+
+// retryOr retries a request of which nothing was sent to the caller, or ends it.
+func (q *request) retryOr(o outcome) {
+	if q.ended {
+		return
+	}
+	r := q.router
+	c := r.cluster
+	if q.first > 0 || c.policy.retries == retryNever {
+		q.finish(o)
+		return
+	}
+	if c.policy.retries == retryBudget && !r.budget.Retry() {
+		c.record.budgetRefusals++
+		q.finish(o)
+		return
+	}
+	q.retries++
+	pause := time.Millisecond
+	if c.policy.retries == retryBudget {
+		pause = r.budget.Backoff(q.retries, r.random)
+	}
+	c.loop.after(pause, q.dispatch)
+}
+
+func (q *request) expire() {
+	if q.ended {
+		return
+	}
+	if a := q.current; a != nil && !a.closed {
+		a.closed = true
+		q.router.view[a.server.index].Flight.Done()
+		c := q.router.cluster
+		c.loop.after(c.delay(q.router.dc, a.server.dc), a.cancel)
+	}
+	q.finish(outcomeTimeout)
+}
+
+func (q *request) finish(o outcome) {
+	if q.ended {
+		return
+	}
+	q.ended = true
+	q.router.cluster.record.end(q, o)
+}
