--- /dev/null
+++ b/daemon/bundle/manifest.go
@@ -0,0 +1,277 @@
+package bundle
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Bounds of a signed manifest. They keep a malformed one from using memory
+// before its signatures are checked.
+const (
+	// MaxManifestBytes bounds the JSON form with signatures; the usual size is 6 KB.
+	MaxManifestBytes = 256 << 10
+	// MaxParts bounds the parts of one manifest.
+	MaxParts = 1024
+	// maxSignatures bounds the signature checks for one message.
+	maxSignatures = 64
+)
+
+// Domains keep a signature for one kind of message from being valid for another.
+const (
+	manifestDomain = "cactusknot bundle manifest v1\x00"
+	keysDomain     = "cactusknot operator keys v1\x00"
+)
+
+// Errors of verification. Callers test them with errors.Is.
+var (
+	// ErrMalformed: the manifest breaks its form or bounds.
+	ErrMalformed = errors.New("bundle: malformed manifest")
+	// ErrSignOffs: fewer different operators signed than the keys demand.
+	ErrSignOffs = errors.New("bundle: not enough valid sign-offs")
+	// ErrUntrustedKeys: the operator keys are not signed by enough root keys.
+	ErrUntrustedKeys = errors.New("bundle: operator keys are not signed by the root keys")
+)
+
+// Manifest describes one configuration version.
+type Manifest struct {
+	// Version grows with each change and starts at 1.
+	Version uint64 `json:"version"`
+	// Parent is the version that the change was made from; 0 for the first.
+	Parent uint64 `json:"parent"`
+	// Parts holds the hash of each part by name.
+	Parts map[string]Hash `json:"parts"`
+	// Needs names the parts without which a process may not put the version in
+	// force. A program that does not know one of them refuses the version.
+	Needs []string `json:"needs,omitempty"`
+	// Created is the operator's clock; nothing depends on it.
+	Created time.Time `json:"created"`
+	Author  string    `json:"author"`
+	Note    string    `json:"note"`
+}
+
+// Signature is an Ed25519 signature.
+type Signature struct {
+	// Key is the fingerprint of the public key.
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+// Signed is a manifest with sign-offs. The signatures cover the compact form of
+// Manifest as it is sent, so that fields of newer program versions survive.
+type Signed struct {
+	Manifest   json.RawMessage `json:"manifest"`
+	Signatures []Signature     `json:"signatures"`
+}
+
+// Anchor is what a process trusts from its settings: the root keys and how many
+// of them must sign the operators' keys.
+type Anchor struct {
+	Roots    []OperatorKey `json:"roots"`
+	SignOffs int           `json:"sign_offs"`
+}
+
+// DecodeSigned reads a signed manifest and checks its form, not its signatures.
+func DecodeSigned(data []byte) (Signed, error) {
+	var s Signed
+	if len(data) > MaxManifestBytes {
+		return s, fmt.Errorf("%w: %d bytes", ErrMalformed, len(data))
+	}
+	if err := strict(data, &s); err != nil {
+		return s, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	_, err := s.Open()
+	return s, err
+}
+
+// Encode returns the JSON form.
+func (s Signed) Encode() ([]byte, error) { return json.Marshal(s) }
+
+// Hash identifies the manifest without its signatures.
+func (s Signed) Hash() Hash { return HashOf(s.message()) }
+
+// message returns the signed bytes without the domain.
+func (s Signed) message() []byte {
+	var out bytes.Buffer
+	if err := json.Compact(&out, s.Manifest); err != nil {
+		return nil
+	}
+	return out.Bytes()
+}
+
+// Open decodes the manifest and checks its form, not its signatures.
+func (s Signed) Open() (Manifest, error) {
+	var m Manifest
+	if len(s.Signatures) > maxSignatures {
+		return m, fmt.Errorf("%w: %d signatures", ErrMalformed, len(s.Signatures))
+	}
+	if err := json.Unmarshal(s.Manifest, &m); err != nil {
+		return m, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return m, m.check()
+}
+
+func (m Manifest) check() error {
+	if m.Version == 0 || m.Version <= m.Parent {
+		return fmt.Errorf("%w: version %d with parent %d", ErrMalformed, m.Version, m.Parent)
+	}
+	if len(m.Parts) > MaxParts {
+		return fmt.Errorf("%w: %d parts", ErrMalformed, len(m.Parts))
+	}
+	for name, hash := range m.Parts {
+		if !validKeyHash(string(hash)) {
+			return fmt.Errorf("%w: part %q has no valid hash", ErrMalformed, name)
+		}
+	}
+	return nil
+}
+
+func (m Manifest) supported() error {
+	for _, name := range m.Needs {
+		if !knownPart(name) {
+			return fmt.Errorf("%w: %s", ErrUnknownPart, name)
+		}
+	}
+	return nil
+}
+
+// NewSigned returns m without signatures.
+func NewSigned(m Manifest) (Signed, error) {
+	data, err := json.Marshal(m)
+	if err != nil {
+		return Signed{}, fmt.Errorf("bundle: encode manifest: %w", err)
+	}
+	return Signed{Manifest: data}, nil
+}
+
+// Sign returns s with the sign-off of key added. Signing twice changes nothing.
+func Sign(s Signed, key ed25519.PrivateKey) Signed {
+	s.Signatures = addSignature(s.Signatures, key, manifestDomain, s.message())
+	return s
+}
+
+// Verify checks that enough different operators of keys signed s and returns
+// the manifest. The caller must have established that keys are in force.
+func Verify(s Signed, keys Keys) (Manifest, error) {
+	m, err := s.Open()
+	if err != nil {
+		return m, err
+	}
+	signed := signers(s.Signatures, keys.Operators, manifestDomain, s.message())
+	if len(signed) < max(keys.SignOffs, 1) {
+		return m, fmt.Errorf("%w: %d of %d", ErrSignOffs, len(signed), keys.SignOffs)
+	}
+	return m, nil
+}
+
+// SignKeys returns k with the signature of a root key added.
+func SignKeys(k Keys, root ed25519.PrivateKey) Keys {
+	k.RootSignatures = addSignature(k.RootSignatures, root, keysDomain, k.message())
+	return k
+}
+
+// VerifyKeys checks that enough root keys of a signed k.
+func VerifyKeys(k Keys, a Anchor) error {
+	if len(k.RootSignatures) > maxSignatures {
+		return fmt.Errorf("%w: %d signatures", ErrUntrustedKeys, len(k.RootSignatures))
+	}
+	signed := signers(k.RootSignatures, a.Roots, keysDomain, k.message())
+	if len(signed) < max(a.SignOffs, 1) {
+		return fmt.Errorf("%w: %d of %d", ErrUntrustedKeys, len(signed), a.SignOffs)
+	}
+	return nil
+}
+
+// message returns what root keys sign, without the domain.
+func (k Keys) message() []byte {
+	k.RootSignatures = nil
+	data, err := json.Marshal(k)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// VerifyWithPart checks s against the operator keys in its own keys part, which
+// must be signed by the root keys of a. It needs no other part, so a process
+// can refuse a forged manifest before it fetches anything else.
+func VerifyWithPart(s Signed, keysPart []byte, a Anchor) (Manifest, Keys, error) {
+	var keys Keys
+	m, err := s.Open()
+	if err != nil {
+		return m, keys, err
+	}
+	parts := map[Hash][]byte{m.Parts[PartKeys]: keysPart}
+	if err := decodePart(m, parts, PartKeys, &keys); err != nil {
+		return m, keys, err
+	}
+	if err := VerifyKeys(keys, a); err != nil {
+		return m, keys, err
+	}
+	_, err = Verify(s, keys)
+	return m, keys, err
+}
+
+// Open verifies s against a, joins its parts and validates the content.
+func Open(s Signed, parts map[Hash][]byte, a Anchor) (*Bundle, Manifest, error) {
+	m, err := s.Open()
+	if err != nil {
+		return nil, m, err
+	}
+	if _, _, err := VerifyWithPart(s, parts[m.Parts[PartKeys]], a); err != nil {
+		return nil, m, err
+	}
+	b, err := Join(m, parts)
+	if err != nil {
+		return nil, m, err
+	}
+	if err := b.Validate(); err != nil {
+		return nil, m, err
+	}
+	return b, m, nil
+}
+
+// Fingerprint returns the name of a public key in signatures.
+func Fingerprint(public ed25519.PublicKey) string { return string(HashOf(public)[:32]) }
+
+func addSignature(list []Signature, key ed25519.PrivateKey, domain string, message []byte) []Signature {
+	print := Fingerprint(key.Public().(ed25519.PublicKey))
+	out := slices.DeleteFunc(slices.Clone(list), func(s Signature) bool { return s.Key == print })
+	value := ed25519.Sign(key, append([]byte(domain), message...))
+	return append(out, Signature{Key: print, Value: value})
+}
+
+// signers returns the names of the operators with a valid signature.
+func signers(list []Signature, operators []OperatorKey, domain string, message []byte) map[string]bool {
+	if len(message) == 0 {
+		return nil
+	}
+	keys := make(map[string]OperatorKey, len(operators))
+	public := make(map[string]ed25519.PublicKey, len(operators))
+	for _, o := range operators {
+		raw, err := base64.StdEncoding.DecodeString(o.PublicKey)
+		if err != nil || len(raw) != ed25519.PublicKeySize {
+			continue
+		}
+		print := Fingerprint(raw)
+		keys[print] = o
+		public[print] = raw
+	}
+	full := append([]byte(domain), message...)
+	valid := make(map[string]bool)
+	used := make(map[string]bool)
+	for _, s := range list {
+		o, known := keys[s.Key]
+		if !known || used[s.Key] || !ed25519.Verify(public[s.Key], full, s.Value) {
+			continue
+		}
+		used[s.Key] = true
+		valid[o.Name] = true
+	}
+	return valid
+}
