--- a/daemon/bundle/manifest.go
+++ b/daemon/bundle/manifest.go
@@ -275,3 +275,7 @@
 	}
 	return valid
 }
+
+// Same reports whether k and other hold the same operators, sign-offs and
+// serial, whoever signed them.
+func (k Keys) Same(other Keys) bool { return bytes.Equal(k.message(), other.message()) }
--- /dev/null
+++ b/daemon/distribute/counters.go
@@ -0,0 +1,130 @@
+package distribute
+
+import (
+	"cactusknot.example/daemon/rpc"
+
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// maxCounters bounds the counters held, about 15 MB.
+	maxCounters = 50_000
+	// counterBytesPerMessage bounds the counters in one message, so that two
+	// messages a second and their replies stay within BytesPerSecond.
+	counterBytesPerMessage = 1000
+)
+
+type counterKey struct {
+	node                            string
+	incarnation                     uint64
+	workspace, model, version, kind string
+}
+
+func keyOf(c *rpc.QualityCounter) counterKey {
+	return counterKey{
+		node: c.GetNode(), incarnation: c.GetNodeIncarnation(),
+		workspace: c.GetWorkspace(), model: c.GetModel(), version: c.GetVersion(), kind: c.GetKind(),
+	}
+}
+
+// counterTable holds the largest count of each counter and the counters still
+// to be spread.
+type counterTable struct {
+	all map[counterKey]*rpc.QualityCounter
+	hot map[counterKey]int
+}
+
+func newCounterTable() counterTable {
+	return counterTable{all: make(map[counterKey]*rpc.QualityCounter), hot: make(map[counterKey]int)}
+}
+
+// merge reports whether c was news.
+func (t *counterTable) merge(c *rpc.QualityCounter) bool {
+	key := keyOf(c)
+	old, known := t.all[key]
+	if known && old.GetCount() >= c.GetCount() {
+		return false
+	}
+	if !known && len(t.all) >= maxCounters {
+		return false
+	}
+	t.all[key] = proto.CloneOf(c)
+	t.hot[key] = hotRounds
+	return true
+}
+
+// take returns counters to send of at most limit bytes.
+func (t *counterTable) take(limit int) []*rpc.QualityCounter {
+	var out []*rpc.QualityCounter
+	for key, left := range t.hot {
+		c := t.all[key]
+		limit -= proto.Size(c) + 3
+		if limit < 0 {
+			break
+		}
+		out = append(out, c)
+		t.hot[key] = left - 1
+		if left <= 1 {
+			delete(t.hot, key)
+		}
+	}
+	return out
+}
+
+// refresh marks a counter of the node for sending again, so that a process that
+// missed it gets it later.
+func (t *counterTable) refresh(node string) {
+	for key := range t.all {
+		if key.node == node {
+			t.hot[key] = max(t.hot[key], 1)
+			return
+		}
+	}
+}
+
+// Count records the present value of one of this process's own counters.
+func (k *Keeper) Count(c *rpc.QualityCounter) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.counters.merge(c)
+}
+
+// Counters returns the largest known value of every counter of every node. The
+// messages must not be changed.
+func (k *Keeper) Counters() []*rpc.QualityCounter {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make([]*rpc.QualityCounter, 0, len(k.counters.all))
+	for _, c := range k.counters.all {
+		out = append(out, c)
+	}
+	return out
+}
+
+// mergeCounters takes counters from a peer.
+func (k *Keeper) mergeCounters(list []*rpc.QualityCounter) {
+	var news []*rpc.QualityCounter
+	k.mu.Lock()
+	for _, c := range list {
+		if k.counters.merge(c) {
+			news = append(news, c)
+		}
+	}
+	k.mu.Unlock()
+	if k.cfg.OnCounter == nil {
+		return
+	}
+	for _, c := range news {
+		k.cfg.OnCounter(c)
+	}
+}
+
+func (k *Keeper) countersToSend() []*rpc.QualityCounter {
+	limit := min(counterBytesPerMessage, k.meter.room())
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.counters.hot) == 0 {
+		k.counters.refresh(k.cfg.Self.Node)
+	}
+	return k.counters.take(limit)
+}
--- /dev/null
+++ b/daemon/distribute/freshness.go
@@ -0,0 +1,135 @@
+package distribute
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// FreshnessBound is the age of the last confirmation after which a process
+	// polls the store itself. It leaves 3 s of the 13 s in which a configuration
+	// must be in force.
+	FreshnessBound = 10 * time.Second
+	// contactWindow is how long a contact with a data centre counts.
+	contactWindow = 30 * time.Second
+	// defaultIsolatedServe applies when limits.isolated_serve_seconds is 0.
+	defaultIsolatedServe = 300 * time.Second
+)
+
+// freshness records when this process was last known to be in contact.
+type freshness struct {
+	mu        sync.Mutex
+	confirmed time.Time
+	stored    time.Time
+	contacts  map[string]time.Time
+}
+
+// Contact records that a peer of the data centre answered a call that was sent
+// at the given time, or sent one that arrived then.
+func (k *Keeper) Contact(dataCentre string, at time.Time) {
+	needed := k.dataCentres()
+	alone := k.aloneInDataCentre()
+	f := &k.fresh
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.contacts[dataCentre]) {
+		f.contacts[dataCentre] = at
+	}
+	reached := 0
+	for _, name := range needed {
+		last, ok := f.contacts[name]
+		if ok && at.Sub(last) <= contactWindow || alone && name == k.cfg.Self.DataCentre {
+			reached++
+		}
+	}
+	if 2*reached > len(needed) && at.After(f.confirmed) {
+		f.confirmed = at
+	}
+}
+
+// aloneInDataCentre reports whether no other process of this data centre is
+// known; the own data centre then counts as reached.
+func (k *Keeper) aloneInDataCentre() bool {
+	for _, m := range k.others() {
+		if m.DataCentre == k.cfg.Self.DataCentre {
+			return false
+		}
+	}
+	return true
+}
+
+// storeAnswered records a successful read of the store sent at the given time.
+func (k *Keeper) storeAnswered(at time.Time) {
+	f := &k.fresh
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.stored) {
+		f.stored = at
+	}
+	if at.After(f.confirmed) {
+		f.confirmed = at
+	}
+}
+
+// dataCentres returns those of the bundle, or those of the known members while
+// the bundle lists none.
+func (k *Keeper) dataCentres() []string {
+	var out []string
+	if c := k.Current(); c != nil {
+		for _, d := range c.Bundle.DataCentres {
+			out = append(out, d.Name)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	seen := make(map[string]bool)
+	for _, m := range append(k.others(), k.cfg.Self) {
+		if !seen[m.DataCentre] {
+			seen[m.DataCentre] = true
+			out = append(out, m.DataCentre)
+		}
+	}
+	return out
+}
+
+// Confirmed returns when this process last read the store or was in contact
+// with peers in more than half of the data centres; zero before the first time.
+func (k *Keeper) Confirmed() time.Time {
+	k.fresh.mu.Lock()
+	defer k.fresh.mu.Unlock()
+	return k.fresh.confirmed
+}
+
+// StoreReachable reports whether the store answered within the window that
+// contacts count.
+func (k *Keeper) StoreReachable(now time.Time) bool {
+	k.fresh.mu.Lock()
+	defer k.fresh.mu.Unlock()
+	return !k.fresh.stored.IsZero() && now.Sub(k.fresh.stored) <= contactWindow
+}
+
+// Isolated reports whether this process must refuse new work, because it has
+// been unconfirmed for longer than limits.isolated_serve_seconds.
+func (k *Keeper) Isolated(now time.Time) bool {
+	serve := defaultIsolatedServe
+	if c := k.Current(); c != nil && c.Bundle.Limits.IsolatedServeSeconds > 0 {
+		serve = time.Duration(c.Bundle.Limits.IsolatedServeSeconds) * time.Second
+	}
+	return now.Sub(k.Confirmed()) > serve
+}
+
+// staleDataCentres returns the data centres without a contact in the last third
+// of the window. Gossip prefers them, so that contacts do not run out by chance.
+func (k *Keeper) staleDataCentres(now time.Time) map[string]bool {
+	needed := k.dataCentres()
+	k.fresh.mu.Lock()
+	defer k.fresh.mu.Unlock()
+	out := make(map[string]bool)
+	for _, name := range needed {
+		if now.Sub(k.fresh.contacts[name]) > contactWindow/3 {
+			out[name] = true
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/distribute/meter.go
@@ -0,0 +1,68 @@
+package distribute
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"cactusknot.example/coord/clock"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// BytesPerSecond is the control traffic that a node may cause on average.
+	BytesPerSecond = 5 << 10
+	// burstBytes lets a node fetch a part of a 1 MB bundle without delay.
+	burstBytes = 12 * BytesPerSecond
+	// callOverhead estimates the headers of a call and its reply over HTTP/2 with
+	// compressed headers and TLS framing.
+	callOverhead = 250
+)
+
+// meter counts control bytes and tells how many may be sent now. Stop notices
+// and bundles are never held back; optional content uses what they leave.
+type meter struct {
+	clock clock.Clock
+	set   *metrics.Set
+
+	mu     sync.Mutex
+	tokens float64
+	last   time.Time
+}
+
+func newMeter(c clock.Clock, set *metrics.Set) *meter {
+	return &meter{clock: c, set: set, tokens: burstBytes, last: c.Now()}
+}
+
+// spend counts n bytes of the kind plus the overhead of one call.
+func (m *meter) spend(kind string, n int) {
+	n += callOverhead
+	m.set.GetOrCreateCounter(fmt.Sprintf("cactusknot_control_bytes_total{kind=%q}", kind)).Add(n)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refill()
+	m.tokens = max(m.tokens-float64(n), -burstBytes)
+}
+
+// room returns the bytes that may be spent now.
+func (m *meter) room() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refill()
+	return int(max(m.tokens, 0))
+}
+
+func (m *meter) refill() {
+	now := m.clock.Now()
+	if passed := now.Sub(m.last); passed > 0 {
+		m.tokens = min(m.tokens+passed.Seconds()*BytesPerSecond, burstBytes)
+	}
+	m.last = now
+}
+
+// ControlBytes returns the bytes counted for the kind: sync, manifest, parts or
+// store.
+func (k *Keeper) ControlBytes(kind string) uint64 {
+	return k.cfg.Metrics.GetOrCreateCounter(fmt.Sprintf("cactusknot_control_bytes_total{kind=%q}", kind)).Get()
+}
--- /dev/null
+++ b/daemon/distribute/stops.go
@@ -0,0 +1,174 @@
+package distribute
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"time"
+
+	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/rpc"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// stopPrefix is followed by <model>@<version>/<generation>.
+	stopPrefix = "stops/"
+	// hotRounds is in how many messages a new notice or counter is repeated. With
+	// two peers a round it reaches 350 routers with a wide margin (2^10 > 350).
+	hotRounds = 10
+	// stopsPerMessage bounds the older notices repeated in one message.
+	stopsPerMessage = 8
+	// stopRetry is the mean wait before a stop notice is written again.
+	stopRetry = 2 * time.Second
+)
+
+// Stops is an immutable set of stop notices: the one with the highest generation
+// for each model@version.
+type Stops struct {
+	byVersion map[string]*rpc.StopNotice
+}
+
+// Stopped reports whether the version is stopped in a roll-out of the generation.
+func (s *Stops) Stopped(model, version string, generation uint64) bool {
+	n, ok := s.byVersion[model+"@"+version]
+	return ok && n.GetGeneration() >= generation
+}
+
+// All returns the notices. They must not be changed.
+func (s *Stops) All() []*rpc.StopNotice {
+	out := make([]*rpc.StopNotice, 0, len(s.byVersion))
+	for _, n := range s.byVersion {
+		out = append(out, n)
+	}
+	return out
+}
+
+// Stops returns the notices known now. It does not block.
+func (k *Keeper) Stops() *Stops { return k.stops.Load() }
+
+// Stop latches a notice that this process raised, spreads it and writes it to
+// the store. Doing so twice is harmless.
+func (k *Keeper) Stop(n *rpc.StopNotice) {
+	if !k.learn(n) {
+		return
+	}
+	k.mu.Lock()
+	k.pending[stopKey(n)] = n
+	k.mu.Unlock()
+	signal(k.wake)
+}
+
+// Learn merges notices from a peer.
+func (k *Keeper) Learn(list []*rpc.StopNotice) {
+	for _, n := range list {
+		k.learn(n)
+	}
+}
+
+// learn reports whether n was news.
+func (k *Keeper) learn(n *rpc.StopNotice) bool {
+	if n.GetModel() == "" || n.GetVersion() == "" {
+		return false
+	}
+	id := n.GetModel() + "@" + n.GetVersion()
+	k.mu.Lock()
+	old := k.stops.Load()
+	if known, ok := old.byVersion[id]; ok && known.GetGeneration() >= n.GetGeneration() {
+		k.mu.Unlock()
+		return false
+	}
+	next := &Stops{byVersion: make(map[string]*rpc.StopNotice, len(old.byVersion)+1)}
+	maps.Copy(next.byVersion, old.byVersion)
+	next.byVersion[id] = proto.CloneOf(n)
+	k.stops.Store(next)
+	k.hotStops[id] = hotRounds
+	k.mu.Unlock()
+	k.cfg.Log.Warn().Str("version", id).Uint64("generation", n.GetGeneration()).Str("origin", n.GetOrigin()).Msg("version stopped")
+	signal(k.spread)
+	if k.cfg.OnStop != nil {
+		k.cfg.OnStop(n)
+	}
+	return true
+}
+
+// stopsToSend returns new notices and a random few of the others.
+func (k *Keeper) stopsToSend() []*rpc.StopNotice {
+	known := k.Stops()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []*rpc.StopNotice
+	older := 0
+	for id, n := range known.byVersion {
+		if k.hotStops[id] > 0 {
+			k.hotStops[id]--
+			out = append(out, n)
+			continue
+		}
+		if older < stopsPerMessage {
+			older++
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func stopKey(n *rpc.StopNotice) string {
+	return fmt.Sprintf("%s%s@%s/%d", stopPrefix, n.GetModel(), n.GetVersion(), n.GetGeneration())
+}
+
+// writeStops writes the pending notices and returns whether some remain.
+func (k *Keeper) writeStops(ctx context.Context) bool {
+	k.mu.Lock()
+	todo := maps.Clone(k.pending)
+	k.mu.Unlock()
+	for key, n := range todo {
+		if k.writeStop(ctx, key, n) {
+			k.mu.Lock()
+			delete(k.pending, key)
+			k.mu.Unlock()
+			delete(todo, key)
+		}
+	}
+	return len(todo) > 0
+}
+
+// writeStop creates the key. An existing key holds an equal notice, also when
+// it is this process's own with the answer lost.
+func (k *Keeper) writeStop(ctx context.Context, key string, n *rpc.StopNotice) bool {
+	value, err := protojson.Marshal(n)
+	if err != nil {
+		k.cfg.Log.Error().Err(err).Str("key", key).Msg("encode stop notice")
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err = k.cfg.Store.Put(ctx, key, value, 0, 0)
+	k.meter.spend("store", len(key)+len(value))
+	return err == nil || errors.Is(err, kv.ErrConflict)
+}
+
+// ReadStops reads the notices in the store.
+func (k *Keeper) ReadStops(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entries, err := k.cfg.Store.List(ctx, stopPrefix)
+	if err != nil {
+		return fmt.Errorf("distribute: read stop notices: %w", err)
+	}
+	size := 0
+	for _, e := range entries {
+		size += len(e.Key) + len(e.Value)
+		n := new(rpc.StopNotice)
+		if err := protojson.Unmarshal(e.Value, n); err != nil {
+			k.cfg.Log.Error().Err(err).Str("key", e.Key).Msg("stop notice is malformed")
+			continue
+		}
+		k.learn(n)
+	}
+	k.meter.spend("store", size)
+	return nil
+}
