Add the model engine emulator

Cause: the request path needs a backend server to run against. Conclusion: the tests of daemon/emulate pass with -race.

--- /dev/null
+++ b/daemon/emulate/batch.go
@@ -0,0 +1,190 @@
+package emulate
+
+import (
+	"context"
+	"sort"
+	"time"
+)
+
+// sequence is one request in the engine.
+type sequence struct {
+	model    EngineModel
+	priority int
+	arrival  uint64
+	// prefill is the number of prompt tokens still to process.
+	prefill int
+	tokens  []string
+	next    int
+	// out carries the tokens; it is closed when the sequence ends, also early.
+	out   chan string
+	ended bool
+}
+
+func (s *sequence) end() {
+	if !s.ended {
+		s.ended = true
+		close(s.out)
+	}
+}
+
+// paused reports whether the reader is so far behind that the sequence waits.
+func (s *sequence) paused() bool { return len(s.out) == cap(s.out) }
+
+// submit adds a sequence to the waiting queue. It returns false when the engine
+// then holds more requests than it can handle.
+func (e *Engine) submit(s *sequence) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashed {
+		s.end()
+		return true
+	}
+	e.arrivals++
+	s.arrival = e.arrivals
+	e.totals.Accepted++
+	e.waiting = append(e.waiting, s)
+	held := len(e.waiting) + len(e.running)
+	e.totals.MaxHeld = max(e.totals.MaxHeld, held)
+	if held > e.maxHeldLocked() {
+		e.totals.Overloads++
+		return false
+	}
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// cancel takes a sequence out of the engine when its connection has closed.
+func (e *Engine) cancel(s *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s.ended {
+		return
+	}
+	e.totals.Cancelled++
+	s.end()
+	e.sweepLocked()
+}
+
+// sweepLocked removes ended sequences.
+func (e *Engine) sweepLocked() {
+	e.running = keepLive(e.running)
+	e.waiting = keepLive(e.waiting)
+}
+
+func keepLive(all []*sequence) []*sequence {
+	kept := all[:0]
+	for _, s := range all {
+		if !s.ended {
+			kept = append(kept, s)
+		}
+	}
+	clear(all[len(kept):])
+	return kept
+}
+
+// batchLoop runs batch steps until ctx ends.
+func (e *Engine) batchLoop(ctx context.Context) {
+	defer e.done.Done()
+	due := time.Now()
+	for ctx.Err() == nil {
+		step, work := e.beginStep()
+		if !work {
+			select {
+			case <-e.wake:
+			case <-ctx.Done():
+			}
+			due = time.Now()
+			continue
+		}
+		// Steps follow each other on a schedule, so that timer granularity does
+		// not add up; a late step starts the schedule anew.
+		due = due.Add(step)
+		if err := sleep(ctx, time.Until(due)); err != nil {
+			return
+		}
+		if !e.host.frozen.pass(ctx.Done()) {
+			return
+		}
+		if late := time.Since(due); late > step {
+			due = time.Now()
+		}
+		e.endStep()
+	}
+}
+
+// beginStep fills the batch and returns the duration of the next step; it
+// reports false when the engine is idle.
+func (e *Engine) beginStep() (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fillLocked()
+	if len(e.running) == 0 {
+		return 0, false
+	}
+	cost, requests := 0.0, 0.0
+	budget, prefill := e.cfg.PrefillChunk, 0.0
+	for _, s := range e.running {
+		cost = max(cost, s.model.Cost)
+		requests += s.model.Cost
+		part := min(budget, s.prefill)
+		budget -= part
+		prefill += float64(part) * s.model.Cost
+	}
+	t := e.cfg.StepUs*cost + e.cfg.StepPerRequestUs*requests + e.cfg.PrefillUs*prefill
+	t *= 1 + (e.cfg.ColdFactor-1)*e.coldnessLocked()
+	return us(t * e.faults.slow), true
+}
+
+// fillLocked moves waiting requests into the batch: lowest priority number
+// first, then in order of arrival.
+func (e *Engine) fillLocked() {
+	free := e.cfg.BatchLimit - len(e.running)
+	if free <= 0 || len(e.waiting) == 0 {
+		return
+	}
+	sort.SliceStable(e.waiting, func(i, j int) bool {
+		a, b := e.waiting[i], e.waiting[j]
+		if a.priority != b.priority {
+			return a.priority < b.priority
+		}
+		return a.arrival < b.arrival
+	})
+	n := min(free, len(e.waiting))
+	e.running = append(e.running, e.waiting[:n]...)
+	rest := copy(e.waiting, e.waiting[n:])
+	clear(e.waiting[rest:])
+	e.waiting = e.waiting[:rest]
+}
+
+// endStep applies the step: prompt tokens are processed, and each request whose
+// prompt is done gets one token.
+func (e *Engine) endStep() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	budget := e.cfg.PrefillChunk
+	for _, s := range e.running {
+		part := min(budget, s.prefill)
+		budget -= part
+		s.prefill -= part
+		if s.prefill == 0 && !s.paused() {
+			e.emitLocked(s)
+		}
+	}
+	e.sweepLocked()
+}
+
+func (e *Engine) emitLocked(s *sequence) {
+	s.out <- s.tokens[s.next]
+	s.next++
+	e.totals.TokensOut++
+	if s.next < len(s.tokens) {
+		return
+	}
+	s.end()
+	e.totals.Completed++
+	e.totals.Served[s.model.ID]++
+	e.warmth = min(e.warmth+1, e.cfg.WarmCompletions)
+}
--- /dev/null
+++ b/daemon/emulate/engine_test.go
@@ -0,0 +1,266 @@
+package emulate
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// fastEngine returns settings whose steps take microseconds.
+func fastEngine() EngineConfig {
+	cfg := DefaultEngineConfig()
+	cfg.StepUs, cfg.StepPerRequestUs, cfg.PrefillUs = 50, 1, 0.1
+	cfg.LoadReportMs, cfg.CacheEventDelayMs, cfg.OrderMs, cfg.RestartMs = 1, 0, 1, 10
+	cfg.StartWarm = true
+	return cfg
+}
+
+func startEngine(t *testing.T, cfg EngineConfig) *Engine {
+	t.Helper()
+	e, err := StartEngine("127.0.0.1:0", cfg, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+func post(t *testing.T, url string, body any) (int, string, error) {
+	t.Helper()
+	b, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := http.Post(url, "application/json", bytes.NewReader(b))
+	if err != nil {
+		return 0, "", err
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	return r.StatusCode, string(text), err
+}
+
+func chatBody(prompt string, stream bool) map[string]any {
+	return map[string]any{
+		"model": "diary@1", "stream": stream, "stream_options": map[string]bool{"include_usage": true},
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	}
+}
+
+// eventually polls cond; the bound only ends a test that would hang.
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for range 2000 {
+		if cond() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("never happened: %s", what)
+}
+
+func streamText(t *testing.T, body string) string {
+	t.Helper()
+	var text strings.Builder
+	sc := bufio.NewScanner(strings.NewReader(body))
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var a chatAnswer
+		if err := json.Unmarshal([]byte(data), &a); err != nil {
+			t.Fatal(err)
+		}
+		if len(a.Choices) > 0 {
+			text.WriteString(a.Choices[0].Delta.Content)
+		}
+	}
+	return text.String()
+}
+
+// Guards against streams and bodies that differ, lack the usage or the end, or
+// carry a marker that doesn't match the prompt.
+func TestEngineAnswersAreCompleteAndEqual(t *testing.T) {
+	e := startEngine(t, fastEngine())
+	_, streamed, err := post(t, e.URL()+"/v1/chat/completions", chatBody("hello", true))
+	if err != nil || !strings.HasSuffix(streamed, "data: [DONE]\n\n") || !strings.Contains(streamed, `"usage"`) {
+		t.Fatalf("stream: %v %q", err, streamed)
+	}
+	_, body, err := post(t, e.URL()+"/v1/chat/completions", chatBody("hello", false))
+	var a chatAnswer
+	if err != nil || json.Unmarshal([]byte(body), &a) != nil {
+		t.Fatalf("body: %v %q", err, body)
+	}
+	text := streamText(t, streamed)
+	if text != a.Choices[0].Message.Content {
+		t.Fatalf("stream %q, body %q", text, a.Choices[0].Message.Content)
+	}
+	m, err := ParseAnswer(text)
+	if err != nil || m.Prompt != PromptHash("hello") || m.Model != "diary@1" {
+		t.Fatalf("marker %+v: %v", m, err)
+	}
+	if _, err := ParseAnswer(text[1:]); err == nil {
+		t.Fatal("an altered answer passed the check")
+	}
+}
+
+// Guards against an engine that refuses politely instead of failing when it
+// holds too much, or that comes back warm or with its old cache.
+func TestEngineFallsOverAndRestartsCold(t *testing.T) {
+	cfg := fastEngine()
+	cfg.BatchLimit, cfg.MaxHeld, cfg.ColdMaxHeld = 1, 2, 1
+	cfg.StepUs = 1e6
+	e := startEngine(t, cfg)
+	results := make(chan error, 3)
+	for range 3 {
+		go func() {
+			_, _, err := post(t, e.URL()+"/v1/chat/completions", chatBody("x", true))
+			results <- err
+		}()
+	}
+	for range 3 {
+		if err := <-results; err == nil {
+			t.Error("a request survived the crash")
+		}
+	}
+	eventually(t, "restart", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.epoch == 2 && e.coldnessLocked() == 1 && e.cache.order.Len() == 0
+	})
+	if got := e.Totals(); got.Overloads == 0 {
+		t.Errorf("totals %+v", got)
+	}
+}
+
+// Guards against work that goes on for callers that have left.
+func TestEngineCancelsOnClosedConnection(t *testing.T) {
+	cfg := fastEngine()
+	cfg.StepUs = 1e9
+	e := startEngine(t, cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	b, _ := json.Marshal(chatBody("x", true))
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, e.URL()+"/v1/chat/completions", bytes.NewReader(b))
+	go func() { _, _ = http.DefaultClient.Do(req) }()
+	eventually(t, "request accepted", func() bool { return e.Totals().Accepted == 1 })
+	cancel()
+	eventually(t, "request cancelled", func() bool { return e.Totals().Cancelled == 1 })
+}
+
+// Guards against a waiting queue that ignores priority.
+func TestEngineFillsByPriority(t *testing.T) {
+	e := &Engine{cfg: EngineConfig{BatchLimit: 2}}
+	for i, p := range []int{5, 1, 3, 1} {
+		e.waiting = append(e.waiting, &sequence{priority: p, arrival: uint64(i)})
+	}
+	e.fillLocked()
+	if e.running[0].arrival != 1 || e.running[1].arrival != 3 || len(e.waiting) != 2 {
+		t.Fatalf("running %v %v", e.running[0], e.running[1])
+	}
+}
+
+func intp(n int) *int { return &n }
+
+// Guards against faults that do nothing.
+func TestEngineFaults(t *testing.T) {
+	e := startEngine(t, fastEngine())
+	url := e.URL() + "/v1/chat/completions"
+	one := 1.0
+	if err := e.Apply(EngineFaults{ErrorShare: &one}); err != nil {
+		t.Fatal(err)
+	}
+	if status, _, _ := post(t, url, chatBody("x", true)); status != http.StatusInternalServerError {
+		t.Errorf("error share: status %d", status)
+	}
+	zero := 0.0
+	_ = e.Apply(EngineFaults{ErrorShare: &zero, ResetAfterBytes: intp(100), Quality: map[string]float64{"diary@1": 0.1}})
+	if _, text, err := post(t, url, chatBody("x", true)); err == nil || len(text) > 100 {
+		t.Errorf("reset: %v after %d bytes", err, len(text))
+	}
+	_ = e.Apply(EngineFaults{ResetAfterBytes: intp(-1)})
+	_, text, err := post(t, url, chatBody("x", true))
+	if m, perr := ParseAnswer(streamText(t, text)); err != nil || perr != nil || m.Quality != 0.1 {
+		t.Errorf("quality: %v %v %+v", err, perr, m)
+	}
+	if status, _, _ := post(t, e.URL()+"/faults", map[string]int{"frees_ms": 1}); status != http.StatusBadRequest {
+		t.Errorf("unknown fault: status %d", status)
+	}
+}
+
+// Guards against held input or output that gets through, or that stays held
+// after the fault ends.
+func TestEngineFreezeAndStopReading(t *testing.T) {
+	e := startEngine(t, fastEngine())
+	const hour = 3600 * 1000
+	for _, f := range []EngineFaults{{FreezeMs: intp(hour)}, {StopReadingMs: intp(hour)}} {
+		before := e.Totals().Accepted
+		_ = e.Apply(f)
+		done := make(chan error, 1)
+		go func() {
+			_, _, err := post(t, e.URL()+"/v1/chat/completions", chatBody("x", false))
+			done <- err
+		}()
+		time.Sleep(20 * time.Millisecond)
+		if got := e.Totals().Accepted; got != before {
+			t.Errorf("%+v: a request was read", f)
+		}
+		_ = e.Apply(EngineFaults{FreezeMs: intp(0), StopReadingMs: intp(0)})
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Guards against a fence that does not hold in enforce mode, or holds in ignore
+// mode, and against orders without effect.
+func TestEngineOrders(t *testing.T) {
+	for mode, want := range map[FenceMode]int{FenceEnforce: http.StatusConflict, FenceIgnore: http.StatusAccepted} {
+		cfg := fastEngine()
+		cfg.Fence, cfg.UnlistedQuality = mode, 0.5
+		e := startEngine(t, cfg)
+		if status, text, _ := post(t, e.URL()+"/orders", Order{Fence: 7, Kind: OrderLoad, Model: "diary@2"}); status != http.StatusAccepted {
+			t.Fatalf("order: %d %s", status, text)
+		}
+		if status, _, _ := post(t, e.URL()+"/orders", Order{Fence: 6, Kind: OrderRole, Role: RoleDecode}); status != want {
+			t.Errorf("%s: old fence got %d", mode, status)
+		}
+		eventually(t, "version loaded", func() bool {
+			r, err := http.Get(e.URL() + "/load")
+			if err != nil {
+				return false
+			}
+			defer r.Body.Close()
+			var l LoadReport
+			return json.NewDecoder(r.Body).Decode(&l) == nil && len(l.Loaded) == 2
+		})
+	}
+}
+
+// Guards against cache events without gaps when they are asked for, and against
+// a cache beyond its capacity.
+func TestPrefixCache(t *testing.T) {
+	p, now := newPrefixCache(2), time.Unix(0, 0)
+	p.skip = 1
+	for _, h := range []string{"a", "b", "b", "c"} {
+		p.use(h, now)
+	}
+	if p.use("a", now) || p.order.Len() != 2 {
+		t.Error("the oldest entry was kept")
+	}
+	events := p.after(0, now, 0)
+	if len(events) == 0 || events[0].Seq != 2 {
+		t.Errorf("events %+v, want the first to be missing", events)
+	}
+	if late := p.after(0, now, time.Second); len(late) != 0 {
+		t.Errorf("events %+v came before their delay", late)
+	}
+}
--- /dev/null
+++ b/daemon/emulate/web.go
@@ -0,0 +1,87 @@
+package emulate
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/gravitational/trace"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+)
+
+// maxBodyBytes bounds request bodies of all emulators.
+const maxBodyBytes = 8 << 20
+
+// apiError is the body of every error of an emulator.
+type apiError struct {
+	Error apiErrorBody `json:"error"`
+}
+
+type apiErrorBody struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+}
+
+func fail(c echo.Context, status int, kind, message string) error {
+	return c.JSON(status, apiError{Error: apiErrorBody{Message: message, Type: kind}})
+}
+
+// readStrict decodes the request body and refuses unknown fields.
+func readStrict(c echo.Context, into any) error {
+	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes)
+	return DecodeStrict(body, into)
+}
+
+// DecodeStrict decodes exactly one JSON value and refuses unknown fields.
+func DecodeStrict(r io.Reader, into any) error {
+	d := json.NewDecoder(r)
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return trace.BadParameter("JSON: %v", err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return trace.BadParameter("JSON: more than one value")
+	}
+	return nil
+}
+
+// newEcho returns an echo instance that writes no banner and turns errors into
+// apiError bodies.
+func newEcho(log zerolog.Logger) *echo.Echo {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = func(err error, c echo.Context) {
+		if c.Response().Committed {
+			return
+		}
+		status := http.StatusInternalServerError
+		var he *echo.HTTPError
+		if errors.As(err, &he) {
+			status = he.Code
+		}
+		if trace.IsBadParameter(err) {
+			status = http.StatusBadRequest
+		}
+		if werr := fail(c, status, http.StatusText(status), err.Error()); werr != nil {
+			log.Debug().Err(werr).Msg("error answer not written")
+		}
+	}
+	return e
+}
+
+// faultRoutes adds POST /faults, which decodes F and applies it.
+func faultRoutes[F any](e *echo.Echo, apply func(F) error) {
+	e.POST("/faults", func(c echo.Context) error {
+		var f F
+		if err := readStrict(c, &f); err != nil {
+			return err
+		}
+		if err := apply(f); err != nil {
+			return err
+		}
+		return c.NoContent(http.StatusNoContent)
+	})
+}
