Add charge lines, the bounded queue and the shard collector

Segments are create-only and written after all lower ones were merged. A collector that was paused can create the key of a folded and deleted segment again, so each write and read is followed by a check of the totals. The watermark in the totals decides about late lines, also after a restart. Folding waits until the store has answered for a while after an outage; TestWindow showed that an idle collector otherwise folds before the waiting lines arrive and these become disputed.

--- /dev/null
+++ b/coord/ledger/collector_test.go
@@ -0,0 +1,385 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cactusknot.example/coord/clock"
+	"cactusknot.example/coord/invariant"
+	"cactusknot.example/coord/kv"
+)
+
+// workspaceOf gives each identity a workspace of its own, so that the sums show
+// an identity that was billed twice even after folding.
+func workspaceOf(i int) string { return fmt.Sprintf("w%d", i) }
+
+// gate runs before and after each call; an error of either is the call's result.
+type gate struct {
+	kv.Store
+	before, after func(key string) error
+}
+
+func (g *gate) around(key string, call func() error) error {
+	if err := g.before(key); err != nil {
+		return err
+	}
+	err := call()
+	if late := g.after(key); late != nil {
+		return late
+	}
+	return err
+}
+
+func (g *gate) Get(ctx context.Context, key string) (e kv.Entry, err error) {
+	err = g.around(key, func() error { e, err = g.Store.Get(ctx, key); return err })
+	return e, err
+}
+
+func (g *gate) List(ctx context.Context, prefix string) (l []kv.Entry, err error) {
+	err = g.around(prefix, func() error { l, err = g.Store.List(ctx, prefix); return err })
+	return l, err
+}
+
+func (g *gate) Put(ctx context.Context, key string, v []byte, expect kv.Revision, lease kv.LeaseID) (r kv.Revision, err error) {
+	err = g.around("put "+key, func() error { r, err = g.Store.Put(ctx, key, v, expect, lease); return err })
+	return r, err
+}
+
+func (g *gate) Delete(ctx context.Context, key string, expect kv.Revision) error {
+	return g.around("delete "+key, func() error { return g.Store.Delete(ctx, key, expect) })
+}
+
+func pass(string) error { return nil }
+
+func collector(s kv.Store, chk *invariant.Checker, seed uint64) *Collector {
+	client := kv.NewClient(s, kv.ClientConfig{
+		Clock: clock.System{}, Random: rand.NewPCG(seed, 2), CallsPerSecond: 1e6, Burst: 1 << 20,
+	})
+	return NewCollector(CollectorConfig{Client: client, Clock: clock.System{}, Checker: chk, MaxBatchBytes: 600})
+}
+
+// send delivers lines through one flush.
+func send(c *Collector, lines ...Line) (Result, error) {
+	d := &delivery{lines: lines, done: make(chan struct{})}
+	c.enqueue(d)
+	err := c.Flush(context.Background())
+	return d.result, err
+}
+
+func newStore(seed uint64) *kv.Memory { return kv.NewMemory(clock.System{}, rand.NewPCG(seed, 1)) }
+
+func checkOnce(t interface{ Fatalf(string, ...any) }, s kv.Store, chk *invariant.Checker) Report {
+	r, err := Audit(context.Background(), s)
+	if err != nil || len(r.Twice)+len(r.Gaps) > 0 || chk.Total() > 0 {
+		t.Fatalf("audit: %v, twice %v, gaps %v, %v", err, r.Twice, r.Gaps, chk.Counts())
+	}
+	for workspace, sum := range r.Sums {
+		if sum.Lines != 1 || sum.AmountMicros != 5 {
+			t.Fatalf("%s: %+v", workspace, sum)
+		}
+	}
+	return r
+}
+
+// Guards against lines billed twice or lost when collectors race, restart with
+// empty memory and fold, while answers are lost and the store is out at times.
+func TestCollectorsBillOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		steps := rapid.IntRange(20, 120).Draw(rt, "steps")
+		synctest.Test(t, func(t *testing.T) { raceCollectors(t, seed, steps) })
+	})
+}
+
+func raceCollectors(t *testing.T, seed uint64, steps int) {
+	r := rand.New(rand.NewPCG(seed, 9))
+	s, chk := newStore(seed), &invariant.Checker{}
+	fault := func() {
+		s.SetFaults(kv.Faults{LoseAnswers: r.Float64() / 2, Outage: r.IntN(6) == 0, Delay: time.Millisecond})
+	}
+	collectors := []*Collector{collector(s, chk, seed), collector(s, chk, seed+1), collector(s, chk, seed+2)}
+	held, stored, disputed := map[ID]Line{}, map[ID]bool{}, map[ID]bool{}
+	settle := func(res Result) {
+		for _, id := range res.Stored {
+			stored[id] = true
+			delete(held, id)
+		}
+		for _, id := range res.Disputed {
+			disputed[id] = true
+			delete(held, id)
+		}
+	}
+	for range steps {
+		fault()
+		for range r.IntN(4) {
+			i := r.IntN(60)
+			l := testLine(i, uint32(r.IntN(3)), time.Now())
+			if !stored[l.ID()] && !disputed[l.ID()] {
+				held[l.ID()] = l
+			}
+		}
+		var lines []Line
+		for _, l := range held {
+			lines = append(lines, l)
+		}
+		done := make(chan Result, 2)
+		for _, k := range r.Perm(3)[:2] {
+			go func() {
+				res, _ := send(collectors[k], lines...)
+				done <- res
+			}()
+		}
+		settle(<-done)
+		settle(<-done)
+		k := r.IntN(3)
+		_ = collectors[k].Fold(context.Background())
+		if r.IntN(5) == 0 {
+			collectors[k] = collector(s, chk, r.Uint64())
+		}
+		time.Sleep(time.Duration(r.IntN(20)) * time.Minute)
+	}
+	s.SetFaults(kv.Faults{})
+	for _, l := range held {
+		res, err := send(collectors[0], l)
+		if err != nil || len(res.Acknowledged()) != 1 {
+			t.Fatalf("seed %d: %v %v", seed, res, err)
+		}
+		settle(res)
+	}
+	report := checkOnce(t, s, chk)
+	if len(report.Sums) < len(stored) {
+		t.Fatalf("seed %d: %d acknowledged, %d billed", seed, len(stored), len(report.Sums))
+	}
+}
+
+var errCrash = errors.New("crash")
+
+// Guards against a crash between any two store calls of a collector, before or
+// after the call took effect: a successor with empty memory must bill every line
+// once and leave no folded segment behind.
+func TestCrashAtEachCall(t *testing.T) {
+	for _, after := range []bool{false, true} {
+		for at := 1; ; at++ {
+			crashed := false
+			synctest.Test(t, func(t *testing.T) { crashed = crashAt(t, at, after) })
+			if !crashed {
+				break
+			}
+			if at > 200 {
+				t.Fatal("the script does not end")
+			}
+		}
+	}
+}
+
+func crashAt(t *testing.T, at int, after bool) (crashed bool) {
+	s, chk, calls := newStore(1), &invariant.Checker{}, 0
+	g := &gate{Store: s, before: pass, after: pass}
+	count := func(string) error {
+		if calls++; calls >= at {
+			crashed = true
+			return errCrash
+		}
+		return nil
+	}
+	if after {
+		g.after = func(string) error { return count("") }
+		g.before = func(string) error {
+			if crashed {
+				return errCrash
+			}
+			return nil
+		}
+	} else {
+		g.before = count
+	}
+	script := func(c *Collector, lines []Line) bool {
+		for _, l := range lines {
+			res, err := send(c, l)
+			if err != nil {
+				return false
+			}
+			if len(res.Stored)+len(res.Disputed) != 1 {
+				t.Fatalf("crash at %d, after %v: %+v", at, after, res)
+			}
+		}
+		return true
+	}
+	var lines []Line
+	for i := range 4 {
+		lines = append(lines, testLine(i, 0, time.Now()))
+	}
+	a := collector(g, chk, 1)
+	if script(a, lines) {
+		time.Sleep(2 * time.Hour)
+		_ = a.Fold(context.Background())
+	}
+	b := collector(s, chk, 2)
+	if !script(b, lines) {
+		t.Fatal("the successor failed")
+	}
+	report := checkOnce(t, s, chk)
+	if len(report.Sums) != len(lines) {
+		t.Fatalf("crash at %d, after %v: billed %v", at, after, report.Sums)
+	}
+	for range 2 {
+		time.Sleep(2 * time.Hour)
+		if err := b.Fold(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if left, _ := s.List(context.Background(), "ledger/0/seg/"); len(left) != 0 || len(checkOnce(t, s, chk).Sums) != len(lines) {
+		t.Fatalf("crash at %d, after %v: %d segments left", at, after, len(left))
+	}
+	return crashed
+}
+
+// Guards against a collector that is paused before its write while another one
+// writes the same segment, folds and deletes it: the late write succeeds, but
+// nobody counts it, so its lines must not be acknowledged as stored by it.
+func TestPausedCollector(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, chk := newStore(1), &invariant.Checker{}
+		paused := false
+		g := &gate{Store: s, before: pass, after: pass}
+		g.before = func(key string) error {
+			if !paused && strings.HasPrefix(key, "put ledger/0/seg") {
+				paused = true
+				time.Sleep(3 * time.Hour)
+			}
+			return nil
+		}
+		a, b := collector(g, chk, 1), collector(s, chk, 2)
+		done := make(chan Result)
+		shared, own := testLine(1, 0, time.Now()), testLine(2, 0, time.Now().Add(2*time.Hour))
+		go func() {
+			res, err := send(a, shared, own)
+			if err != nil {
+				t.Error(err)
+			}
+			done <- res
+		}()
+		time.Sleep(time.Minute)
+		if res, err := send(b, shared); err != nil || len(res.Stored) != 1 {
+			t.Error(res, err)
+		}
+		time.Sleep(100 * time.Minute)
+		if err := b.Fold(context.Background()); err != nil {
+			t.Error(err)
+		}
+		// The line of the future stays with its holder at first.
+		res := <-done
+		if len(res.Disputed) != 1 || res.Disputed[0] != shared.ID() {
+			t.Error("a folded identity must be disputed:", res)
+		}
+		if res, err := send(a, own); err != nil || len(res.Stored) != 1 {
+			t.Error(res, err)
+		}
+		if report := checkOnce(t, s, chk); len(report.Sums) != 2 {
+			t.Error(report.Sums)
+		}
+	})
+}
+
+// Guards against an outage that turns waiting lines into disputed ones, against
+// a clock ahead that raises the watermark, and against late lines billed after
+// a restart with empty memory.
+func TestWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, chk := newStore(1), &invariant.Checker{}
+		c := collector(s, chk, 1)
+		early, waiting := testLine(1, 0, time.Now()), testLine(2, 0, time.Now().Add(time.Second))
+		if _, err := send(c, early); err != nil {
+			t.Fatal(err)
+		}
+		s.SetFaults(kv.Faults{Outage: true})
+		for range 5 {
+			time.Sleep(30 * time.Minute)
+			if _, err := send(c, waiting); !errors.Is(err, kv.ErrUnavailable) {
+				t.Fatal(err)
+			}
+		}
+		s.SetFaults(kv.Faults{})
+		if err := c.Fold(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if res, err := send(c, waiting); err != nil || len(res.Stored) != 1 {
+			t.Fatal("lines that waited for the store must be billed:", res, err)
+		}
+		ahead := testLine(3, 0, time.Now().Add(time.Hour))
+		if res, err := send(c, ahead); err != nil || len(res.Acknowledged()) != 0 {
+			t.Fatal("a line of the future must stay with its holder:", res, err)
+		}
+		time.Sleep(2 * time.Hour)
+		if err := c.Fold(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		c = collector(s, chk, 2)
+		late := testLine(4, 0, time.UnixMilli(waiting.CompletedMS))
+		res, err := send(c, early, late)
+		if err != nil || len(res.Disputed) != 2 {
+			t.Fatal(res, err)
+		}
+		if report := checkOnce(t, s, chk); len(report.Sums) != 2 || len(report.Disputed) != 2 {
+			t.Fatal(report)
+		}
+	})
+}
+
+// Guards against Deliver that waits for ever or takes lines above the bound.
+func TestDeliverRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, chk := newStore(1), &invariant.Checker{}
+		c := collector(s, chk, 1)
+		c.cfg.MaxWaiting = 20
+		ctx, cancel := context.WithCancel(context.Background())
+		for i := range 20 {
+			go func() {
+				if res, err := c.Deliver(ctx, []Line{testLine(i, 0, time.Now())}); err != nil || len(res.Stored) != 1 {
+					t.Error(res, err)
+				}
+			}()
+		}
+		synctest.Wait()
+		if _, err := c.Deliver(ctx, []Line{testLine(21, 0, time.Now())}); !errors.Is(err, ErrBusy) {
+			t.Error(err)
+		}
+		if _, err := c.Deliver(ctx, []Line{{}}); !errors.Is(err, ErrLine) {
+			t.Error(err)
+		}
+		go func() { _ = c.Run(ctx, func(err error) { t.Error(err) }) }()
+		time.Sleep(3 * time.Hour)
+		cancel()
+		synctest.Wait()
+		if report := checkOnce(t, s, chk); len(report.Sums) != 20 || len(report.Stored) != 0 {
+			t.Error(len(report.Sums), "billed,", len(report.Stored), "not folded")
+		}
+	})
+}
+
+// Plants the defect: two segments with one identity.
+func TestBilledTwiceIsAsserted(t *testing.T) {
+	ctx := context.Background()
+	s, chk := newStore(1), &invariant.Checker{}
+	for n := range uint64(2) {
+		value := kv.Seal(kv.WriteID{byte(n)}, encodeLines(1, []Line{testLine(1, 0, time.Now())}))
+		if _, err := s.Put(ctx, segmentKey(0, n+1), value, 0, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := send(collector(s, chk, 1), testLine(2, 0, time.Now())); err != nil {
+		t.Fatal(err)
+	}
+	report, err := Audit(ctx, s)
+	if err != nil || len(report.Twice) != 1 || chk.Counts()[BilledTwice] != 1 {
+		t.Fatal(report, err, chk.Counts())
+	}
+}
--- /dev/null
+++ b/coord/ledger/encoding.go
@@ -0,0 +1,225 @@
+package ledger
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"cactusknot.example/coord/kv"
+)
+
+// keyRoot is the prefix of all store keys of the ledger.
+const keyRoot = "ledger/"
+
+// Formats of stored values. Readers refuse formats they do not know.
+const (
+	segmentFormat = 1
+	totalsFormat  = 1
+)
+
+// lineBytes bounds the encoded size of a line without its names.
+const lineBytes = 16 + 2*binary.MaxVarintLen32 + 5*binary.MaxVarintLen64 + 6*binary.MaxVarintLen32
+
+func segmentKey(shard uint32, n uint64) string {
+	return fmt.Sprintf("%s%d/seg/%020d", keyRoot, shard, n)
+}
+
+func totalsKey(shard uint32) string { return fmt.Sprintf("%s%d/totals", keyRoot, shard) }
+
+func disputedKey(shard uint32, name string) string {
+	return fmt.Sprintf("%s%d/disputed/%s", keyRoot, shard, name)
+}
+
+// encodedBound returns an upper bound of the encoded size of l.
+func encodedBound(l Line) int {
+	return lineBytes + len(l.Workspace) + len(l.Model) + len(l.Version)
+}
+
+// encodeLines encodes lines with the time of writing in ms. Layout: format byte;
+// uvarints of time and number of lines; then the lines. Names are references to
+// the names seen so far; a reference equal to their number introduces a new one,
+// which follows with its length.
+func encodeLines(writtenMS int64, lines []Line) []byte {
+	out := []byte{segmentFormat}
+	out = binary.AppendUvarint(out, uint64(writtenMS))
+	out = binary.AppendUvarint(out, uint64(len(lines)))
+	seen := make(map[string]uint64)
+	for _, l := range lines {
+		out = append(out, l.RequestID[:]...)
+		out = binary.AppendUvarint(out, uint64(l.Step))
+		out = binary.AppendUvarint(out, uint64(l.Attempt))
+		for _, name := range []string{l.Workspace, l.Model, l.Version} {
+			out = appendName(out, seen, name)
+		}
+		for _, v := range []uint64{l.TokensIn, l.TokensOut, l.AmountMicros, l.BundleVersion, uint64(l.CompletedMS)} {
+			out = binary.AppendUvarint(out, v)
+		}
+	}
+	return out
+}
+
+func appendName(out []byte, seen map[string]uint64, name string) []byte {
+	ref, ok := seen[name]
+	if ok {
+		return binary.AppendUvarint(out, ref)
+	}
+	ref = uint64(len(seen))
+	seen[name] = ref
+	out = binary.AppendUvarint(out, ref)
+	out = binary.AppendUvarint(out, uint64(len(name)))
+	return append(out, name...)
+}
+
+// decodeLines is the reverse of encodeLines, or returns ErrFormat.
+func decodeLines(data []byte) (writtenMS int64, lines []Line, err error) {
+	d := decoder{rest: data}
+	if format := d.bytes(1); d.bad || format[0] != segmentFormat {
+		return 0, nil, ErrFormat
+	}
+	writtenMS = int64(d.uvarint())
+	count := d.uvarint()
+	for range count {
+		l := d.line()
+		if d.bad {
+			return 0, nil, ErrFormat
+		}
+		lines = append(lines, l)
+	}
+	if d.bad || len(d.rest) > 0 {
+		return 0, nil, ErrFormat
+	}
+	return writtenMS, lines, nil
+}
+
+// decoder reads fields until one is damaged, then returns zero values.
+type decoder struct {
+	rest  []byte
+	names []string
+	bad   bool
+}
+
+func (d *decoder) line() Line {
+	var l Line
+	copy(l.RequestID[:], d.bytes(len(l.RequestID)))
+	l.Step = uint32(d.uvarint())
+	l.Attempt = uint32(d.uvarint())
+	l.Workspace = d.name()
+	l.Model = d.name()
+	l.Version = d.name()
+	l.TokensIn = d.uvarint()
+	l.TokensOut = d.uvarint()
+	l.AmountMicros = d.uvarint()
+	l.BundleVersion = d.uvarint()
+	l.CompletedMS = int64(d.uvarint())
+	return l
+}
+
+func (d *decoder) bytes(n int) []byte {
+	if d.bad || n > len(d.rest) {
+		d.bad = true
+		return nil
+	}
+	out := d.rest[:n]
+	d.rest = d.rest[n:]
+	return out
+}
+
+func (d *decoder) uvarint() uint64 {
+	v, n := binary.Uvarint(d.rest)
+	if d.bad || n <= 0 {
+		d.bad = true
+		return 0
+	}
+	d.rest = d.rest[n:]
+	return v
+}
+
+func (d *decoder) name() string {
+	ref := d.uvarint()
+	if ref < uint64(len(d.names)) {
+		return d.names[ref]
+	}
+	size := d.uvarint()
+	if d.bad || ref != uint64(len(d.names)) || size > MaxNameBytes {
+		d.bad = true
+		return ""
+	}
+	name := string(d.bytes(int(size)))
+	d.names = append(d.names, name)
+	return name
+}
+
+// totals is the stored state of the folded segments of a shard.
+type totals struct {
+	Format int `json:"format"`
+	// Folded is the number of the last folded segment. Segment keys up to it
+	// have no meaning any more, even when they exist.
+	Folded uint64 `json:"folded"`
+	// Cleaned: all segments up to this number were deleted after folding.
+	Cleaned uint64 `json:"cleaned"`
+	// WatermarkMS is the highest completion time of all folded lines.
+	WatermarkMS int64 `json:"watermark_ms"`
+	Sums        Sums  `json:"sums"`
+}
+
+func encodeTotals(id kv.WriteID, t totals) ([]byte, error) {
+	t.Format = totalsFormat
+	payload, err := json.Marshal(t)
+	if err != nil {
+		return nil, err
+	}
+	return kv.Seal(id, payload), nil
+}
+
+func decodeTotals(value []byte) (totals, error) {
+	_, payload, err := kv.Open(value)
+	if err != nil {
+		return totals{}, fmt.Errorf("%w: totals: %v", ErrFormat, err)
+	}
+	var t totals
+	if err := json.Unmarshal(payload, &t); err != nil || t.Format != totalsFormat {
+		return totals{}, fmt.Errorf("%w: totals of format %d: %v", ErrFormat, t.Format, err)
+	}
+	return t, nil
+}
+
+// segment is a segment of the log in memory.
+type segment struct {
+	n           uint64
+	revision    kv.Revision
+	writtenMS   int64
+	completedMS int64 // highest completion time of its lines
+	lines       []Line
+}
+
+func decodeSegment(n uint64, e kv.Entry) (segment, error) {
+	_, payload, err := kv.Open(e.Value)
+	if err != nil {
+		return segment{}, fmt.Errorf("%w: %s: %v", ErrFormat, e.Key, err)
+	}
+	written, lines, err := decodeLines(payload)
+	if err != nil {
+		return segment{}, fmt.Errorf("%s: %w", e.Key, err)
+	}
+	s := segment{n: n, revision: e.Revision, writtenMS: written, lines: lines}
+	for _, l := range lines {
+		s.completedMS = max(s.completedMS, l.CompletedMS)
+	}
+	return s, nil
+}
+
+// parseKey splits a ledger key into shard, kind ("seg", "totals", "disputed")
+// and name.
+func parseKey(key string) (shard uint32, kind, name string, err error) {
+	parts := strings.SplitN(strings.TrimPrefix(key, keyRoot), "/", 3)
+	n, err := strconv.ParseUint(parts[0], 10, 32)
+	if err != nil || len(parts) < 2 {
+		return 0, "", "", fmt.Errorf("%w: key %q", ErrFormat, key)
+	}
+	if len(parts) == 3 {
+		name = parts[2]
+	}
+	return uint32(n), parts[1], name, nil
+}
