Add routing decisions: placement, policies, growth, verdicts, explanation

Placement reads tables built once per control change, so that the request path does one hash per roll-out.

--- a/coord/stats/counter.go
+++ b/coord/stats/counter.go
@@ -38,8 +38,8 @@
 	return Counter{Count: c.Count + o.Count, Sum: c.Sum + o.Sum, SumSquares: c.SumSquares + o.SumSquares}
 }
 
-// minus removes the ratings of o, which c must contain.
-func (c Counter) minus(o Counter) Counter {
+// Minus removes the ratings of o, which c must contain.
+func (c Counter) Minus(o Counter) Counter {
 	if c.Count <= o.Count {
 		return Counter{}
 	}
--- a/coord/stats/table.go
+++ b/coord/stats/table.go
@@ -178,7 +178,7 @@
 		r = &row{}
 		t.rows[id] = r
 	}
-	t.pooled[e.Key] = t.pooled[e.Key].minus(r.counter).Plus(e.Counter)
+	t.pooled[e.Key] = t.pooled[e.Key].Minus(r.counter).Plus(e.Counter)
 	*r = row{incarnation: e.Node.Incarnation, counter: e.Counter, changed: t.version}
 }
 
@@ -221,7 +221,7 @@
 		if keep(id.node, id.key) {
 			continue
 		}
-		rest := t.pooled[id.key].minus(r.counter)
+		rest := t.pooled[id.key].Minus(r.counter)
 		t.pooled[id.key] = rest
 		if rest.Count == 0 {
 			delete(t.pooled, id.key)
--- /dev/null
+++ b/daemon/routing/explain.go
@@ -0,0 +1,89 @@
+package routing
+
+import "math/rand/v2"
+
+// Candidate is one alternative with the reason why it was or was not chosen.
+// Version candidates have no Policy.
+type Candidate struct {
+	Model   string
+	Version string
+	Policy  *Policy
+	Chosen  bool
+	Reason  Reason
+}
+
+// Explanation is a decision with all alternatives in the order of consideration.
+type Explanation struct {
+	Decision   Decision
+	Candidates []Candidate
+}
+
+// Explain repeats Place without exploration and lists the alternatives: the
+// policies for AutoModel, then the versions of the chosen model.
+func (s *Snapshot) Explain(req *Request) Explanation {
+	out := Explanation{Decision: s.Place(req, noExploration{}, nil)}
+	w, ok := s.workspaces[req.Workspace]
+	if !ok {
+		return out
+	}
+	modelName := req.Model
+	if req.Model == AutoModel {
+		out.Candidates = explainPolicies(w, req, &out.Decision)
+		modelName = out.Decision.Model
+	}
+	if a, ok := w.models[modelName]; ok {
+		out.Candidates = append(out.Candidates, a.explainVersions(req, &out.Decision)...)
+	}
+	return out
+}
+
+// noExploration is a random source whose values are never inside a share below 1.
+type noExploration struct{}
+
+func (noExploration) Uint64() uint64 { return ^uint64(0) }
+
+var _ rand.Source = noExploration{}
+
+func explainPolicies(w *workspace, req *Request, d *Decision) []Candidate {
+	c, ok := w.policies[req.Kind]
+	if !ok {
+		c = w.policies[""]
+	}
+	var out []Candidate
+	for _, p := range c.all {
+		out = append(out, Candidate{Model: p.First, Policy: p, Chosen: p == d.Policy, Reason: c.why(p, d.Policy, w)})
+	}
+	return out
+}
+
+func (c *choice) why(p, chosen *Policy, w *workspace) Reason {
+	switch {
+	case p == chosen:
+		return ReasonNone
+	case chosen != c.best && p.First != chosen.First:
+		return ReasonPinned
+	case p.Lower < w.cfg.QualityTarget:
+		return ReasonNotProved
+	case p.Cost >= chosen.Cost:
+		return ReasonDearer
+	}
+	return ReasonOther
+}
+
+func (a *access) explainVersions(req *Request, d *Decision) []Candidate {
+	var out []Candidate
+	for i, v := range a.model.versions {
+		c := Candidate{Model: a.model.cfg.Name, Version: v.name, Reason: a.usable(i)}
+		if !d.Refused && v.name == d.Version {
+			c.Chosen, c.Reason = true, d.Reason
+		}
+		if c.Reason == ReasonNone {
+			c.Reason = ReasonOther
+			if v.candidate {
+				c.Reason = ReasonOutsideShare
+			}
+		}
+		out = append(out, c)
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/routing/place.go
@@ -0,0 +1,212 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cactusknot.example/coord/invariant"
+	"cactusknot.example/daemon/bundle"
+)
+
+// hashBits is the number of hash bits used as a fraction; a float64 holds 53.
+const hashBits = 53
+
+// Place decides on the model and version of a request, or refuses it. src is
+// used only for exploration and must not be shared between goroutines. inv may
+// be nil. A decision that violates an invariant is turned into a refusal.
+func (s *Snapshot) Place(req *Request, src rand.Source, inv *invariant.Checker) Decision {
+	w, ok := s.workspaces[req.Workspace]
+	if !ok {
+		return refuse(ReasonUnknownWorkspace, req.Model, req.Version)
+	}
+	if req.Session != nil && req.Session.Workspace != req.Workspace {
+		return refuse(ReasonSessionWorkspace, req.Model, req.Version)
+	}
+	var d Decision
+	if req.Model == AutoModel {
+		d = s.placeAuto(w, req, src)
+	} else {
+		d = s.placeModel(w, req, req.Model)
+	}
+	return s.checked(w, req, d, inv)
+}
+
+// placeAuto follows the policy of the workspace for the kind. A session stays
+// with the model it began with, so that it keeps its version.
+func (s *Snapshot) placeAuto(w *workspace, req *Request, src rand.Source) Decision {
+	c, ok := w.policies[req.Kind]
+	if !ok {
+		c = w.policies[""]
+	}
+	var p *Policy
+	explored := false
+	if req.Session != nil && len(req.Session.Pins) > 0 {
+		first := req.Session.Pins[0].Model
+		p = c.byFirst[first]
+		if p == nil {
+			p = &Policy{First: first}
+		}
+	} else {
+		p, explored = c.pick(w.cfg.ExploreShare, src)
+	}
+	if p == nil {
+		return refuse(ReasonNoModel, req.Model, req.Version)
+	}
+	d := s.placeModel(w, req, p.First)
+	d.Policy, d.Explored = p, explored
+	return d
+}
+
+// placeModel decides on the version of a model.
+func (s *Snapshot) placeModel(w *workspace, req *Request, modelName string) Decision {
+	a, reason := s.access(w, modelName)
+	if reason != ReasonNone {
+		return refuse(reason, modelName, req.Version)
+	}
+	pinned := req.Session.version(modelName)
+	if req.Version != "" && req.Model != AutoModel {
+		return a.placeRequested(req, pinned)
+	}
+	if pinned != "" {
+		return a.placePinned(w, req, pinned)
+	}
+	return a.placeNew(req)
+}
+
+func (a *access) placeRequested(req *Request, pinned string) Decision {
+	name := a.model.cfg.Name
+	if pinned != "" && pinned != req.Version {
+		return refuse(ReasonSessionVersion, name, req.Version)
+	}
+	i, v := a.model.find(req.Version)
+	if v == nil {
+		return refuse(ReasonUnknownVersion, name, req.Version)
+	}
+	if reason := a.usable(i); reason != ReasonNone {
+		return refuse(reason, name, req.Version)
+	}
+	reason := ReasonRequested
+	if pinned != "" {
+		reason = ReasonPinned
+	}
+	return Decision{Model: name, Version: v.name, Reason: reason, NewPin: req.Session != nil && pinned == ""}
+}
+
+// placePinned keeps the version of the session. Withdrawn, stopped and removed
+// versions move the session only when the workspace says so.
+func (a *access) placePinned(w *workspace, req *Request, pinned string) Decision {
+	name := a.model.cfg.Name
+	i, v := a.model.find(pinned)
+	reason := ReasonWithdrawn
+	if v != nil {
+		reason = a.usable(i)
+	}
+	if reason == ReasonNone {
+		return Decision{Model: name, Version: v.name, Reason: ReasonPinned, Rollout: a.tag(v.name)}
+	}
+	if reason == ReasonNotAllowed || w.cfg.OnWithdrawal != bundle.WithdrawalMove {
+		return refuse(reason, name, pinned)
+	}
+	d := a.placeNew(req)
+	if !d.Refused {
+		d.Reason, d.MovedFrom = ReasonMoved, pinned
+	}
+	return d
+}
+
+// placeNew takes the candidate inside the share of a roll-out, else the base.
+func (a *access) placeNew(req *Request) Decision {
+	name := a.model.cfg.Name
+	for i := range a.shares {
+		sh := &a.shares[i]
+		if InShare(req.shareKey(), sh.rolloutID, sh.part) {
+			return Decision{
+				Model: name, Version: sh.to.name, Reason: ReasonCandidate,
+				Rollout: sh.tag, NewPin: req.Session != nil,
+			}
+		}
+	}
+	if a.base == nil {
+		return refuse(ReasonNoVersion, name, a.model.cfg.Current)
+	}
+	return Decision{
+		Model: name, Version: a.base.name, Reason: a.baseReason,
+		Rollout: a.tag(a.base.name), NewPin: req.Session != nil,
+	}
+}
+
+// tag returns the roll-out in which answers of the version are evidence.
+func (a *access) tag(versionName string) string {
+	for i := range a.shares {
+		if a.shares[i].from == versionName || a.shares[i].to.name == versionName {
+			return a.shares[i].tag
+		}
+	}
+	return ""
+}
+
+// InShare tells whether the identity is inside the share of the roll-out. It
+// stays inside when the share grows.
+func InShare(identity, rolloutID string, part float64) bool {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(rolloutID)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(identity)
+	return float64(d.Sum64()>>(64-hashBits))/(1<<hashBits) < part
+}
+
+// Step is what is known when the first answer of a cascade has been rated.
+type Step struct {
+	// Score is the rating of the first answer.
+	Score float64
+	// Rated is false when the rating service gave no answer.
+	Rated bool
+	// Remaining is the time until the deadline.
+	Remaining time.Duration
+	// Expected is the time that the second answer is likely to take.
+	Expected time.Duration
+}
+
+// Escalate decides whether the first answer, placed by first, is replaced by one
+// of the policy's dearer model. When the result is false the first answer stands
+// and the decision is first with the reason why. The snapshot may be newer than
+// that of first.
+func (s *Snapshot) Escalate(req *Request, first *Decision, st Step, inv *invariant.Checker) (Decision, bool) {
+	stands := *first
+	w, ok := s.workspaces[req.Workspace]
+	if !ok {
+		stands.Reason = ReasonUnknownWorkspace
+		return stands, false
+	}
+	if stands.Reason = escalationHindrance(first, st); stands.Reason != ReasonNone {
+		return stands, false
+	}
+	d := s.placeModel(w, req, first.Policy.Second)
+	d.Policy, d.Explored = first.Policy, first.Explored
+	d = s.checked(w, req, d, inv)
+	if d.Refused {
+		stands.Reason = d.Reason
+		return stands, false
+	}
+	if d.Reason != ReasonMoved {
+		d.Reason = ReasonEscalated
+	}
+	return d, true
+}
+
+func escalationHindrance(first *Decision, st Step) Reason {
+	switch {
+	case first.Policy == nil || first.Policy.Second == "":
+		return ReasonNoCascade
+	case !st.Rated:
+		return ReasonRatingDown
+	case st.Score >= first.Policy.Threshold:
+		return ReasonScoreSuffices
+	case st.Expected > st.Remaining:
+		return ReasonDeadline
+	}
+	return ReasonNone
+}
--- /dev/null
+++ b/daemon/routing/verdict.go
@@ -0,0 +1,102 @@
+package routing
+
+import (
+	"cactusknot.example/coord/stats"
+	"cactusknot.example/daemon/bundle"
+)
+
+// VerdictCause says which test fired.
+type VerdictCause string
+
+// Values of VerdictCause.
+const (
+	// CauseWorse: the candidate is worse than the version it replaces.
+	CauseWorse VerdictCause = "worse_than_base"
+	// CauseBelowTarget: the version in force is below the workspaces' targets.
+	CauseBelowTarget VerdictCause = "below_target"
+)
+
+// Verdict is the result of a test that fired.
+type Verdict struct {
+	Stop  Stop
+	Cause VerdictCause
+	// Alert is true when the version must go on because no other version of the
+	// model is known to do better; the caller alerts instead of stopping.
+	Alert bool
+	LogE  float64
+}
+
+// Verdicts runs the sequential tests and returns those that fired. Versions that
+// are already stopped are not tested.
+func (s *Snapshot) Verdicts(test stats.Sequential) []Verdict {
+	var out []Verdict
+	for i := range s.bundle.Rollouts {
+		r := &s.bundle.Rollouts[i]
+		active := r.State == bundle.RolloutRunning || r.State == bundle.RolloutPaused
+		if !active || !s.takesWork(r.Model, r.To) {
+			continue
+		}
+		if e := test.Worse(s.Trial(r)); e.Fired {
+			stop := Stop{Model: r.Model, Version: r.To, Generation: r.Generation}
+			out = append(out, Verdict{Stop: stop, Cause: CauseWorse, LogE: e.LogE})
+		}
+	}
+	for i := range s.bundle.Models {
+		if v, fired := s.targetVerdict(&s.bundle.Models[i], test); fired {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// targetVerdict compares the version in force with the targets of the workspaces
+// that use it, each rating against its own workspace's target.
+func (s *Snapshot) targetVerdict(m *bundle.Model, test stats.Sequential) (Verdict, bool) {
+	if !s.takesWork(m.Name, m.Current) {
+		return Verdict{}, false
+	}
+	e := test.Below(s.againstTargets(m.Name, m.Current)...)
+	if !e.Fired {
+		return Verdict{}, false
+	}
+	_, v := s.models[m.Name].find(m.Current)
+	return Verdict{
+		Stop:  Stop{Model: m.Name, Version: m.Current, Generation: v.generation},
+		Cause: CauseBelowTarget,
+		Alert: !s.betterVersion(m),
+		LogE:  e.LogE,
+	}, true
+}
+
+func (s *Snapshot) againstTargets(modelName, versionName string) []stats.Against {
+	var out []stats.Against
+	for i := range s.bundle.Workspaces {
+		w := &s.bundle.Workspaces[i]
+		c := s.evidence.cells[cellID{w.Name, modelName, versionName, ""}].firstBins().total()
+		if c.Count > 0 && allows(w, modelName, versionName) {
+			out = append(out, stats.Against{Counter: c, Mean: w.QualityTarget})
+		}
+	}
+	return out
+}
+
+// betterVersion tells whether an accepted version of the model remains whose
+// ratings are known to meet the targets on average. A cheap model that never
+// met them, used as the first step of cascades, thus is not stopped.
+func (s *Snapshot) betterVersion(m *bundle.Model) bool {
+	for _, v := range s.models[m.Name].versions {
+		if v.name == m.Current || v.candidate || v.state != ReasonNone {
+			continue
+		}
+		var ratings, excess float64
+		for _, part := range s.againstTargets(m.Name, v.name) {
+			n := float64(part.Counter.Count)
+			ratings += n
+			excess += part.Counter.Sum - n*part.Mean
+		}
+		if ratings >= minKnownRatings && excess >= 0 {
+			return true
+		}
+	}
+	return false
+}
