Compare random holders of a prefix, finer first-token baselines

Change: two random holders; baselines by quarter octaves with their deviation; the reported first-token time is smoothed over 20 samples and bounded to 0.7..2 of the median in the choice.

--- a/coord/limit/detector.go
+++ b/coord/limit/detector.go
@@ -1,14 +1,20 @@
 package limit
 
 import (
-	"math/bits"
+	"math"
 	"time"
 )
 
 const (
-	// concurrencyBins is the number of power-of-two bins of concurrency; the last
-	// bin holds everything from 2^15.
-	concurrencyBins = 16
+	// binsPerOctave divides each power of two of concurrency; a whole octave mixed
+	// engines with and without waiting requests in one baseline.
+	binsPerOctave = 4
+	// concurrencyBins covers concurrency up to 2^15; the last bin holds the rest.
+	concurrencyBins = 15 * binsPerOctave
+	// slowDeviations is the number of mean deviations above the baseline that a
+	// slow sample also needs. Waiting for a place in the batch makes first-token
+	// times vary by far more than the factor.
+	slowDeviations = 3
 	// promptOffsetTokens makes first-token times of short and long prompts
 	// comparable: time grows with (tokens + offset).
 	promptOffsetTokens = 256
@@ -37,8 +43,8 @@
 	Cached         int
 }
 
-// detector infers a cold start from first tokens. Baselines are kept for each
-// power of two of concurrency, so that load alone does not look like a cold
+// detector infers a cold start from first tokens. Baselines are kept by
+// concurrency, so that load alone does not look like a cold
 // start.
 type detector struct {
 	bins      [concurrencyBins]baseline
@@ -51,6 +57,7 @@
 
 type baseline struct {
 	nsPerToken float64
+	deviation  float64
 	samples    int
 }
 
@@ -61,31 +68,36 @@
 }
 
 func binOf(running int) int {
-	return min(bits.Len(uint(max(running, 1)))-1, concurrencyBins-1)
+	bin := int(math.Log2(float64(max(running, 1))) * binsPerOctave)
+	return min(bin, concurrencyBins-1)
 }
 
 // expected returns the baseline for a concurrency: its own bin, else the nearest
 // lower bin with samples, else the nearest higher one. A lower bin gives a lower
 // baseline, so the factor must allow for load.
-func (d *detector) expected(running int) (float64, bool) {
+func (d *detector) expected(running int) *baseline {
 	bin := binOf(running)
 	for i := bin; i >= 0; i-- {
 		if d.bins[i].samples >= baselineMinSamples {
-			return d.bins[i].nsPerToken, true
+			return &d.bins[i]
 		}
 	}
 	for i := bin + 1; i < concurrencyBins; i++ {
 		if d.bins[i].samples >= baselineMinSamples {
-			return d.bins[i].nsPerToken, true
+			return &d.bins[i]
 		}
 	}
-	return 0, false
+	return nil
 }
 
 // healthy tells whether s is near the baseline; true without a baseline.
 func (d *detector) healthy(s Sample, running int) bool {
-	want, known := d.expected(running)
-	return !known || normalised(s) <= want*d.factor
+	b := d.expected(running)
+	if b == nil {
+		return true
+	}
+	x := normalised(s)
+	return x <= b.nsPerToken*d.factor || x <= b.nsPerToken+slowDeviations*b.deviation
 }
 
 // observe takes a sample and returns a reason when the evidence for a cold start
@@ -129,12 +141,14 @@
 	b := &d.bins[binOf(running)]
 	b.samples++
 	weight := max(baselineWeight, 1/float64(b.samples))
-	b.nsPerToken += weight * (normalised(s) - b.nsPerToken)
+	x := normalised(s)
+	b.deviation += weight * (math.Abs(x-b.nsPerToken) - b.deviation)
+	b.nsPerToken += weight * (x - b.nsPerToken)
 }
 
 // smooth keeps the first-token time that is reported to routers.
 func (d *detector) smooth(s Sample) {
-	const weight = 0.2
+	const weight = 0.05
 	if d.smoothed == 0 {
 		d.smoothed = float64(s.FirstToken)
 		return
--- a/daemon/balance/choose.go
+++ b/daemon/balance/choose.go
@@ -13,13 +13,14 @@
 	// minSpeed and maxSpeed bound the ratio of an agent's first-token time to the
 	// median. Without the upper bound a cold agent would get no requests and its
 	// ramp would never open.
-	minSpeed = 0.5
-	maxSpeed = 4
+	minSpeed = 0.7
+	maxSpeed = 2
 	// fullPenalty is added to the load of an agent without an estimated free place,
 	// for each missing place.
 	fullPenalty = 4
-	// maxHolders bounds the agents looked at for a cached prefix.
-	maxHolders = 4
+	// maxHolders is the number of random agents compared for a cached prefix. A
+	// fixed order would send all routers to the first holders.
+	maxHolders = 2
 )
 
 // Request is what the choice needs of a request.
@@ -47,7 +48,7 @@
 	if best < 0 {
 		return nil, false
 	}
-	if holder := s.holder(now, p, r, cost); holder >= 0 {
+	if holder := s.holder(random, now, p, r, cost); holder >= 0 {
 		best = holder
 	}
 	a := &s.agents[best]
@@ -106,13 +107,14 @@
 }
 
 // holder returns a near agent that has the prefix cached and is worth it, or -1.
-func (s *Snapshot) holder(now time.Time, p *pool, r Request, cost float64) int32 {
+func (s *Snapshot) holder(random *rand.Rand, now time.Time, p *pool, r Request, cost float64) int32 {
 	if r.Prefix == 0 {
 		return -1
 	}
 	best := int32(-1)
 	holders := p.prefixes[r.Prefix]
-	for _, i := range holders[:min(len(holders), maxHolders)] {
+	for range min(len(holders), maxHolders) {
+		i := holders[random.IntN(len(holders))]
 		a := &s.agents[i]
 		if s.load(a, now, p) > s.cfg.AffinityMaxLoad || slices.Contains(r.Tried, a.VM) {
 			continue
--- a/daemon/bench/queueing/cluster.go
+++ b/daemon/bench/queueing/cluster.go
@@ -180,6 +180,19 @@
 	return nil
 }
 
+// falseColds counts inferred cold starts by slow first tokens. No scenario makes
+// an engine cold without a restart of its agent or a fall.
+func (c *cluster) falseColds() int {
+	total := 0
+	for _, s := range c.servers {
+		state := s.admission.State()
+		if state.Reason == limit.ColdFirstToken {
+			total += int(state.Colds) - 1
+		}
+	}
+	return total
+}
+
 func (c *cluster) falls() int {
 	total := 0
 	for _, s := range c.servers {
--- a/daemon/bench/queueing/latency.go
+++ b/daemon/bench/queueing/latency.go
@@ -40,6 +40,8 @@
 	Amplification float64
 	// Falls counts engines that held more than they can.
 	Falls int
+	// Colds counts the inferred cold starts of engines that were not restarted.
+	Colds int
 	// Violations counts violated invariants.
 	Violations uint64
 }
@@ -102,6 +104,7 @@
 		Counts:        c.record.counts(l.WarmUp, l.WarmUp+l.Measured),
 		Amplification: float64(c.record.attempts) / float64(c.record.started),
 		Falls:         c.falls(),
+		Colds:         c.falseColds(),
 		Violations:    c.check.Total(),
 	}, nil
 }
