Propose configurations and test their distribution

A proposal writes parts before the manifest and finds out what became of a write whose answer was lost. Tests run whole fleets in virtual time: spread within 13 s, start with the store down, a restored store, partitions, forged and old manifests, and a planted reversal for the invariant.

--- /dev/null
+++ b/daemon/distribute/distribute_test.go
@@ -0,0 +1,527 @@
+package distribute
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cactusknot.example/coord/clock"
+	"cactusknot.example/coord/invariant"
+	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/bundle"
+	"cactusknot.example/daemon/rpc"
+
+	"github.com/rs/zerolog"
+)
+
+var errCut = errors.New("test: network is cut")
+
+func testKey(seed byte) ed25519.PrivateKey {
+	return ed25519.NewKeyFromSeed(append(make([]byte, 31), seed))
+}
+
+func operator(name string, seed byte) bundle.OperatorKey {
+	public := testKey(seed).Public().(ed25519.PublicKey)
+	return bundle.OperatorKey{Name: name, PublicKey: base64.StdEncoding.EncodeToString(public)}
+}
+
+var anchor = bundle.Anchor{Roots: []bundle.OperatorKey{operator("root", 9)}, SignOffs: 1}
+
+// content returns a small bundle of three data centres with a mark that
+// distinguishes versions.
+func content(mark int) *bundle.Bundle {
+	b := &bundle.Bundle{
+		Models: []bundle.Model{{
+			Name: "diary", Current: "1", InputPrice: uint64(mark),
+			Versions: []bundle.Version{{Name: "1", State: bundle.VersionServing}},
+		}},
+		Keys: bundle.SignKeys(bundle.Keys{Operators: []bundle.OperatorKey{operator("ana", 1)}, SignOffs: 1, Serial: 1}, testKey(9)),
+	}
+	for i := range 3 {
+		b.DataCentres = append(b.DataCentres, bundle.DataCentre{Name: fmt.Sprintf("dc%d", i), Region: "r", State: bundle.DataCentreServing})
+	}
+	return b
+}
+
+func sealed(t testing.TB, b *bundle.Bundle, version uint64, key byte) (bundle.Signed, map[bundle.Hash][]byte) {
+	t.Helper()
+	parts, names, err := bundle.Split(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := bundle.NewSigned(bundle.Manifest{Version: version, Parent: version - 1, Parts: names, Author: "ana"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bundle.Sign(s, testKey(key)), parts
+}
+
+// fleet is a set of keepers that call each other directly.
+type fleet struct {
+	t       testing.TB
+	store   *kv.Memory
+	checker *invariant.Checker
+
+	mu      sync.Mutex
+	members []Member
+	keepers map[string]*Keeper
+	// cut holds nodes that reach nobody and nobody reaches.
+	cut map[string]bool
+}
+
+func newFleet(t testing.TB) *fleet {
+	return &fleet{
+		t: t, store: kv.NewMemory(clock.System{}, rand.NewPCG(1, 1)), checker: new(invariant.Checker),
+		keepers: make(map[string]*Keeper), cut: make(map[string]bool),
+	}
+}
+
+func (f *fleet) add(node, dataCentre string, router bool, store kv.Store) *Keeper {
+	self := Member{Node: node, DataCentre: dataCentre, Region: "r", Router: router, Live: true}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := New(Config{
+		Self: self, Anchor: anchor, Store: store, Network: view{f, node}, Clock: clock.System{},
+		Rand: rand.New(rand.NewPCG(7, uint64(len(f.members)))), Checker: f.checker, Log: zerolog.Nop(),
+	})
+	f.members = append(f.members, self)
+	f.keepers[node] = k
+	return k
+}
+
+func (f *fleet) setCut(node string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[node] = cut
+}
+
+// publish writes a version to the store as Propose does.
+func (f *fleet) publish(version uint64, mark int) {
+	f.t.Helper()
+	client := kv.NewClient(f.store, kv.ClientConfig{Clock: clock.System{}, Random: rand.NewPCG(1, version)})
+	base, err := ReadStored(f.t.Context(), f.store)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	s, parts := sealed(f.t, content(mark), version, 1)
+	if err := Propose(f.t.Context(), client, base, s, parts); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) versions() map[string]uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]uint64)
+	for node, k := range f.keepers {
+		out[node] = k.Version()
+	}
+	return out
+}
+
+// behind returns the nodes that do not hold version.
+func (f *fleet) behind(version uint64) []string {
+	var out []string
+	for node, v := range f.versions() {
+		if v != version {
+			out = append(out, node)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// view is the network as one node sees it.
+type view struct {
+	f    *fleet
+	node string
+}
+
+func (v view) Members() []Member {
+	v.f.mu.Lock()
+	defer v.f.mu.Unlock()
+	return slices.Clone(v.f.members)
+}
+
+func (v view) Client(node string) PeerClient {
+	v.f.mu.Lock()
+	defer v.f.mu.Unlock()
+	if v.f.keepers[node] == nil {
+		return nil
+	}
+	return link{v, node}
+}
+
+// link calls another keeper unless one of the two is cut off.
+type link struct {
+	view
+	to string
+}
+
+func (l link) target() (*Keeper, error) {
+	l.f.mu.Lock()
+	defer l.f.mu.Unlock()
+	if l.f.cut[l.node] || l.f.cut[l.to] {
+		return nil, errCut
+	}
+	return l.f.keepers[l.to], nil
+}
+
+func (l link) Sync(ctx context.Context, in *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	k, err := l.target()
+	if err != nil {
+		return nil, err
+	}
+	return k.Sync(ctx, in)
+}
+
+func (l link) FetchManifest(ctx context.Context, in *rpc.FetchManifestRequest) (*rpc.FetchManifestResponse, error) {
+	k, err := l.target()
+	if err != nil {
+		return nil, err
+	}
+	return k.FetchManifest(ctx, in)
+}
+
+func (l link) FetchParts(ctx context.Context, in *rpc.FetchPartsRequest) (*rpc.FetchPartsResponse, error) {
+	k, err := l.target()
+	if err != nil {
+		return nil, err
+	}
+	return k.FetchParts(ctx, in)
+}
+
+// run starts the keepers and returns a function that stops them.
+func (f *fleet) run() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, k := range f.keepers {
+		wg.Go(func() { _ = k.Run(ctx) })
+	}
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// TestSpread guards against a configuration that does not reach every process
+// in 13 s, against more watches than two a data centre, and against control
+// traffic above the budget.
+func TestSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		for i := range 60 {
+			f.add(fmt.Sprintf("n%02d", i), fmt.Sprintf("dc%d", i%3), i < 30, f.store)
+		}
+		f.publish(1, 1)
+		stop := f.run()
+		defer stop()
+		time.Sleep(10 * time.Second)
+		before := f.store.Usage()[kv.KindGet].Calls
+		for version := uint64(2); version <= 6; version++ {
+			f.publish(version, int(version))
+			time.Sleep(13 * time.Second)
+			if late := f.behind(version); len(late) > 0 {
+				t.Fatalf("version %d is not in force at %v", version, late)
+			}
+		}
+		const elapsed = 75
+		for node, k := range f.keepers {
+			total := k.ControlBytes("sync") + k.ControlBytes("manifest") + k.ControlBytes("parts") + k.ControlBytes("store")
+			if total > elapsed*BytesPerSecond {
+				t.Errorf("%s: %d control bytes in %d s", node, total, elapsed)
+			}
+		}
+		usage := f.store.Usage()
+		t.Logf("60 nodes, 65 s, 5 versions: %d reads, %d watches", usage[kv.KindGet].Calls-before, usage[kv.KindWatch].Calls)
+		// 6 watchers wait once for each version and renew the wait every 30 s.
+		if got, most := usage[kv.KindWatch].Calls, uint64(6*(6+3)); got > most {
+			t.Errorf("%d watches, at most %d expected", got, most)
+		}
+	})
+}
+
+// TestStart guards against a process that starts with the store down and keeps
+// an old peer's version once a newer one can be reached, and against readiness
+// without a configuration.
+func TestStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.store.SetFaults(kv.Faults{Outage: true})
+		old := f.add("old", "dc0", true, f.store)
+		recent := f.add("recent", "dc1", true, f.store)
+		accept(t, old, 3, 3)
+		accept(t, recent, 4, 4)
+		f.setCut("old", true)
+		f.setCut("recent", true)
+		fresh := f.add("fresh", "dc2", false, f.store)
+		stop := f.run()
+		defer stop()
+		time.Sleep(20 * time.Second)
+		if fresh.Current() != nil {
+			t.Fatal("holds a configuration without any source")
+		}
+		f.setCut("old", false)
+		time.Sleep(10 * time.Second)
+		if fresh.Version() != 3 {
+			t.Fatalf("version %d from the old peer, want 3", fresh.Version())
+		}
+		f.setCut("recent", false)
+		time.Sleep(30 * time.Second)
+		if late := f.behind(4); len(late) > 0 {
+			t.Fatalf("%v do not hold version 4", late)
+		}
+	})
+}
+
+func accept(t testing.TB, k *Keeper, version uint64, mark int) {
+	t.Helper()
+	s, parts := sealed(t, content(mark), version, 1)
+	if err := k.Accept(s, parts); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestStoreRestored guards against a fleet that follows a store restored with
+// older content, and against a store that stays behind afterwards.
+func TestStoreRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		for i := range 6 {
+			f.add(fmt.Sprintf("n%d", i), fmt.Sprintf("dc%d", i%3), true, f.store)
+		}
+		f.publish(1, 1)
+		f.publish(2, 2)
+		old, err := f.store.Get(t.Context(), KeyCurrent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.publish(3, 3)
+		stop := f.run()
+		defer stop()
+		time.Sleep(20 * time.Second)
+		now, err := f.store.Get(t.Context(), KeyCurrent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := f.store.Put(t.Context(), KeyCurrent, old.Value, now.Revision, 0); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Second)
+		if late := f.behind(3); len(late) > 0 {
+			t.Fatalf("%v left version 3", late)
+		}
+		stored, err := ReadStored(t.Context(), f.store)
+		if err != nil || stored.Manifest.Version != 3 {
+			t.Fatalf("store holds version %d (%v), want 3", stored.Manifest.Version, err)
+		}
+		f.publish(4, 4)
+		time.Sleep(13 * time.Second)
+		if late := f.behind(4); len(late) > 0 {
+			t.Fatalf("%v do not hold version 4", late)
+		}
+	})
+}
+
+// TestRefusals guards against forged, replayed, forked and old configurations.
+func TestRefusals(t *testing.T) {
+	f := newFleet(t)
+	k := f.add("n", "dc0", true, f.store)
+	accept(t, k, 5, 5)
+	oldKeys, newKeys := content(6), content(6)
+	newKeys.Keys.Serial = 2
+	newKeys.Keys = bundle.SignKeys(newKeys.Keys, testKey(9))
+	selfSigned := content(7)
+	selfSigned.Keys = bundle.SignKeys(bundle.Keys{Operators: []bundle.OperatorKey{operator("eve", 3)}, SignOffs: 1, Serial: 3}, testKey(3))
+	invalid := content(8)
+	invalid.Models[0].Current = "9"
+	steps := []struct {
+		name    string
+		content *bundle.Bundle
+		version uint64
+		key     byte
+		reason  string
+	}{
+		{"same again", content(5), 5, 1, ""},
+		{"replayed", content(4), 4, 1, "older"},
+		{"fork", content(50), 5, 1, "forked"},
+		{"forged", content(6), 6, 3, "sign_offs"},
+		{"own keys", selfSigned, 6, 3, "untrusted_keys"},
+		{"invalid", invalid, 6, 1, "invalid"},
+		{"keys changed", newKeys, 6, 1, ""},
+		{"keys put back", oldKeys, 7, 1, "old_keys"},
+	}
+	for _, step := range steps {
+		before := uint64(0)
+		if step.reason != "" {
+			before = k.Refused(step.reason)
+		}
+		s, parts := sealed(t, step.content, step.version, step.key)
+		err := k.Accept(s, parts)
+		if (err == nil) != (step.reason == "") {
+			t.Errorf("%s: got %v", step.name, err)
+		}
+		if step.reason != "" && k.Refused(step.reason) != before+1 {
+			t.Errorf("%s: not counted as %s: %v", step.name, step.reason, err)
+		}
+	}
+	if k.Version() != 6 || f.checker.Total() != 0 {
+		t.Errorf("version %d, violations %v", k.Version(), f.checker.Counts())
+	}
+}
+
+// TestRevertedInvariant plants a defect, a lower version that skips the checks,
+// and guards against an assertion that does not fire.
+func TestRevertedInvariant(t *testing.T) {
+	f := newFleet(t)
+	k := f.add("n", "dc0", true, f.store)
+	accept(t, k, 5, 5)
+	held := k.Current()
+	k.publish(held, &Current{Version: 4, Bundle: held.Bundle})
+	if f.checker.Counts()[ConfigurationReverted] != 1 {
+		t.Errorf("violations: %v", f.checker.Counts())
+	}
+	if k.Version() != 5 {
+		t.Errorf("version %d in force", k.Version())
+	}
+}
+
+// TestPartition guards against an isolated process that goes on serving, against
+// one in contact with most data centres that stops, and against a process that
+// misses what was decided while it was cut off.
+func TestPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		cutStore := kv.NewMemory(clock.System{}, rand.NewPCG(2, 2))
+		for i := range 6 {
+			f.add(fmt.Sprintf("n%d", i), fmt.Sprintf("dc%d", i%3), true, f.store)
+		}
+		lost := f.add("lost", "dc0", false, cutStore)
+		f.publish(1, 1)
+		stop := f.run()
+		defer stop()
+		time.Sleep(15 * time.Second)
+		f.store.SetFaults(kv.Faults{Outage: true})
+		cutStore.SetFaults(kv.Faults{Outage: true})
+		time.Sleep(20 * time.Minute)
+		for node, k := range f.keepers {
+			if k.Isolated(time.Now()) {
+				t.Errorf("%s is isolated by an outage of the store alone", node)
+			}
+		}
+		f.setCut("lost", true)
+		time.Sleep(4 * time.Minute)
+		if lost.Isolated(time.Now()) {
+			t.Error("isolated before isolated_serve_seconds")
+		}
+		f.store.SetFaults(kv.Faults{})
+		f.publish(2, 2)
+		time.Sleep(2 * time.Minute)
+		if !lost.Isolated(time.Now()) {
+			t.Error("serves although isolated for 6 min")
+		}
+		f.setCut("lost", false)
+		time.Sleep(30 * time.Second)
+		if lost.Isolated(time.Now()) || lost.Version() != 2 {
+			t.Errorf("after the partition: version %d, isolated %v", lost.Version(), lost.Isolated(time.Now()))
+		}
+	})
+}
+
+// TestStops guards against a stop notice that does not reach every process or
+// the store, also when the answer of the write is lost, and against one lost by
+// a process that starts later.
+func TestStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		for i := range 12 {
+			f.add(fmt.Sprintf("n%02d", i), fmt.Sprintf("dc%d", i%3), i < 8, f.store)
+		}
+		f.publish(1, 1)
+		stop := f.run()
+		time.Sleep(10 * time.Second)
+		f.store.SetFaults(kv.Faults{LoseNext: 1})
+		notice := &rpc.StopNotice{Model: "diary", Version: "2", Generation: 7, Origin: "n03"}
+		f.keepers["n03"].Stop(notice)
+		f.keepers["n05"].Stop(notice)
+		f.keepers["n05"].Count(&rpc.QualityCounter{Node: "n05", Model: "diary", Version: "2", Count: 40})
+		time.Sleep(15 * time.Second)
+		for node, k := range f.keepers {
+			if !k.Stops().Stopped("diary", "2", 7) || k.Stops().Stopped("diary", "2", 8) {
+				t.Errorf("%s: notices %v", node, k.Stops().All())
+			}
+			if list := k.Counters(); len(list) != 1 || list[0].GetCount() != 40 {
+				t.Errorf("%s: counters %v", node, list)
+			}
+		}
+		stop()
+		late := f.add("late", "dc0", false, f.store)
+		for node := range f.keepers {
+			f.setCut(node, true)
+		}
+		if err := late.ReadStops(t.Context()); err != nil || !late.Stops().Stopped("diary", "2", 7) {
+			t.Errorf("not read from the store: %v", err)
+		}
+	})
+}
+
+// TestClaims guards against an agent that a false claim of a high version keeps
+// from serving for ever.
+func TestClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		k := f.add("agent", "dc0", false, f.store)
+		liar := f.add("liar", "dc0", true, f.store)
+		f.publish(1, 1)
+		accept(t, k, 1, 1)
+		accept(t, liar, 1, 1)
+		k.Heard(1<<60, "liar")
+		k.Heard(1<<61, "gone")
+		if !k.Behind() {
+			t.Fatal("does not know that it is behind")
+		}
+		stop := f.run()
+		defer stop()
+		time.Sleep(20 * time.Second)
+		if k.Behind() {
+			t.Error("false claims are kept")
+		}
+	})
+}
+
+// TestPrune guards against history that grows without bound and against a
+// deletion that breaks a configuration still kept.
+func TestPrune(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		for version := uint64(1); version <= HistoryKept+10; version++ {
+			f.publish(version, int(version))
+		}
+		client := kv.NewClient(f.store, kv.ClientConfig{Clock: clock.System{}, Random: rand.NewPCG(1, 1)})
+		if err := Prune(t.Context(), client); err != nil {
+			t.Fatal(err)
+		}
+		entries, err := f.store.List(t.Context(), KeyHistory)
+		if err != nil || len(entries) != HistoryKept {
+			t.Fatalf("%d manifests kept: %v", len(entries), err)
+		}
+		// The models differ in each version, the 4 other parts are shared.
+		parts, err := f.store.List(t.Context(), KeyPart)
+		if err != nil || len(parts) != HistoryKept+1+4 {
+			t.Errorf("%d parts kept: %v", len(parts), err)
+		}
+		for _, version := range []uint64{10, HistoryKept + 9} {
+			if _, err := ReadHistory(t.Context(), f.store, version); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/daemon/distribute/propose.go
@@ -0,0 +1,216 @@
+package distribute
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/bundle"
+)
+
+// HistoryKept is how many manifests the store keeps for rollbacks.
+const HistoryKept = 50
+
+// ErrParent: the proposal was made from a version that is not in the store now.
+var ErrParent = errors.New("distribute: proposal has another parent")
+
+// Stored is a configuration read from the store. Its zero value stands for an
+// empty store.
+type Stored struct {
+	Signed   bundle.Signed
+	Manifest bundle.Manifest
+	Bundle   *bundle.Bundle
+	Parts    map[bundle.Hash][]byte
+	// Revision of KeyCurrent; 0 for versions read from the history.
+	Revision kv.Revision
+}
+
+// ReadStored reads the configuration in the store and checks the hashes of its
+// parts. With keys of the bundle itself it checks the sign-offs, but it knows no
+// root keys: processes check those.
+func ReadStored(ctx context.Context, store kv.Store) (Stored, error) {
+	entry, err := store.Get(ctx, KeyCurrent)
+	if errors.Is(err, kv.ErrNotFound) {
+		return Stored{}, nil
+	}
+	if err != nil {
+		return Stored{}, fmt.Errorf("distribute: read %s: %w", KeyCurrent, err)
+	}
+	out, err := readParts(ctx, store, entry.Value)
+	out.Revision = entry.Revision
+	return out, err
+}
+
+// ReadHistory reads an earlier version from the store, or kv.ErrNotFound.
+func ReadHistory(ctx context.Context, store kv.Store, version uint64) (Stored, error) {
+	entry, err := store.Get(ctx, HistoryKey(version))
+	if err != nil {
+		return Stored{}, fmt.Errorf("distribute: read version %d: %w", version, err)
+	}
+	return readParts(ctx, store, entry.Value)
+}
+
+func readParts(ctx context.Context, store kv.Store, data []byte) (Stored, error) {
+	out := Stored{Parts: make(map[bundle.Hash][]byte)}
+	var err error
+	if out.Signed, err = bundle.DecodeSigned(data); err != nil {
+		return out, err
+	}
+	if out.Manifest, err = out.Signed.Open(); err != nil {
+		return out, err
+	}
+	for name, hash := range out.Manifest.Parts {
+		entry, err := store.Get(ctx, KeyPart+string(hash))
+		if err != nil {
+			return out, fmt.Errorf("distribute: read part %s: %w", name, err)
+		}
+		out.Parts[hash] = entry.Value
+	}
+	if out.Bundle, err = bundle.Join(out.Manifest, out.Parts); err != nil {
+		return out, err
+	}
+	_, err = bundle.Verify(out.Signed, out.Bundle.Keys)
+	return out, err
+}
+
+// Propose puts signed in the store in place of base. Parts are written first, so
+// that a manifest in the store is always complete. It returns ErrParent or
+// kv.ErrConflict when another configuration came first, and
+// kv.ErrUnknownOutcome when the change may or may not be in force; proposing the
+// same again is safe then.
+func Propose(ctx context.Context, store *kv.Client, base Stored, signed bundle.Signed, parts map[bundle.Hash][]byte) error {
+	m, err := signed.Open()
+	if err != nil {
+		return err
+	}
+	if m.Parent != base.Manifest.Version {
+		return fmt.Errorf("%w: version %d, in the store %d", ErrParent, m.Parent, base.Manifest.Version)
+	}
+	encoded, err := signed.Encode()
+	if err != nil {
+		return err
+	}
+	if err := keepHistory(ctx, store, base); err != nil {
+		return err
+	}
+	if err := writeParts(ctx, store, parts); err != nil {
+		return err
+	}
+	_, err = store.PutOnce(ctx, KeyCurrent, encoded, base.Revision, 0, kv.SameValue(encoded))
+	if err != nil {
+		return fmt.Errorf("distribute: write %s: %w", KeyCurrent, err)
+	}
+	// Another operator's prune may have deleted a part just before it was used.
+	return writeParts(ctx, store, parts)
+}
+
+func keepHistory(ctx context.Context, store *kv.Client, s Stored) error {
+	if s.Manifest.Version == 0 {
+		return nil
+	}
+	encoded, err := s.Signed.Encode()
+	if err != nil {
+		return err
+	}
+	return create(ctx, store, HistoryKey(s.Manifest.Version), encoded)
+}
+
+func writeParts(ctx context.Context, store *kv.Client, parts map[bundle.Hash][]byte) error {
+	for _, hash := range slices.Sorted(maps.Keys(parts)) {
+		if err := create(ctx, store, KeyPart+string(hash), parts[hash]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// create writes a key that must not exist; one that exists is left as it is.
+func create(ctx context.Context, store *kv.Client, key string, value []byte) error {
+	_, err := store.PutOnce(ctx, key, value, 0, 0, kv.SameValue(value))
+	if err != nil && !errors.Is(err, kv.ErrConflict) {
+		return fmt.Errorf("distribute: write %s: %w", key, err)
+	}
+	return nil
+}
+
+// Prune deletes manifests beyond HistoryKept and the parts that only they use.
+// A proposal that takes up such a part at the same time stays complete: either
+// it writes its parts after the deletion, or Prune sees its manifest and
+// restores them.
+func Prune(ctx context.Context, store *kv.Client) error {
+	entries, err := store.List(ctx, KeyHistory)
+	if err != nil || len(entries) <= HistoryKept {
+		return err
+	}
+	old, kept := entries[:len(entries)-HistoryKept], entries[len(entries)-HistoryKept:]
+	used := make(map[bundle.Hash]bool)
+	for _, e := range kept {
+		markParts(e.Value, used)
+	}
+	if err := markCurrent(ctx, store, used); err != nil {
+		return err
+	}
+	removed := make(map[bundle.Hash][]byte)
+	for _, e := range old {
+		if err := dropParts(ctx, store, e.Value, used, removed); err != nil {
+			return err
+		}
+		if err := store.Delete(ctx, e.Key, e.Revision); err != nil && !errors.Is(err, kv.ErrConflict) && !errors.Is(err, kv.ErrNotFound) {
+			return err
+		}
+	}
+	now := make(map[bundle.Hash]bool)
+	if err := markCurrent(ctx, store, now); err != nil {
+		return err
+	}
+	maps.DeleteFunc(removed, func(h bundle.Hash, _ []byte) bool { return !now[h] })
+	return writeParts(ctx, store, removed)
+}
+
+func markCurrent(ctx context.Context, store *kv.Client, used map[bundle.Hash]bool) error {
+	entry, err := store.Get(ctx, KeyCurrent)
+	if err != nil {
+		return err
+	}
+	markParts(entry.Value, used)
+	return nil
+}
+
+func markParts(data []byte, used map[bundle.Hash]bool) {
+	s, err := bundle.DecodeSigned(data)
+	if err != nil {
+		return
+	}
+	m, err := s.Open()
+	if err != nil {
+		return
+	}
+	for _, hash := range m.Parts {
+		used[hash] = true
+	}
+}
+
+func dropParts(ctx context.Context, store *kv.Client, data []byte, used map[bundle.Hash]bool, removed map[bundle.Hash][]byte) error {
+	mine := make(map[bundle.Hash]bool)
+	markParts(data, mine)
+	for hash := range mine {
+		if used[hash] || removed[hash] != nil {
+			continue
+		}
+		entry, err := store.Get(ctx, KeyPart+string(hash))
+		if errors.Is(err, kv.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		if err := store.Delete(ctx, entry.Key, entry.Revision); err != nil && !errors.Is(err, kv.ErrNotFound) {
+			return err
+		}
+		removed[hash] = entry.Value
+	}
+	return nil
+}
