Add the store emulator and the store client over HTTP

Cause: routers and agents need the platform's store over the network, with its lost answers and outages. Change: emulate.Store serves kv.Memory; platform.Store implements kv.Store. A write that was handed to a connection and got no answer is of unknown outcome; one that no connection took was not written.

--- a/daemon/ctl/emulate.go
+++ b/daemon/ctl/emulate.go
@@ -58,6 +58,18 @@
 			return running(emulate.StartEngine(listen, cfg, log))
 		},
 	},
+	{
+		name:    "store",
+		summary: "key-value store",
+		example: func() any { return emulate.StoreConfig{Seed: 1} },
+		start: func(listen, path string, log zerolog.Logger) (emulator, error) {
+			cfg := emulate.StoreConfig{Seed: 1}
+			if err := readSettings(path, &cfg); err != nil {
+				return nil, trace.Wrap(err)
+			}
+			return running(emulate.StartStore(listen, cfg, log))
+		},
+	},
 }
 
 // running turns a typed nil into a plain nil when the start failed.
--- a/daemon/emulate/engine.go
+++ b/daemon/emulate/engine.go
@@ -84,12 +84,11 @@
 	}
 	e.report = e.reportLocked()
 	e.mu.Unlock()
-	host, err := StartHost(listen, e.handler(), log)
-	if err != nil {
+	e.host = NewHost(e.handler(), log)
+	e.host.onReopen = e.restart
+	if err := e.host.Start(listen); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	e.host = host
-	host.onReopen = e.restart
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
 	e.done.Add(2)
--- a/daemon/emulate/host.go
+++ b/daemon/emulate/host.go
@@ -47,18 +47,22 @@
 	onReopen func()
 }
 
-// StartHost listens on address, such as "127.0.0.1:0", and serves handler.
-func StartHost(address string, handler http.Handler, log zerolog.Logger) (*Host, error) {
-	h := &Host{handler: handler, log: log}
+// NewHost returns a host that serves handler once Start is called.
+func NewHost(handler http.Handler, log zerolog.Logger) *Host {
+	return &Host{handler: handler, log: log}
+}
+
+// Start listens on address, such as "127.0.0.1:0", and serves.
+func (h *Host) Start(address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, trace.ConvertSystemError(err)
+		return trace.ConvertSystemError(err)
 	}
-	h.addr = l.Addr().String()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.addr = l.Addr().String()
 	h.serveLocked(l)
-	return h, nil
+	return nil
 }
 
 // Addr returns the host and port that the server listens on.
--- /dev/null
+++ b/daemon/emulate/store_test.go
@@ -0,0 +1,114 @@
+package emulate
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/platform"
+)
+
+func startStore(t *testing.T) (*Store, *platform.Store) {
+	t.Helper()
+	s, err := StartStore("127.0.0.1:0", StoreConfig{Seed: 1}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := platform.NewStore(s.URL())
+	t.Cleanup(func() { c.Close(); s.Close() })
+	return s, c
+}
+
+// Guards against a lost answer that is reported as "nothing written", which
+// would allow a second write, and against a refused call reported as unknown.
+func TestStoreOutcomeOfWrites(t *testing.T) {
+	s, c := startStore(t)
+	ctx := context.Background()
+	if err := s.Apply(StoreFaults{LoseNext: intp(1)}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Put(ctx, "k", []byte("v"), 0, 0); !errors.Is(err, kv.ErrUnknownOutcome) {
+		t.Errorf("lost answer: %v", err)
+	}
+	e, err := c.Get(ctx, "k")
+	if err != nil || string(e.Value) != "v" {
+		t.Errorf("the write with the lost answer is not there: %v", err)
+	}
+	if _, err := c.Put(ctx, "k", []byte("w"), 0, 0); !errors.Is(err, kv.ErrConflict) {
+		t.Errorf("old revision: %v", err)
+	}
+	on := true
+	_ = s.Apply(StoreFaults{CommonFaults: CommonFaults{Outage: &on}})
+	if _, err := c.Put(ctx, "k", []byte("w"), e.Revision, 0); !errors.Is(err, kv.ErrUnavailable) || errors.Is(err, kv.ErrUnknownOutcome) {
+		t.Errorf("outage: %v", err)
+	}
+	on = false
+	_ = s.Apply(StoreFaults{CommonFaults: CommonFaults{Outage: &on}})
+	s.Crash()
+	if _, err := c.Put(ctx, "k", []byte("w"), e.Revision, 0); !errors.Is(err, kv.ErrUnavailable) {
+		t.Errorf("refused connection: %v", err)
+	}
+	if err := s.Reopen(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Put(ctx, "k", []byte("w"), e.Revision, 0); err != nil {
+		t.Errorf("after the crash: %v", err)
+	}
+}
+
+// Guards against a time-out after the request was sent that is reported as
+// "nothing written".
+func TestStoreTimeoutIsUnknown(t *testing.T) {
+	s, c := startStore(t)
+	_ = s.Apply(StoreFaults{CommonFaults: CommonFaults{FreezeMs: intp(3600 * 1000)}})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := c.Put(ctx, "k", nil, 0, 0); !errors.Is(err, kv.ErrUnknownOutcome) {
+		t.Errorf("write: %v", err)
+	}
+	if _, err := c.Get(ctx, "k"); !errors.Is(err, kv.ErrUnavailable) || !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("read: %v", err)
+	}
+}
+
+// Guards against watches that miss a write or a delete, and against leases that
+// leave their keys behind.
+func TestStoreWatchAndLease(t *testing.T) {
+	_, c := startStore(t)
+	ctx := context.Background()
+	id, err := c.Grant(ctx, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := make(chan kv.Entry, 1)
+	go func() {
+		e, _ := c.Watch(ctx, "k", 0)
+		seen <- e
+	}()
+	rev, err := c.Put(ctx, "k", []byte("v"), 0, id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if e := <-seen; e.Revision != rev || e.Lease != id {
+		t.Errorf("watch returned %+v", e)
+	}
+	if err := c.KeepAlive(ctx, id); err != nil {
+		t.Error(err)
+	}
+	if err := c.Revoke(ctx, id); err != nil {
+		t.Error(err)
+	}
+	if e, err := c.Watch(ctx, "k", rev); err != nil || e.Revision != 0 {
+		t.Errorf("watch of a deleted key: %+v %v", e, err)
+	}
+	if err := c.KeepAlive(ctx, id); !errors.Is(err, kv.ErrNotFound) {
+		t.Errorf("revoked lease: %v", err)
+	}
+	if all, err := c.List(ctx, ""); err != nil || len(all) != 0 {
+		t.Errorf("list: %v %v", all, err)
+	}
+}
