Add emulators of VM list, weight store, rating and plain service

Cause: placement, roll-outs and at-most-once calls need these systems. Request bodies are read before a handler waits, because net/http otherwise does not notice a closed connection and a crashed service would still perform waiting calls. The test of a refused connection uses a fresh client: it failed 1 of 3 runs when the old client handed the write to an idle connection that the crash had closed, whose outcome is rightly unknown.

--- a/daemon/ctl/emulate.go
+++ b/daemon/ctl/emulate.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"cactusknot.example/daemon/emulate"
+	"cactusknot.example/daemon/platform"
 )
 
 // stopTimeout bounds how long an emulator waits for running requests after
@@ -46,38 +47,33 @@
 
 // emulatorKinds lists the emulators.
 var emulatorKinds = []emulatorKind{
-	{
-		name:    "engine",
-		summary: "model engine with continuous batching",
-		example: func() any { return emulate.DefaultEngineConfig() },
+	kindOf("engine", "model engine with continuous batching", emulate.DefaultEngineConfig, emulate.StartEngine),
+	kindOf("store", "key-value store", func() emulate.StoreConfig { return emulate.StoreConfig{Seed: 1} }, emulate.StartStore),
+	kindOf("service", "plain service of bookings and medicine entries", emulate.DefaultServiceConfig, emulate.StartService),
+	kindOf("vms", "list of live and leaving VMs", func() emulate.VMsConfig { return emulate.VMsConfig{VMs: []platform.VM{}} }, emulate.StartVMs),
+	kindOf("weights", "rate-limited weight store", emulate.DefaultWeightsConfig, emulate.StartWeights),
+	kindOf("rating", "service that rates answers", emulate.DefaultRatingConfig, emulate.StartRating),
+}
+
+// kindOf makes an emulatorKind of the defaults and the start function of an
+// emulator.
+func kindOf[C any, E emulator](name, summary string, defaults func() C, start func(string, C, zerolog.Logger) (E, error)) emulatorKind {
+	return emulatorKind{
+		name:    name,
+		summary: summary,
+		example: func() any { return defaults() },
 		start: func(listen, path string, log zerolog.Logger) (emulator, error) {
-			cfg := emulate.DefaultEngineConfig()
+			cfg := defaults()
 			if err := readSettings(path, &cfg); err != nil {
 				return nil, trace.Wrap(err)
 			}
-			return running(emulate.StartEngine(listen, cfg, log))
-		},
-	},
-	{
-		name:    "store",
-		summary: "key-value store",
-		example: func() any { return emulate.StoreConfig{Seed: 1} },
-		start: func(listen, path string, log zerolog.Logger) (emulator, error) {
-			cfg := emulate.StoreConfig{Seed: 1}
-			if err := readSettings(path, &cfg); err != nil {
+			e, err := start(listen, cfg, log)
+			if err != nil {
 				return nil, trace.Wrap(err)
 			}
-			return running(emulate.StartStore(listen, cfg, log))
+			return e, nil
 		},
-	},
-}
-
-// running turns a typed nil into a plain nil when the start failed.
-func running[E emulator](e E, err error) (emulator, error) {
-	if err != nil {
-		return nil, trace.Wrap(err)
 	}
-	return e, nil
 }
 
 // readSettings decodes the JSON file at path over the defaults in into; unknown
--- a/daemon/emulate/engine_http.go
+++ b/daemon/emulate/engine_http.go
@@ -9,10 +9,9 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"github.com/labstack/echo/v4"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Reasons for the end of an answer.
@@ -136,8 +135,7 @@
 
 func (e *Engine) serveChat(c echo.Context) error {
 	var req chatRequest
-	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes)
-	if err := json.NewDecoder(body).Decode(&req); err != nil {
+	if err := json.NewDecoder(c.Request().Body).Decode(&req); err != nil {
 		return fail(c, http.StatusBadRequest, "invalid_request_error", err.Error())
 	}
 	prompt, err := req.prompt()
--- a/daemon/emulate/store_test.go
+++ b/daemon/emulate/store_test.go
@@ -49,13 +49,17 @@
 	on = false
 	_ = s.Apply(StoreFaults{CommonFaults: CommonFaults{Outage: &on}})
 	s.Crash()
-	if _, err := c.Put(ctx, "k", []byte("w"), e.Revision, 0); !errors.Is(err, kv.ErrUnavailable) {
+	// A fresh client has no idle connection. A request that was handed to a dead
+	// idle connection is of unknown outcome, because it may have been sent.
+	fresh := platform.NewStore(s.URL())
+	defer fresh.Close()
+	if _, err := fresh.Put(ctx, "k", []byte("w"), e.Revision, 0); !errors.Is(err, kv.ErrUnavailable) || errors.Is(err, kv.ErrUnknownOutcome) {
 		t.Errorf("refused connection: %v", err)
 	}
 	if err := s.Reopen(); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := c.Put(ctx, "k", []byte("w"), e.Revision, 0); err != nil {
+	if _, err := fresh.Put(ctx, "k", []byte("w"), e.Revision, 0); err != nil {
 		t.Errorf("after the crash: %v", err)
 	}
 }
--- a/daemon/emulate/web.go
+++ b/daemon/emulate/web.go
@@ -1,6 +1,7 @@
 package emulate
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -30,8 +31,7 @@
 
 // readStrict decodes the request body and refuses unknown fields.
 func readStrict(c echo.Context, into any) error {
-	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes)
-	return DecodeStrict(body, into)
+	return DecodeStrict(c.Request().Body, into)
 }
 
 // DecodeStrict decodes exactly one JSON value and refuses unknown fields.
@@ -47,12 +47,27 @@
 	return nil
 }
 
+// bufferBody reads the whole request body before the handler runs. net/http sees
+// that a client has left only once the body is read, so a handler that waits
+// with an unread body would go on, and have its effect, after a crash.
+func bufferBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
+		if err != nil {
+			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+		}
+		c.Request().Body = io.NopCloser(bytes.NewReader(body))
+		return next(c)
+	}
+}
+
 // newEcho returns an echo instance that writes no banner and turns errors into
 // apiError bodies.
 func newEcho(log zerolog.Logger) *echo.Echo {
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
+	e.Use(bufferBody)
 	e.HTTPErrorHandler = func(err error, c echo.Context) {
 		if c.Response().Committed {
 			return
