--- /dev/null
+++ b/daemon/agent/agent.go
@@ -0,0 +1,223 @@
+// Package agent is the role beside one backend server. The agent alone sends work
+// and orders to its backend server and owns everything that is true of it: load,
+// cold start, loaded versions, and what was run.
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+
+	"cactusknot.example/coord/ledger"
+	"cactusknot.example/coord/limit"
+	"cactusknot.example/coord/once"
+	"cactusknot.example/daemon/config"
+	"cactusknot.example/daemon/distribute"
+	"cactusknot.example/daemon/node"
+	"cactusknot.example/daemon/routing"
+	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/secure"
+)
+
+// incarnationBits is the width of an incarnation, as idempotency keys hold it.
+const incarnationBits = 48
+
+// Agent runs the agent role.
+type Agent struct {
+	*node.Node
+	settings    *config.Agent
+	backend     backend
+	incarnation uint64
+	admission   *limit.Admission
+	records     *once.Records
+	charges     *ledger.Queue
+	view        atomic.Pointer[view]
+	sequence    atomic.Uint64
+	events      chan struct{}
+	running     sync.WaitGroup
+	// stopping is set by a planned stop.
+	stopping atomic.Bool
+}
+
+// New builds an agent; it connects nowhere yet.
+func New(settings *config.Agent, log zerolog.Logger) (*Agent, error) {
+	common, err := node.New(settings.Node, secure.RoleAgent, log)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	a := &Agent{
+		Node:        common,
+		settings:    settings,
+		backend:     newBackend(settings.Backend),
+		incarnation: newIncarnation(),
+		events:      make(chan struct{}, 1),
+	}
+	a.admission, err = limit.NewAdmission(limit.AdmissionConfig{
+		MaxRequests: settings.Backend.MaxConcurrent,
+		MaxTokens:   settings.Backend.MaxQueuedTokens,
+		ColdLimit:   settings.Backend.ColdConcurrent,
+	}, a.Check)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	a.records = once.New(once.Config{
+		Home:       a.incarnation,
+		Clock:      a.Clock,
+		Checker:    a.Check,
+		MaxEntries: settings.Records,
+		MaxBytes:   int(settings.RecordBytes),
+	})
+	a.charges = ledger.NewQueue(a.Clock, settings.LedgerLines)
+	a.view.Store(&view{})
+	a.Configure(node.Hooks{
+		OnBundle: func(*distribute.Current) { a.changed() },
+		OnStop:   a.changed,
+	})
+	a.registerMetrics()
+	return a, nil
+}
+
+func newIncarnation() uint64 {
+	// An incarnation of 0 would mean "no home".
+	return 1 + rand.Uint64N(1<<incarnationBits-1)
+}
+
+// changed makes the control goroutine publish a new view.
+func (a *Agent) changed() {
+	select {
+	case a.events <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until ctx ends, then performs a graceful shutdown: no new work, all
+// running requests finish, charges are handed over.
+func (a *Agent) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	internal, err := a.ServeInternal(a.internalHandler())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	admin, err := a.ServePlain("admin", a.settings.AdminListen, a.AdminHandler())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	a.Node.Run(background)
+	go a.control(background)
+	go a.probe(background)
+	go a.deliverCharges(background)
+	go a.place(background)
+	a.Log.Info().Uint64("incarnation", a.incarnation).Str("backend", a.settings.Backend.URL).Msg("agent started")
+	<-ctx.Done()
+	a.shutDown(internal, admin)
+	return nil
+}
+
+// shutDown lets running requests finish. It has no limit of its own: the
+// platform ends a process that takes too long.
+func (a *Agent) shutDown(internal, admin *http.Server) {
+	a.Log.Info().Msg("planned stop: no new work")
+	a.stopping.Store(true)
+	a.SetDraining()
+	a.admission.SetLeaving(true)
+	a.changed()
+	a.running.Wait()
+	a.handOverCharges()
+	_ = internal.Shutdown(context.Background())
+	_ = admin.Shutdown(context.Background())
+	a.Log.Info().Msg("agent stopped")
+}
+
+// control is the only goroutine that builds views.
+func (a *Agent) control(ctx context.Context) {
+	for {
+		a.publish()
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.events:
+		case <-a.Directory.Changed():
+		}
+	}
+}
+
+func (a *Agent) publish() {
+	next := &view{current: a.Keeper.Current(), leaving: a.leaving()}
+	next.names = a.backend.loaded()
+	next.loaded = make(map[string]bool, len(next.names))
+	for _, name := range next.names {
+		next.loaded[name] = true
+	}
+	if next.current != nil {
+		next.routes = routing.Build(next.current.Bundle, next.current.Version, node.Stops(a.Keeper), routing.Quality{})
+		a.SetConfigured()
+	}
+	previous := a.view.Swap(next)
+	a.admission.SetLeaving(next.leaving != "")
+	if previous.leaving != next.leaving || previous.version() != next.version() {
+		a.Log.Info().Uint64("bundle_version", next.version()).Str("leaving", next.leaving).Strs("loaded", next.names).Msg("state changed")
+	}
+}
+
+// leaving returns the first reason to refuse new work.
+func (a *Agent) leaving() string {
+	if a.stopping.Load() {
+		return "the agent is stopping"
+	}
+	if p := a.Directory.Processes().Find(a.settings.VM); p != nil && p.Leaving {
+		return "the VM is leaving by the VM list"
+	}
+	if current := a.Keeper.Current(); current != nil {
+		return leavingReason(current.Bundle, a.settings.VM, a.settings.DataCentre)
+	}
+	return ""
+}
+
+// state reports what routers need to know of the backend server.
+func (a *Agent) state() *rpc.AgentState {
+	v := a.view.Load()
+	now := a.admission.State()
+	return &rpc.AgentState{
+		Vm:             a.settings.VM,
+		DataCentre:     a.settings.DataCentre,
+		Incarnation:    a.incarnation,
+		Sequence:       a.sequence.Add(1),
+		BundleVersion:  v.version(),
+		Phase:          phase(now.Phase),
+		FreePermits:    uint32(now.Free),
+		PermitLimit:    uint32(now.Limit),
+		QueuedTokens:   uint32(now.Tokens),
+		FirstTokenMs:   uint32(now.FirstToken / time.Millisecond),
+		Loaded:         v.names,
+		Service:        a.settings.Backend.Service,
+		CachedPrefixes: a.backend.prefixes(),
+	}
+}
+
+func phase(p limit.Phase) rpc.Phase {
+	switch p {
+	case limit.Cold:
+		return rpc.Phase_PHASE_COLD
+	case limit.Warm:
+		return rpc.Phase_PHASE_WARM
+	case limit.Leaving:
+		return rpc.Phase_PHASE_LEAVING
+	case limit.Down:
+		return rpc.Phase_PHASE_DOWN
+	}
+	return rpc.Phase_PHASE_UNSPECIFIED
+}
+
+func (a *Agent) registerMetrics() {
+	a.Metrics.NewGauge("cactusknot_agent_running_requests", func() float64 { return float64(a.admission.State().Running) })
+	a.Metrics.NewGauge("cactusknot_agent_permit_limit", func() float64 { return float64(a.admission.State().Limit) })
+	a.Metrics.NewGauge("cactusknot_agent_cold_starts", func() float64 { return float64(a.admission.State().Colds) })
+	a.Metrics.NewGauge("cactusknot_agent_idempotency_records", func() float64 { return float64(a.records.Stats().Entries) })
+}
--- /dev/null
+++ b/daemon/agent/backend.go
@@ -0,0 +1,125 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"cactusknot.example/daemon/config"
+	"cactusknot.example/daemon/result"
+	"cactusknot.example/daemon/rpc"
+)
+
+// backend is the backend server as the execution path sees it.
+type backend interface {
+	// send runs the request and passes the answer to out. It blocks until the
+	// answer is complete, ctx ends or the connection breaks. A reply whose error
+	// says "not run" is a proof that the backend server has not seen the request.
+	send(ctx context.Context, in *rpc.ExecuteRequest, out sink) reply
+	// loaded returns the versions in service as model@version.
+	loaded() []string
+	// prefixes returns the hashes of prompt prefixes believed to be cached.
+	prefixes() []uint64
+	// probe asks the backend server for its condition.
+	probe(ctx context.Context) (probeReport, error)
+}
+
+// sink receives an answer. The functions return an error when the receiver left.
+type sink struct {
+	admitted   func(status int, contentType string) error
+	chunk      func(data []byte) error
+	firstToken func(reply)
+}
+
+// reply is the outcome of a request at the backend server.
+type reply struct {
+	// err is nil when the answer is complete.
+	err       *result.Error
+	status    int
+	tokensIn  uint64
+	tokensOut uint64
+}
+
+// probeReport is the condition of a backend server.
+type probeReport struct {
+	// epoch changes with each start; 0 when the backend server reports none.
+	epoch  uint64
+	loaded []string
+}
+
+const (
+	backendDialTimeout = time.Second
+	probeTimeout       = time.Second
+)
+
+func newBackend(settings config.Backend) backend {
+	if settings.Kind == config.BackendService {
+		return newService(settings)
+	}
+	return newEngine(settings)
+}
+
+// newBackendClient returns a client that follows no redirect. Without keep-alive
+// the transport never repeats a request on its own.
+func newBackendClient(keepAlive bool) *http.Client {
+	dialer := &net.Dialer{Timeout: backendDialTimeout}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			DisableKeepAlives:   !keepAlive,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: 256,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// call sends one HTTP request and tells, when it fails, whether any byte of it
+// can have reached the backend server.
+func call(ctx context.Context, client *http.Client, method, url, contentType string, body []byte) (*http.Response, *result.Error) {
+	var connected atomic.Bool
+	tracing := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request, err := http.NewRequestWithContext(tracing, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, result.BadRequest.With("%v", err)
+	}
+	request.GetBody = nil
+	if contentType != "" {
+		request.Header.Set("Content-Type", contentType)
+	}
+	response, err := client.Do(request)
+	if err == nil {
+		return response, nil
+	}
+	if !connected.Load() {
+		return nil, notReached(ctx, err)
+	}
+	return nil, broken(ctx, err)
+}
+
+// notReached classifies a failure before a connection existed.
+func notReached(ctx context.Context, err error) *result.Error {
+	if ctx.Err() != nil {
+		return result.DeadlineTooSoon.With("no connection to the backend server in time")
+	}
+	return result.BackendDown.With("%v", err)
+}
+
+// broken classifies a failure after the request may have been seen.
+func broken(ctx context.Context, err error) *result.Error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result.DeadlinePassed.With("%v", err)
+	case ctx.Err() != nil:
+		return result.CallerGone.With("%v", err)
+	default:
+		return result.StreamBroken.With("%v", err)
+	}
+}
--- /dev/null
+++ b/daemon/agent/engine.go
@@ -0,0 +1,204 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"sync/atomic"
+
+	"github.com/tmaxmax/go-sse"
+
+	"cactusknot.example/daemon/config"
+	"cactusknot.example/daemon/result"
+	"cactusknot.example/daemon/rpc"
+)
+
+// maxEventBytes bounds one server-sent event of an engine.
+const maxEventBytes = 1 << 20
+
+// streamEnd is the data of the last event of a streamed answer.
+const streamEnd = "[DONE]"
+
+// engine is a model engine behind an agent.
+type engine struct {
+	settings config.Backend
+	client   *http.Client
+	versions atomic.Pointer[[]string]
+	cached   atomic.Pointer[[]uint64]
+}
+
+func newEngine(settings config.Backend) *engine {
+	return &engine{settings: settings, client: newBackendClient(true)}
+}
+
+func (g *engine) loaded() []string {
+	if names := g.versions.Load(); names != nil {
+		return *names
+	}
+	return nil
+}
+
+func (g *engine) prefixes() []uint64 {
+	if hashes := g.cached.Load(); hashes != nil {
+		return *hashes
+	}
+	return nil
+}
+
+// loadReport holds the used fields of an engine's GET /load.
+type loadReport struct {
+	Epoch  uint64   `json:"epoch"`
+	Loaded []string `json:"loaded"`
+}
+
+func (g *engine) probe(ctx context.Context) (probeReport, error) {
+	response, refusal := call(ctx, g.client, http.MethodGet, g.settings.URL+"/load", "", nil)
+	if refusal != nil {
+		return probeReport{}, refusal
+	}
+	defer response.Body.Close()
+	var report loadReport
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxEventBytes)).Decode(&report); err != nil {
+		return probeReport{}, err
+	}
+	slices.Sort(report.Loaded)
+	g.versions.Store(&report.Loaded)
+	return probeReport{epoch: report.Epoch, loaded: report.Loaded}, nil
+}
+
+func (g *engine) send(ctx context.Context, in *rpc.ExecuteRequest, out sink) reply {
+	body, err := engineBody(in)
+	if err != nil {
+		return reply{err: result.BadRequest.With("%v", err)}
+	}
+	response, refusal := call(ctx, g.client, http.MethodPost, g.settings.URL+"/v1/chat/completions", "application/json", body)
+	if refusal != nil {
+		return reply{err: refusal}
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return reply{err: engineError(response)}
+	}
+	if in.GetStream() {
+		return g.relayStream(ctx, response, out)
+	}
+	return g.relayWhole(ctx, response, out)
+}
+
+// engineBody sets the fields that the router owns in the caller's body.
+func engineBody(in *rpc.ExecuteRequest) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(in.GetBody(), &fields); err != nil {
+		return nil, err
+	}
+	set := func(name string, value any) {
+		fields[name], _ = json.Marshal(value)
+	}
+	set("model", target(in))
+	set("priority", in.GetPriority())
+	set("stream", in.GetStream())
+	delete(fields, "stream_options")
+	if in.GetStream() {
+		set("stream_options", streamOptions{IncludeUsage: true})
+	}
+	return json.Marshal(fields)
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// engineError classifies a status before any part of an answer. Engines refuse
+// with 429 and 503 before they take a request.
+func engineError(response *http.Response) *result.Error {
+	const detailBytes = 512
+	detail, _ := io.ReadAll(io.LimitReader(response.Body, detailBytes))
+	switch response.StatusCode {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return result.AgentFull.With("engine status %d", response.StatusCode)
+	case http.StatusNotFound:
+		return result.NotLoaded.With("engine status %d: %s", response.StatusCode, detail)
+	case http.StatusBadRequest, http.StatusUnprocessableEntity:
+		return result.BadRequest.With("engine status %d: %s", response.StatusCode, detail)
+	default:
+		return result.BackendError.With("engine status %d: %s", response.StatusCode, detail)
+	}
+}
+
+// usage holds the token counts of an answer.
+type usage struct {
+	PromptTokens     uint64 `json:"prompt_tokens"`
+	CompletionTokens uint64 `json:"completion_tokens"`
+}
+
+// streamEvent holds the used fields of one event of a streamed answer.
+type streamEvent struct {
+	Choices json.RawMessage `json:"choices"`
+	Usage   *usage          `json:"usage"`
+}
+
+// relayStream passes the choices of each event on. An answer without its end
+// mark is broken.
+func (g *engine) relayStream(ctx context.Context, response *http.Response, out sink) reply {
+	var tokens usage
+	first := true
+	if err := out.admitted(response.StatusCode, "text/event-stream"); err != nil {
+		return reply{err: result.CallerGone.With("%v", err)}
+	}
+	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			return reply{err: broken(ctx, err)}
+		}
+		if event.Data == streamEnd {
+			return reply{status: response.StatusCode, tokensIn: tokens.PromptTokens, tokensOut: tokens.CompletionTokens}
+		}
+		var parsed streamEvent
+		if err := json.Unmarshal([]byte(event.Data), &parsed); err != nil {
+			return reply{err: result.BackendError.With("engine event: %v", err)}
+		}
+		if parsed.Usage != nil {
+			tokens = *parsed.Usage
+		}
+		if !hasChoices(parsed.Choices) {
+			continue
+		}
+		if first {
+			out.firstToken(reply{})
+			first = false
+		}
+		if err := out.chunk(parsed.Choices); err != nil {
+			return reply{err: result.CallerGone.With("%v", err)}
+		}
+	}
+	return reply{err: broken(ctx, io.ErrUnexpectedEOF)}
+}
+
+func hasChoices(raw json.RawMessage) bool {
+	const emptyArray = "[]"
+	return len(raw) > len(emptyArray)
+}
+
+// wholeAnswer holds the used fields of an answer that is not streamed.
+type wholeAnswer struct {
+	Usage usage `json:"usage"`
+}
+
+func (g *engine) relayWhole(ctx context.Context, response *http.Response, out sink) reply {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return reply{err: broken(ctx, err)}
+	}
+	var parsed wholeAnswer
+	if len(body) > maxAnswerBytes || json.Unmarshal(body, &parsed) != nil {
+		return reply{err: result.BackendError.With("engine answer is not valid")}
+	}
+	if err := out.admitted(response.StatusCode, "application/json"); err != nil {
+		return reply{err: result.CallerGone.With("%v", err)}
+	}
+	if err := out.chunk(body); err != nil {
+		return reply{err: result.CallerGone.With("%v", err)}
+	}
+	return reply{status: response.StatusCode, tokensIn: parsed.Usage.PromptTokens, tokensOut: parsed.Usage.CompletionTokens}
+}
--- /dev/null
+++ b/daemon/agent/execute.go
@@ -0,0 +1,366 @@
+package agent
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"cactusknot.example/coord/limit"
+	"cactusknot.example/coord/once"
+	"cactusknot.example/daemon/config"
+	"cactusknot.example/daemon/result"
+	"cactusknot.example/daemon/rpc"
+)
+
+// maxExecuteBytes bounds an ExecuteRequest; bodies of callers are bounded lower
+// by the configuration.
+const maxExecuteBytes = 16 << 20
+
+// execution is one request on its way through the agent.
+type execution struct {
+	agent *Agent
+	in    *rpc.ExecuteRequest
+	view  *view
+	out   *eventWriter
+	// permit and reserved are held from admission to the end.
+	permit   *limit.Permit
+	reserved bool
+	ticket   *once.Ticket
+	started  time.Time
+}
+
+// serveExecute answers POST /internal/execute with a stream of events.
+func (a *Agent) serveExecute(w http.ResponseWriter, r *http.Request) {
+	a.running.Add(1)
+	defer a.running.Done()
+	in, err := readExecute(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a.Keeper.Heard(in.GetBundleVersion(), a.callerOf(r))
+	e := &execution{agent: a, in: in, view: a.view.Load(), out: &eventWriter{w: w}, started: a.Clock.Now()}
+	ctx := r.Context()
+	if in.GetDeadlineMs() > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(in.GetDeadlineMs())*time.Millisecond)
+		defer cancel()
+	}
+	e.run(ctx)
+}
+
+func readExecute(r *http.Request) (*rpc.ExecuteRequest, error) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxExecuteBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > maxExecuteBytes {
+		return nil, errors.New("request too large")
+	}
+	in := &rpc.ExecuteRequest{}
+	if err := proto.Unmarshal(data, in); err != nil {
+		return nil, err
+	}
+	if len(in.GetRequestId()) != requestIDBytes {
+		return nil, errors.New("request id must have 16 bytes")
+	}
+	return in, nil
+}
+
+// run decides whether the request runs, and runs it.
+func (e *execution) run(ctx context.Context) {
+	if refusal := e.gate(); refusal != nil {
+		e.refuse(refusal)
+		return
+	}
+	if e.in.GetService() != "" && !e.in.GetIdempotent() {
+		e.runOnce(ctx)
+		return
+	}
+	if refusal := e.admit(); refusal != nil {
+		e.refuse(refusal)
+		return
+	}
+	e.dispatch(ctx)
+}
+
+// gate checks everything that does not take a place on the backend server.
+func (e *execution) gate() *result.Error {
+	if e.agent.stopping.Load() {
+		return result.AgentLeaving.With("the agent is stopping")
+	}
+	if refusal := isolationError(e.agent.Keeper, e.agent.Clock.Now()); refusal != nil {
+		return refusal
+	}
+	return e.view.permit(e.agent.settings.Backend, e.in)
+}
+
+// admit takes a place on the backend server and room for the charge.
+func (e *execution) admit() *result.Error {
+	if !e.agent.charges.Reserve() {
+		return result.LedgerFull.With("")
+	}
+	permit, refusal := e.agent.admission.Admit(int(e.in.GetPromptTokens() + e.in.GetMaxTokens()))
+	if refusal != limit.NotRefused {
+		e.agent.charges.Release()
+		return refusalCode(refusal).With("%s", refusal)
+	}
+	e.permit = permit
+	e.reserved = true
+	return nil
+}
+
+func refusalCode(r limit.Refusal) result.Code {
+	switch r {
+	case limit.RefusedCold:
+		return result.AgentCold
+	case limit.RefusedLeaving:
+		return result.AgentLeaving
+	case limit.RefusedDown:
+		return result.BackendDown
+	default:
+		return result.AgentFull
+	}
+}
+
+// dispatch sends an idempotent request to the backend server. It is cancelled
+// when the router leaves.
+func (e *execution) dispatch(ctx context.Context) {
+	e.assertMayRun()
+	reply := e.agent.backend.send(ctx, e.in, sink{admitted: e.admitted, chunk: e.chunk, firstToken: e.firstToken})
+	e.settle(reply)
+	if reply.err != nil && reply.err.Code.Run == result.NotRun && !e.out.started {
+		e.refuse(reply.err)
+		return
+	}
+	e.end(reply)
+}
+
+// runOnce runs a non-idempotent request under its idempotency key.
+func (e *execution) runOnce(ctx context.Context) {
+	key, err := once.ParseKey(e.in.GetIdempotencyKey())
+	if err != nil {
+		e.refuse(result.BadIdempotency.With("%v", err))
+		return
+	}
+	if e.in.GetHome() != e.agent.incarnation {
+		e.refuse(result.WrongHome.With("this is incarnation %x", e.agent.incarnation))
+		return
+	}
+	decision, ticket := e.agent.records.BeginBound(key, e.in.GetHome(), bodyHash(e.in))
+	e.ticket = ticket
+	switch decision {
+	case once.Run:
+		e.runFirst(ctx)
+	case once.Join, once.Replay:
+		e.replay(ctx)
+	case once.Conflict:
+		e.refuse(result.KeyReused.With(""))
+	case once.Full:
+		e.refuse(result.RecordsFull.With(""))
+	case once.Early:
+		e.refuse(result.BadIdempotency.With("the key's time is in the future"))
+	default:
+		e.end(reply{err: result.OutcomeUnknown.With("the record of the key is gone")})
+	}
+}
+
+// runFirst runs the request detached from the router's connection, so that the
+// outcome is recorded even when router and caller have left.
+func (e *execution) runFirst(ctx context.Context) {
+	if refusal := e.admit(); refusal != nil {
+		e.ticket.Finish(once.Outcome{Kind: once.OutcomeNotRun})
+		e.refuse(refusal)
+		return
+	}
+	e.agent.running.Add(1)
+	go func() {
+		defer e.agent.running.Done()
+		e.assertMayRun()
+		e.ticket.Finish(e.runRecorded(context.WithoutCancel(ctx)))
+	}()
+	e.replay(ctx)
+}
+
+// runRecorded sends the request and collects the whole answer for the record.
+func (e *execution) runRecorded(ctx context.Context) once.Outcome {
+	var outcome once.Outcome
+	reply := e.agent.backend.send(ctx, e.in, sink{
+		admitted: func(status int, contentType string) error {
+			outcome.Status, outcome.ContentType = status, contentType
+			return nil
+		},
+		chunk: func(data []byte) error {
+			outcome.Body = append(outcome.Body, data...)
+			return nil
+		},
+		firstToken: e.firstToken,
+	})
+	e.settle(reply)
+	switch {
+	case reply.err == nil:
+		outcome.Kind = once.OutcomeDone
+	case reply.err.Code.Run == result.NotRun:
+		outcome = once.Outcome{Kind: once.OutcomeNotRun}
+	default:
+		outcome = once.Outcome{Kind: once.OutcomeUnknown}
+	}
+	e.agent.logOutcome(e, reply)
+	return outcome
+}
+
+// replay answers with the recorded outcome, waiting for it if necessary.
+func (e *execution) replay(ctx context.Context) {
+	outcome, err := e.ticket.Wait(ctx)
+	if err != nil {
+		e.end(reply{err: result.OutcomeUnknown.With("the call is still running")})
+		return
+	}
+	switch outcome.Kind {
+	case once.OutcomeNotRun:
+		e.refuse(result.BackendDown.With("the backend server did not take the call"))
+	case once.OutcomeDone:
+		_ = e.admitted(outcome.Status, outcome.ContentType)
+		if len(outcome.Body) > 0 {
+			_ = e.chunk(outcome.Body)
+		}
+		e.end(reply{})
+	default:
+		e.end(reply{err: result.OutcomeUnknown.With("the connection to the backend server broke")})
+	}
+}
+
+// settle gives back the place on the backend server and commits the charge of a
+// finished request. An answer that was not completed is not billed.
+func (e *execution) settle(r reply) {
+	switch {
+	case r.err == nil:
+		e.permit.Complete()
+	case r.err.Code == result.CallerGone || r.err.Code == result.DeadlinePassed:
+		e.permit.Release()
+	default:
+		e.permit.Fail()
+	}
+	if r.err == nil && r.status < http.StatusBadRequest {
+		e.agent.charges.Commit(e.line(r))
+		return
+	}
+	e.agent.charges.Release()
+}
+
+func (e *execution) firstToken(r reply) {
+	e.permit.FirstToken(limit.Sample{
+		FirstToken:   e.agent.Clock.Now().Sub(e.started),
+		PromptTokens: int(e.in.GetPromptTokens()),
+	})
+}
+
+// bodyHash covers everything that makes two calls the same.
+func bodyHash(in *rpc.ExecuteRequest) once.BodyHash {
+	h := sha256.New()
+	for _, field := range []string{in.GetWorkspace(), in.GetService(), in.GetMethod(), in.GetPath()} {
+		h.Write([]byte(field))
+		h.Write([]byte{0})
+	}
+	h.Write(in.GetBody())
+	return once.BodyHash(h.Sum(nil))
+}
+
+func (e *execution) refuse(err *result.Error) {
+	e.agent.logRefusal(e, err)
+	e.out.send(&rpc.ExecuteEvent{Event: &rpc.ExecuteEvent_Refused{Refused: &rpc.Refused{
+		Code:   uint32(err.Code.Number),
+		Reason: err.Detail,
+		State:  e.agent.state(),
+	}}})
+}
+
+func (e *execution) admitted(status int, contentType string) error {
+	return e.out.send(&rpc.ExecuteEvent{Event: &rpc.ExecuteEvent_Admitted{Admitted: &rpc.Admitted{
+		State:       e.agent.state(),
+		Status:      int32(status),
+		ContentType: contentType,
+	}}})
+}
+
+// chunk sends data in pieces that fit a message of the stream.
+func (e *execution) chunk(data []byte) error {
+	const pieceBytes = 32 << 10
+	for len(data) > 0 {
+		piece := data[:min(len(data), pieceBytes)]
+		data = data[len(piece):]
+		if err := e.out.sendChunk(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *execution) end(r reply) {
+	end := &rpc.End{RequestId: e.in.GetRequestId(), Chunks: e.out.chunks, Outcome: rpc.Outcome_OUTCOME_DONE, State: e.agent.state()}
+	if r.err != nil {
+		end.Code = uint32(r.err.Code.Number)
+		end.Reason = r.err.Detail
+		end.Outcome = outcomeOf(r.err.Code.Run)
+	}
+	if r.err == nil && r.status > 0 && r.status < http.StatusBadRequest {
+		end.Charge = toMessage(e.line(r))
+	}
+	if e.ticket == nil {
+		e.agent.logOutcome(e, r)
+	}
+	e.out.send(&rpc.ExecuteEvent{Event: &rpc.ExecuteEvent_End{End: end}})
+}
+
+func outcomeOf(run result.Run) rpc.Outcome {
+	switch run {
+	case result.Done:
+		return rpc.Outcome_OUTCOME_DONE
+	case result.NotRun:
+		return rpc.Outcome_OUTCOME_NOT_RUN
+	default:
+		return rpc.Outcome_OUTCOME_UNKNOWN
+	}
+}
+
+// eventWriter writes length-delimited events and flushes each.
+type eventWriter struct {
+	w       http.ResponseWriter
+	started bool
+	chunks  uint64
+}
+
+func (o *eventWriter) send(event *rpc.ExecuteEvent) error {
+	o.started = true
+	if _, err := protodelim.MarshalTo(o.w, event); err != nil {
+		return err
+	}
+	return http.NewResponseController(o.w).Flush()
+}
+
+func (o *eventWriter) sendChunk(data []byte) error {
+	event := &rpc.ExecuteEvent{Event: &rpc.ExecuteEvent_Chunk{Chunk: &rpc.Chunk{Seq: o.chunks, Data: data}}}
+	if err := o.send(event); err != nil {
+		return err
+	}
+	o.chunks++
+	return nil
+}
+
+// assertMayRun checks the guarantees at the last point before the backend server
+// sees the request, on the newest view.
+func (e *execution) assertMayRun() {
+	v := e.agent.view.Load()
+	if e.agent.settings.Backend.Kind == config.BackendEngine {
+		e.agent.assertVersion(v, e.in)
+	}
+	if e.in.GetService() != "" && !e.in.GetIdempotent() {
+		e.agent.Check.Assert(e.ticket != nil, invariantNoRecord, "request %x has no at-most-once record", e.in.GetRequestId())
+	}
+}
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-playground/validator/v10"
 
+	"cactusknot.example/daemon/bundle"
 	"cactusknot.example/daemon/strict"
 )
 
@@ -27,8 +28,10 @@
 	AdminListen string   `json:"admin_listen" validate:"required,hostname_port"`
 	TLS         TLS      `json:"tls"`
 	Platform    Platform `json:"platform"`
-	// RootKeys are the base64 Ed25519 public keys that a starting process trusts.
-	RootKeys []string `json:"root_keys" validate:"required,min=1,dive,base64"`
+	// RootKeys are the Ed25519 public keys that sign the operators' keys.
+	RootKeys []bundle.OperatorKey `json:"root_keys" validate:"required,min=1,dive"`
+	// RootSignOffs is how many root keys must sign. Default 1.
+	RootSignOffs int `json:"root_sign_offs" validate:"min=0"`
 	// Peers are internal addresses asked for the configuration at start.
 	Peers    []string `json:"peers" validate:"dive,hostname_port"`
 	LogLevel string   `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
--- /dev/null
+++ b/daemon/node/directory.go
@@ -0,0 +1,193 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cactusknot.example/coord/clock"
+	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/distribute"
+	"cactusknot.example/daemon/platform"
+	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/secure"
+)
+
+// vmListInterval is the mean time between two reads of the VM list. Unchanged
+// lists cost a conditional request without a body.
+const vmListInterval = 3 * time.Second
+
+func dialer() *net.Dialer { return &net.Dialer{Timeout: dialTimeout} }
+
+func newStore(url string, clk clock.Clock) *kv.Client {
+	return kv.NewClient(platform.NewStore(url), kv.ClientConfig{
+		Clock:          clk,
+		Random:         rand.NewPCG(rand.Uint64(), rand.Uint64()),
+		CallsPerSecond: storeCallsPerSecond,
+		Burst:          storeCallsBurst,
+	})
+}
+
+// Process is another cactusknot process as the VM list names it.
+type Process struct {
+	VM         string
+	Role       secure.Role
+	DataCentre string
+	Region     string
+	// Address is the internal address (IP:port).
+	Address string
+	Leaving bool
+}
+
+// Processes is an immutable list of processes.
+type Processes struct {
+	All  []Process
+	byVM map[string]*Process
+}
+
+// Find returns the process of a VM, or nil.
+func (p *Processes) Find(vm string) *Process { return p.byVM[vm] }
+
+// Directory knows the other processes from the VM list. Reads take no lock that
+// an update holds.
+type Directory struct {
+	node    *Node
+	list    *platform.VMs
+	current atomic.Pointer[Processes]
+	changed chan struct{}
+
+	mu      sync.Mutex
+	clients map[string]rpc.Peer
+}
+
+func newDirectory(n *Node) *Directory {
+	d := &Directory{
+		node:    n,
+		list:    platform.NewVMs(n.Settings.Platform.VMList),
+		changed: make(chan struct{}, 1),
+		clients: make(map[string]rpc.Peer),
+	}
+	d.current.Store(&Processes{})
+	return d
+}
+
+// Processes returns the list known now.
+func (d *Directory) Processes() *Processes { return d.current.Load() }
+
+// Changed returns a channel that gets a value after the list has changed.
+func (d *Directory) Changed() <-chan struct{} { return d.changed }
+
+func (d *Directory) run(ctx context.Context) {
+	random := NewRand()
+	for {
+		d.refresh(ctx)
+		if d.node.Clock.Sleep(ctx, Jitter(random, vmListInterval)) != nil {
+			return
+		}
+	}
+}
+
+// Jitter returns a time between half and one and a half of mean, so that
+// processes do not act in step.
+func Jitter(random *rand.Rand, mean time.Duration) time.Duration {
+	return mean/2 + time.Duration(random.Int64N(int64(mean)))
+}
+
+func (d *Directory) refresh(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	list, changed, err := d.list.List(bounded)
+	if err != nil {
+		d.node.Log.Debug().Err(err).Msg("VM list not read")
+		return
+	}
+	if !changed {
+		return
+	}
+	next := &Processes{byVM: make(map[string]*Process, len(list.VMs))}
+	for _, vm := range list.VMs {
+		next.All = append(next.All, Process{
+			VM:         vm.VM,
+			Role:       secure.Role(vm.Role),
+			DataCentre: vm.DataCentre,
+			Region:     vm.Region,
+			Address:    vm.Address,
+			Leaving:    vm.State == platform.VMLeaving,
+		})
+	}
+	for i := range next.All {
+		next.byVM[next.All[i].VM] = &next.All[i]
+	}
+	d.current.Store(next)
+	d.forget(next)
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
+}
+
+// forget drops the clients of processes that left or moved.
+func (d *Directory) forget(now *Processes) {
+	live := make(map[string]bool, len(now.All))
+	for _, p := range now.All {
+		live[p.Address] = true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address := range d.clients {
+		if !live[address] {
+			delete(d.clients, address)
+		}
+	}
+}
+
+// Members implements distribute.Network. Addresses from the settings stand in
+// while the VM list has not been read.
+func (d *Directory) Members() []distribute.Member {
+	known := d.Processes().All
+	if len(known) == 0 {
+		return d.configuredPeers()
+	}
+	members := make([]distribute.Member, 0, len(known))
+	for _, p := range known {
+		members = append(members, distribute.Member{
+			Node:       p.VM,
+			DataCentre: p.DataCentre,
+			Region:     p.Region,
+			Router:     p.Role == secure.RoleRouter,
+			Live:       !p.Leaving,
+		})
+	}
+	return members
+}
+
+func (d *Directory) configuredPeers() []distribute.Member {
+	members := make([]distribute.Member, 0, len(d.node.Settings.Peers))
+	for _, address := range d.node.Settings.Peers {
+		members = append(members, distribute.Member{Node: address, Region: d.node.Settings.Region, Router: true, Live: true})
+	}
+	return members
+}
+
+// Client implements distribute.Network. The node is a VM's name or the address
+// of a configured peer.
+func (d *Directory) Client(node string) distribute.PeerClient {
+	address := node
+	if p := d.Processes().Find(node); p != nil {
+		address = p.Address
+	}
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	client, ok := d.clients[address]
+	if !ok {
+		client = rpc.NewPeerProtobufClient("https://"+address, d.node.Client)
+		d.clients[address] = client
+	}
+	return client
+}
--- /dev/null
+++ b/daemon/node/node.go
@@ -0,0 +1,160 @@
+// Package node holds what the router and the agent share: identity, connections
+// to other processes and to the platform, the configuration, health and metrics.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+
+	"cactusknot.example/coord/clock"
+	"cactusknot.example/coord/invariant"
+	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/bundle"
+	"cactusknot.example/daemon/config"
+	"cactusknot.example/daemon/distribute"
+	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/secure"
+)
+
+// Store calls of one process. 2,050 processes at this rate use at most half of
+// the store's reads when all of them are busy at once.
+const (
+	storeCallsPerSecond = 5
+	storeCallsBurst     = 40
+)
+
+// Node is the common part of a process.
+type Node struct {
+	Settings    config.Node
+	Role        secure.Role
+	Log         zerolog.Logger
+	Clock       clock.Clock
+	Metrics     *metrics.Set
+	Check       *invariant.Checker
+	Store       *kv.Client
+	Credentials *secure.Credentials
+	// Client calls other processes over mutual TLS and HTTP/2.
+	Client    *http.Client
+	Directory *Directory
+	Keeper    *distribute.Keeper
+	// LocalLedger serves charges when this process is a router, else nil.
+	LocalLedger rpc.Ledger
+
+	ready readiness
+}
+
+// Hooks are called by the keeper after news is published; they must not block.
+type Hooks struct {
+	OnBundle  func(*distribute.Current)
+	OnStop    func()
+	OnCounter func(*rpc.QualityCounter)
+}
+
+// New builds the common part. It connects nowhere yet.
+func New(settings config.Node, role secure.Role, log zerolog.Logger) (*Node, error) {
+	credentials, err := secure.LoadCredentials(settings.TLS)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	n := &Node{
+		Settings:    settings,
+		Role:        role,
+		Log:         log.With().Str("vm", settings.VM).Str("role", string(role)).Logger(),
+		Clock:       clock.System{},
+		Metrics:     metrics.NewSet(),
+		Credentials: credentials,
+		Client:      newClient(credentials),
+	}
+	n.Check = &invariant.Checker{OnViolation: n.violated}
+	n.Store = newStore(settings.Platform.Store, n.Clock)
+	n.Directory = newDirectory(n)
+	return n, nil
+}
+
+// Configure creates the keeper of the configuration.
+func (n *Node) Configure(hooks Hooks) {
+	anchor := bundle.Anchor{Roots: n.Settings.RootKeys, SignOffs: max(n.Settings.RootSignOffs, 1)}
+	n.Keeper = distribute.New(distribute.Config{
+		Self:     n.self(),
+		Anchor:   anchor,
+		Store:    n.Store,
+		Network:  n.Directory,
+		Clock:    n.Clock,
+		Rand:     NewRand(),
+		Checker:  n.Check,
+		Log:      n.Log,
+		Metrics:  n.Metrics,
+		OnBundle: hooks.OnBundle,
+		OnStop: func(*rpc.StopNotice) {
+			if hooks.OnStop != nil {
+				hooks.OnStop()
+			}
+		},
+		OnCounter: hooks.OnCounter,
+	})
+}
+
+// Run keeps directory and configuration up to date until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	go n.Directory.run(ctx)
+	go func() {
+		if err := n.Keeper.Run(ctx); err != nil && ctx.Err() == nil {
+			n.Log.Error().Err(err).Msg("configuration keeper stopped")
+		}
+	}()
+}
+
+func (n *Node) self() distribute.Member {
+	return distribute.Member{
+		Node:       n.Settings.VM,
+		DataCentre: n.Settings.DataCentre,
+		Region:     n.Settings.Region,
+		Router:     n.Role == secure.RoleRouter,
+		Live:       true,
+	}
+}
+
+func (n *Node) violated(name invariant.Name, detail string) {
+	n.Metrics.GetOrCreateCounter(`cactusknot_invariant_violations_total{name="` + string(name) + `"}`).Inc()
+	n.Log.Error().Str("invariant", string(name)).Str("detail", detail).Msg("invariant violated")
+	if n.Settings.FatalInvariants {
+		os.Exit(ExitInvariant)
+	}
+}
+
+// ExitInvariant is the exit code of a process that ends on a violated invariant.
+const ExitInvariant = 70
+
+// NewRand returns a random source seeded by the operating system.
+func NewRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+const (
+	// streamBufferBytes bounds what a paused stream holds in this process; it is
+	// the HTTP/2 receive window of one stream.
+	streamBufferBytes = 64 << 10
+	// pingAfter and pingTimeout find connections whose peer is gone or paused.
+	pingAfter   = 2 * time.Second
+	pingTimeout = 2 * time.Second
+	dialTimeout = 2 * time.Second
+)
+
+func newClient(credentials *secure.Credentials) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		TLSClientConfig:     credentials.Client(),
+		ForceAttemptHTTP2:   true,
+		DialContext:         dialer().DialContext,
+		TLSHandshakeTimeout: dialTimeout,
+		HTTP2: &http.HTTP2Config{
+			MaxReceiveBufferPerStream: streamBufferBytes,
+			SendPingTimeout:           pingAfter,
+			PingTimeout:               pingTimeout,
+		},
+	}}
+}
--- /dev/null
+++ b/daemon/node/server.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/labstack/echo/v4"
+	"github.com/twitchtv/twirp"
+
+	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/secure"
+)
+
+// readiness has three independent conditions.
+type readiness struct {
+	configured atomic.Bool
+	draining   atomic.Bool
+}
+
+// SetConfigured records that a verified configuration is in force.
+func (n *Node) SetConfigured() { n.ready.configured.Store(true) }
+
+// SetDraining makes the process unready for good.
+func (n *Node) SetDraining() { n.ready.draining.Store(true) }
+
+// Draining tells whether a planned stop is under way.
+func (n *Node) Draining() bool { return n.ready.draining.Load() }
+
+// Ready tells whether the process takes new work.
+func (n *Node) Ready() bool { return n.ready.configured.Load() && !n.Draining() }
+
+const headerTimeout = 5 * time.Second
+
+// NewEcho returns an echo instance without banner.
+func NewEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	return e
+}
+
+// AdminHandler serves liveness, readiness and metrics.
+func (n *Node) AdminHandler() *echo.Echo {
+	e := NewEcho()
+	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", n.serveReady)
+	e.GET("/metrics", func(c echo.Context) error {
+		n.Metrics.WritePrometheus(c.Response())
+		return nil
+	})
+	return e
+}
+
+func (n *Node) serveReady(c echo.Context) error {
+	if !n.Ready() {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return c.String(http.StatusOK, "ok\n")
+}
+
+// PeerHandler serves the Peer service. The node named in a message must be the
+// one of the certificate.
+func (n *Node) PeerHandler() http.Handler {
+	return secure.RequireIdentity(rpc.NewPeerServer(&peerServer{keeper: n.Keeper}))
+}
+
+type peerServer struct{ keeper rpc.Peer }
+
+func (p *peerServer) Sync(ctx context.Context, in *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	id, ok := secure.IdentityFrom(ctx)
+	if !ok || id.VM != in.GetNode() {
+		return nil, twirp.NewError(twirp.PermissionDenied, "the message names another node than the certificate")
+	}
+	return p.keeper.Sync(ctx, in)
+}
+
+func (p *peerServer) FetchManifest(ctx context.Context, in *rpc.FetchManifestRequest) (*rpc.FetchManifestResponse, error) {
+	return p.keeper.FetchManifest(ctx, in)
+}
+
+func (p *peerServer) FetchParts(ctx context.Context, in *rpc.FetchPartsRequest) (*rpc.FetchPartsResponse, error) {
+	return p.keeper.FetchParts(ctx, in)
+}
+
+// ServeInternal serves handler to other processes over mutual TLS until the
+// returned server is shut down.
+func (n *Node) ServeInternal(handler http.Handler) (*http.Server, error) {
+	server := &http.Server{Handler: handler, TLSConfig: n.Credentials.Server(), ReadHeaderTimeout: headerTimeout}
+	listener, err := net.Listen("tcp", n.Settings.InternalListen)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	go n.serve("internal", func() error { return server.ServeTLS(listener, "", "") })
+	return server, nil
+}
+
+// ServePlain serves handler on address until the returned server is shut down.
+func (n *Node) ServePlain(name, address string, handler http.Handler) (*http.Server, error) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	go n.serve(name, func() error { return server.Serve(listener) })
+	return server, nil
+}
+
+func (n *Node) serve(name string, run func() error) {
+	if err := run(); err != nil && err != http.ErrServerClosed {
+		n.Log.Error().Err(err).Str("listener", name).Msg("listener stopped")
+	}
+}
--- /dev/null
+++ b/daemon/router/control.go
@@ -0,0 +1,371 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"cactusknot.example/coord/limit"
+	"cactusknot.example/coord/stats"
+	"cactusknot.example/coord/suspect"
+	"cactusknot.example/daemon/balance"
+	"cactusknot.example/daemon/bundle"
+	"cactusknot.example/daemon/node"
+	"cactusknot.example/daemon/routing"
+	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/secure"
+)
+
+const (
+	// eventQueue bounds events that wait for the control goroutine. Load reports
+	// are dropped when it is full, since the next reply carries a newer one.
+	eventQueue = 4096
+	// publishInterval is the shortest time between two views.
+	publishInterval = 5 * time.Millisecond
+	// tickInterval is how often the control goroutine looks for work of its own.
+	tickInterval = 250 * time.Millisecond
+	// exchangesPerSecond bounds the exchanges of one router; each costs about
+	// 250 bytes, so that they take 3.5 KB/s of the 5 KB/s for control.
+	exchangesPerSecond = 14
+	// exchangeInterval is the shortest interval of exchanges with one agent.
+	exchangeInterval = time.Second
+	exchangeTimeout  = 2 * time.Second
+	// subsetSize bounds the agents that one router uses.
+	subsetSize = 64
+	// suspectMin and suspectMax bound the adaptive timeout of suspicion.
+	suspectMin = 3 * time.Second
+	suspectMax = 15 * time.Second
+	// evidenceInterval is the shortest time between two evaluations of ratings.
+	evidenceInterval = 500 * time.Millisecond
+)
+
+// event is news for the control goroutine.
+type event interface{ apply(*controller) }
+
+type (
+	// changedEvent: bundle, stop notices or VM list changed.
+	changedEvent struct{}
+	// stateEvent: an agent reported its state.
+	stateEvent struct {
+		from  peer
+		state *rpc.AgentState
+	}
+	// unreachableEvent: a call to an agent failed.
+	unreachableEvent struct{ vm string }
+	// counterEvent: another router's ratings arrived.
+	counterEvent struct{ counter *rpc.QualityCounter }
+	// ratingEvent: an answer of this router was rated.
+	ratingEvent struct {
+		key   routing.Key
+		score float64
+	}
+)
+
+// send passes an event without blocking and drops it when the queue is full.
+func (r *Router) send(e event) {
+	select {
+	case r.events <- e:
+	default:
+		r.metrics.droppedEvents.Inc()
+	}
+}
+
+// report passes an agent's state to the control goroutine.
+func (r *Router) report(from peer, state *rpc.AgentState) {
+	if state != nil && state.GetVm() == from.vm {
+		r.send(stateEvent{from: from, state: state})
+	}
+}
+
+func (r *Router) unreachable(vm string) { r.send(unreachableEvent{vm}) }
+
+// agentRecord is what the router knows of an agent.
+type agentRecord struct {
+	process     node.Process
+	state       *rpc.AgentState
+	at          time.Time
+	flight      *balance.Flight
+	flightAt    int
+	unreachable bool
+	// asked is when the last exchange was sent.
+	asked time.Time
+}
+
+// controller is the state of the control goroutine, its only user.
+type controller struct {
+	router    *Router
+	agents    map[string]*agentRecord
+	suspicion *suspect.Detector
+	table     *stats.Table[routing.Key]
+	routes    *routing.Snapshot
+	keys      map[string]*bundle.Workspace
+	// stale marks what the next view must renew.
+	staleRoutes bool
+	staleView   bool
+	evaluated   time.Time
+	// changedKeys are own ratings not yet handed to the keeper; spread is the
+	// table version up to which they were.
+	changedKeys map[routing.Key]bool
+	spread      uint64
+	newEvidence bool
+}
+
+// control owns all control state of the router and publishes the views.
+func (r *Router) control(ctx context.Context) {
+	detector, err := suspect.New(suspect.Config{Min: suspectMin, Max: suspectMax})
+	if err != nil {
+		r.Log.Error().Err(err).Msg("control not started")
+		return
+	}
+	c := &controller{
+		router:      r,
+		agents:      make(map[string]*agentRecord),
+		suspicion:   detector,
+		table:       stats.NewTable[routing.Key](stats.Node{Name: r.settings.VM, Incarnation: uint64(r.Clock.Now().UnixNano())}),
+		staleRoutes: true,
+		changedKeys: make(map[routing.Key]bool),
+	}
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-r.events:
+			e.apply(c)
+			c.drain()
+		case <-r.Directory.Changed():
+			c.staleView = true
+		case <-ticker.C:
+			c.tick(ctx)
+		}
+		c.publish()
+	}
+}
+
+// drain applies what waits, for at most one publish interval.
+func (c *controller) drain() {
+	until := time.After(publishInterval)
+	for {
+		select {
+		case e := <-c.router.events:
+			e.apply(c)
+		case <-until:
+			return
+		}
+	}
+}
+
+func (changedEvent) apply(c *controller) { c.staleRoutes = true }
+
+func (e stateEvent) apply(c *controller) {
+	record, ok := c.agents[e.from.vm]
+	if !ok {
+		return
+	}
+	now := c.router.Clock.Now()
+	c.suspicion.Observe(e.from.vm, now)
+	c.router.Keeper.Heard(e.state.GetBundleVersion(), e.from.vm)
+	c.router.Keeper.Contact(e.from.dataCentre, now)
+	older := record.state != nil && record.state.GetIncarnation() == e.state.GetIncarnation() && record.state.GetSequence() >= e.state.GetSequence()
+	if older {
+		return
+	}
+	record.state = e.state
+	record.at = now
+	record.flightAt = record.flight.Count()
+	record.unreachable = false
+	c.staleView = true
+}
+
+func (e unreachableEvent) apply(c *controller) {
+	if record, ok := c.agents[e.vm]; ok {
+		record.unreachable = true
+		c.staleView = true
+	}
+}
+
+// tick refreshes the list of agents, exchanges with quiet ones and evaluates ratings.
+func (c *controller) tick(ctx context.Context) {
+	c.refreshAgents()
+	c.exchange(ctx)
+	c.evaluate()
+	c.staleView = true
+}
+
+// refreshAgents takes over the subset of agents of the VM list.
+func (c *controller) refreshAgents() {
+	processes := c.router.Directory.Processes()
+	var routers, names []string
+	for _, p := range processes.All {
+		if p.Role == secure.RoleRouter {
+			routers = append(routers, p.VM)
+		} else {
+			names = append(names, p.VM)
+		}
+	}
+	wanted := make(map[string]bool)
+	for _, i := range balance.Subset(c.router.settings.VM, routers, names, subsetSize) {
+		wanted[names[i]] = true
+		c.keep(*processes.Find(names[i]))
+	}
+	for vm := range c.agents {
+		if !wanted[vm] {
+			delete(c.agents, vm)
+			c.suspicion.Forget(vm)
+		}
+	}
+}
+
+func (c *controller) keep(p node.Process) {
+	record, ok := c.agents[p.VM]
+	if !ok {
+		record = &agentRecord{flight: &balance.Flight{}}
+		c.agents[p.VM] = record
+	}
+	record.process = p
+}
+
+// exchange asks agents that have not replied lately for their state.
+func (c *controller) exchange(ctx context.Context) {
+	interval := max(exchangeInterval, time.Duration(len(c.agents))*time.Second/exchangesPerSecond)
+	now := c.router.Clock.Now()
+	for _, record := range c.agents {
+		if now.Sub(record.at) < interval || now.Sub(record.asked) < interval {
+			continue
+		}
+		record.asked = now
+		go c.router.exchangeWith(ctx, c.peerOf(record))
+	}
+}
+
+func (r *Router) exchangeWith(ctx context.Context, to peer) {
+	bounded, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	request := &rpc.ExchangeRequest{Router: r.settings.VM, BundleVersion: r.Keeper.Version(), Stops: r.Keeper.Stops().All()}
+	response, err := rpc.NewAgentProtobufClient("https://"+to.address, r.Client).Exchange(bounded, request)
+	if err != nil {
+		r.unreachable(to.vm)
+		return
+	}
+	r.report(to, response.GetState())
+}
+
+func (c *controller) peerOf(record *agentRecord) peer {
+	return peer{
+		vm:          record.process.VM,
+		dataCentre:  record.process.DataCentre,
+		address:     record.process.Address,
+		incarnation: record.state.GetIncarnation(),
+		flight:      record.flight,
+	}
+}
+
+// publish builds a new view when something changed.
+func (c *controller) publish() {
+	current := c.router.Keeper.Current()
+	if current == nil || (!c.staleRoutes && !c.staleView) {
+		return
+	}
+	if c.staleRoutes {
+		c.routes = routing.Build(current.Bundle, current.Version, node.Stops(c.router.Keeper), c.quality())
+		c.keys = indexKeys(current.Bundle)
+	}
+	next := &view{current: current, routes: c.routes, keys: c.keys, peers: make(map[string]peer), homes: make(map[uint64]string)}
+	next.servers = c.servers(next)
+	previous := c.router.view.Swap(next)
+	c.staleRoutes, c.staleView = false, false
+	c.router.SetConfigured()
+	if previous.version() != next.version() {
+		c.router.Log.Info().Uint64("bundle_version", next.version()).Int("agents", len(c.agents)).Msg("configuration in force")
+	}
+}
+
+// servers builds the snapshot for the choice of backend servers.
+func (c *controller) servers(v *view) *balance.Snapshot {
+	now := c.router.Clock.Now()
+	var agents []balance.Agent
+	for vm, record := range c.agents {
+		if record.state == nil {
+			continue
+		}
+		v.peers[vm] = c.peerOf(record)
+		v.homes[record.state.GetIncarnation()] = vm
+		agents = append(agents, c.serverOf(record, now))
+	}
+	return balance.NewSnapshot(balance.Config{Check: c.router.Check}, agents, c.exclusion(v.current.Bundle))
+}
+
+func (c *controller) serverOf(record *agentRecord, now time.Time) balance.Agent {
+	s := record.state
+	suspicion := c.suspicion.Level(record.process.VM, now)
+	if record.unreachable {
+		suspicion = max(suspicion, 1)
+	}
+	targets := s.GetLoaded()
+	if s.GetService() != "" {
+		targets = []string{s.GetService()}
+	}
+	return balance.Agent{
+		VM:             record.process.VM,
+		DataCentre:     record.process.DataCentre,
+		Distance:       c.distance(record.process),
+		Phase:          phaseOf(s.GetPhase()),
+		Free:           int(s.GetFreePermits()),
+		Limit:          int(s.GetPermitLimit()),
+		At:             record.at,
+		FirstTokenMS:   float64(s.GetFirstTokenMs()),
+		Targets:        targets,
+		Prefixes:       s.GetCachedPrefixes(),
+		Suspicion:      suspicion,
+		Flight:         record.flight,
+		FlightAtReport: record.flightAt,
+	}
+}
+
+func (c *controller) distance(p node.Process) balance.Distance {
+	switch {
+	case p.DataCentre == c.router.settings.DataCentre:
+		return balance.SameDataCentre
+	case p.Region == c.router.settings.Region:
+		return balance.SameRegion
+	}
+	return balance.OtherRegion
+}
+
+func phaseOf(p rpc.Phase) limit.Phase {
+	switch p {
+	case rpc.Phase_PHASE_COLD:
+		return limit.Cold
+	case rpc.Phase_PHASE_WARM:
+		return limit.Warm
+	case rpc.Phase_PHASE_LEAVING:
+		return limit.Leaving
+	}
+	return limit.Down
+}
+
+// exclusion lists what is out of service by the bundle or leaving by the VM list.
+func (c *controller) exclusion(b *bundle.Bundle) balance.Exclusion {
+	out := balance.Exclusion{VMs: make(map[string]bool), DataCentres: make(map[string]bool)}
+	for _, vm := range b.VMs {
+		if vm.Out {
+			out.VMs[vm.Name] = true
+		}
+	}
+	for _, dc := range b.DataCentres {
+		if dc.State == bundle.DataCentreOut {
+			out.DataCentres[dc.Name] = true
+		}
+	}
+	for vm, record := range c.agents {
+		if record.process.Leaving {
+			out.VMs[vm] = true
+		}
+	}
+	return out
+}
+
+// quality copies the pooled ratings for the immutable snapshot.
+func (c *controller) quality() routing.Quality {
+	return routing.Quality{Ratings: c.table.Totals(), RatingUp: c.router.ratingUp.Load()}
+}
--- /dev/null
+++ b/daemon/router/decode.go
@@ -0,0 +1,216 @@
+package router
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"cactusknot.example/daemon/result"
+	"cactusknot.example/daemon/routing"
+	"cactusknot.example/daemon/secure"
+)
+
+// Headers of the interface for callers.
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	headerSessionToken   = "X-Session-Token"
+	headerSessionMoved   = "X-Session-Moved"
+	headerDeadline       = "X-Deadline-Ms"
+	headerKind           = "X-Request-Kind"
+	headerRequestID      = "X-Request-Id"
+	headerSuggestedKey   = "X-Suggested-Idempotency-Key"
+)
+
+const (
+	defaultMaxBodyBytes = 1 << 20
+	// bytesPerToken estimates the tokens of a prompt for admission.
+	bytesPerToken = 4
+	// defaultMaxTokens is the assumed length of an answer without max_tokens.
+	defaultMaxTokens = 256
+	// prefixBytes is how much of a prompt decides the affinity to a cached prefix.
+	prefixBytes = 512
+	maxKeyChars = 128
+)
+
+// chatRequest holds the fields of a chat-completions request that the router uses.
+type chatRequest struct {
+	Model               string        `json:"model"`
+	Stream              bool          `json:"stream"`
+	MaxTokens           int           `json:"max_tokens"`
+	MaxCompletionTokens int           `json:"max_completion_tokens"`
+	Messages            []chatMessage `json:"messages"`
+	StreamOptions       streamOptions `json:"stream_options"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// answerTokens returns the largest length of the answer.
+func (c *chatRequest) answerTokens() int {
+	switch {
+	case c.MaxCompletionTokens > 0:
+		return c.MaxCompletionTokens
+	case c.MaxTokens > 0:
+		return c.MaxTokens
+	}
+	return defaultMaxTokens
+}
+
+// prompt returns the text of all messages.
+func (c *chatRequest) prompt() string {
+	var b strings.Builder
+	for _, m := range c.Messages {
+		b.WriteString(m.Role)
+		b.Write(m.Content)
+	}
+	return b.String()
+}
+
+// authenticate finds the workspace of the caller's API key. It runs before the
+// body is read.
+func (r *Router) authenticate(_ context.Context, c *call) *result.Error {
+	c.view = r.view.Load()
+	if c.view.current == nil {
+		return result.NotReady.With("no configuration")
+	}
+	if r.Keeper.Isolated(c.started) {
+		return result.Isolated.With("last confirmed %s", r.Keeper.Confirmed().UTC().Format(time.RFC3339))
+	}
+	apiKey, ok := strings.CutPrefix(c.request.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return result.Unauthenticated.With("no bearer key")
+	}
+	c.workspace = c.view.workspaceOf(apiKey)
+	if c.workspace == nil {
+		return result.Unauthenticated.With("unknown key")
+	}
+	return nil
+}
+
+// readBody reads the body within the configured bound.
+func (r *Router) readBody(_ context.Context, c *call) *result.Error {
+	bound := c.view.current.Bundle.Limits.MaxBodyBytes
+	if bound == 0 {
+		bound = defaultMaxBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, bound))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return result.TooLarge.With("more than %d bytes", bound)
+	}
+	if err != nil {
+		return result.BadRequest.With("body: %v", err)
+	}
+	c.body = body
+	return nil
+}
+
+// setDeadline reads X-Deadline-Ms, the time in ms that the caller allows from now.
+func (r *Router) setDeadline(_ context.Context, c *call) *result.Error {
+	allowed := time.Duration(r.settings.DefaultDeadlineMs) * time.Millisecond
+	if text := c.request.Header.Get(headerDeadline); text != "" {
+		ms, err := strconv.ParseUint(text, 10, 31)
+		if err != nil || ms == 0 {
+			return result.BadRequest.With("%s: must be a positive number of ms", headerDeadline)
+		}
+		allowed = min(allowed, time.Duration(ms)*time.Millisecond)
+	}
+	c.deadline = c.started.Add(allowed)
+	return nil
+}
+
+// decodeChat parses a chat-completions request.
+func (r *Router) decodeChat(_ context.Context, c *call) *result.Error {
+	if err := json.Unmarshal(c.body, &c.chat); err != nil {
+		return result.BadRequest.With("body: %v", err)
+	}
+	if len(c.chat.Messages) == 0 {
+		return result.BadRequest.With("messages: is required")
+	}
+	if c.chat.answerTokens() < 0 {
+		return result.BadRequest.With("max_tokens: must be positive")
+	}
+	name, version, _ := strings.Cut(c.chat.Model, "@")
+	if name == "" {
+		name = routing.AutoModel
+	}
+	if err := c.identify(); err != nil {
+		return err
+	}
+	c.route = routing.Request{
+		ID:        uuid.UUID(c.id).String(),
+		Workspace: c.workspace.Name,
+		Model:     name,
+		Version:   version,
+		Kind:      kindOf(c.request),
+	}
+	return nil
+}
+
+// kindOf returns the caller's label of the request, shortened to a bound that
+// keeps the number of quality counters small.
+func kindOf(request *http.Request) string {
+	const maxKindChars = 32
+	kind := request.Header.Get(headerKind)
+	return kind[:min(len(kind), maxKindChars)]
+}
+
+// identify sets the request id. With an idempotency key it derives from key and
+// content, so that a repeated request is billed once.
+func (c *call) identify() *result.Error {
+	text := c.request.Header.Get(headerIdempotencyKey)
+	if len(text) > maxKeyChars {
+		return result.BadIdempotency.With("longer than %d characters", maxKeyChars)
+	}
+	if text == "" {
+		c.id = requestID(uuid.Must(uuid.NewV7()))
+		return nil
+	}
+	c.callerKey = true
+	h := sha256.New()
+	for _, field := range []string{c.workspace.Name, c.request.Method, c.request.URL.Path, text} {
+		h.Write([]byte(field))
+		h.Write([]byte{0})
+	}
+	h.Write(c.body)
+	c.id = requestID(h.Sum(nil)[:len(c.id)])
+	return nil
+}
+
+// prefixHash identifies the beginning of the prompt within a workspace.
+func (c *call) prefixHash() uint64 {
+	prompt := c.chat.prompt()
+	return xxhash.Sum64String(c.workspace.Name + "\x00" + prompt[:min(len(prompt), prefixBytes)])
+}
+
+// readSession verifies the session token, if any.
+func (r *Router) readSession(_ context.Context, c *call) *result.Error {
+	token := c.request.Header.Get(headerSessionToken)
+	if token == "" {
+		return nil
+	}
+	session, err := r.sessions.Verify(token, c.workspace.Name)
+	if errors.Is(err, secure.ErrBadSession) {
+		return result.BadSession.With("")
+	}
+	if err != nil {
+		return result.Internal.With("%v", err)
+	}
+	c.route.Session = &session
+	return nil
+}
--- /dev/null
+++ b/daemon/router/evidence.go
@@ -0,0 +1,169 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"cactusknot.example/coord/stats"
+	"cactusknot.example/daemon/platform"
+	"cactusknot.example/daemon/routing"
+	"cactusknot.example/daemon/rpc"
+)
+
+const (
+	// maxRatings bounds the ratings in progress; answers beyond it stay unrated.
+	maxRatings = 32
+	// rateTimeout bounds one rating.
+	rateTimeout = 2 * time.Second
+)
+
+// rate asks the rating service for the score of an answer. It returns false
+// when there is none in time.
+func (r *Router) rate(ctx context.Context, c *call, d *routing.Decision, text string) (float64, bool) {
+	if r.rating == nil {
+		return 0, false
+	}
+	bounded, cancel := context.WithTimeout(ctx, rateTimeout)
+	defer cancel()
+	score, err := r.rating.Rate(bounded, platform.RatingRequest{
+		Model:   d.Model,
+		Version: d.Version,
+		Kind:    c.route.Kind,
+		Prompt:  c.chat.prompt(),
+		Answer:  text,
+	})
+	up := err == nil
+	if r.ratingUp.Swap(up) != up {
+		r.Log.Info().Bool("up", up).AnErr("error", err).Msg("rating service changed")
+		r.send(changedEvent{})
+	}
+	return score, up
+}
+
+// rateLater has a finished answer rated without holding up the caller.
+func (r *Router) rateLater(c *call, d *routing.Decision, text string) {
+	if text == "" {
+		return
+	}
+	decision := *d
+	r.inBackground(func(ctx context.Context) {
+		if score, ok := r.rate(ctx, c, &decision, text); ok {
+			r.countRating(routing.RatingKey(&c.route, &decision, score), score)
+		}
+	})
+}
+
+// rateEscalated rates the second answer of a cascade under the first one's score.
+func (r *Router) rateEscalated(c *call, second *routing.Decision, firstScore float64, text string) {
+	if text == "" {
+		return
+	}
+	first, decision := c.decision, *second
+	r.inBackground(func(ctx context.Context) {
+		if score, ok := r.rate(ctx, c, &decision, text); ok {
+			r.countRating(routing.EscalatedKey(&c.route, &first, &decision, firstScore), score)
+		}
+	})
+}
+
+// inBackground runs f unless too many ratings are in progress.
+func (r *Router) inBackground(f func(context.Context)) {
+	select {
+	case r.rateSlot <- struct{}{}:
+	default:
+		r.metrics.unrated.Inc()
+		return
+	}
+	go func() {
+		defer func() { <-r.rateSlot }()
+		f(context.Background())
+	}()
+}
+
+func (r *Router) countRating(key routing.Key, score float64) {
+	r.send(ratingEvent{key: key, score: score})
+}
+
+// apply adds the rating to this router's own counters and hands the new totals
+// to the other routers.
+func (e ratingEvent) apply(c *controller) {
+	if err := c.table.Add(e.key, e.score); err != nil {
+		c.router.Log.Warn().Err(err).Msg("rating not counted")
+		return
+	}
+	c.changedKeys[e.key] = true
+}
+
+func (e counterEvent) apply(c *controller) {
+	in := e.counter
+	_, err := c.table.Merge([]stats.Entry[routing.Key]{{
+		Node:    stats.Node{Name: in.GetNode(), Incarnation: in.GetNodeIncarnation()},
+		Key:     routing.Key{Workspace: in.GetWorkspace(), Model: in.GetModel(), Version: in.GetVersion(), Kind: in.GetKind()},
+		Counter: stats.Counter{Count: in.GetCount(), Sum: in.GetSum(), SumSquares: in.GetSumSquares()},
+	}})
+	if err != nil {
+		c.router.Log.Warn().Err(err).Str("node", in.GetNode()).Msg("counter not merged")
+		return
+	}
+	c.newEvidence = true
+}
+
+// evaluate spreads the own counters, runs the tests on the pooled ratings and
+// stops versions whose test fired.
+func (c *controller) evaluate() {
+	now := c.router.Clock.Now()
+	if now.Sub(c.evaluated) < evidenceInterval || (!c.newEvidence && len(c.changedKeys) == 0) {
+		return
+	}
+	c.evaluated = now
+	c.spreadCounters()
+	c.newEvidence = false
+	c.staleRoutes = true
+	c.publish()
+	if c.routes == nil {
+		return
+	}
+	for _, verdict := range c.routes.Verdicts(routing.DefaultStopTest()) {
+		c.conclude(verdict)
+	}
+}
+
+func (c *controller) spreadCounters() {
+	own, version := c.table.Delta(c.spread)
+	c.spread = version
+	for _, entry := range own {
+		if !c.changedKeys[entry.Key] || entry.Node.Name != c.router.settings.VM {
+			continue
+		}
+		c.router.Keeper.Count(&rpc.QualityCounter{
+			Node:            entry.Node.Name,
+			NodeIncarnation: entry.Node.Incarnation,
+			Workspace:       entry.Key.Workspace,
+			Model:           entry.Key.Model,
+			Version:         entry.Key.Version,
+			Kind:            entry.Key.Kind,
+			Count:           entry.Counter.Count,
+			Sum:             entry.Counter.Sum,
+			SumSquares:      entry.Counter.SumSquares,
+		})
+	}
+	clear(c.changedKeys)
+}
+
+func (c *controller) conclude(verdict routing.Verdict) {
+	log := c.router.Log.Warn().Str("model", verdict.Stop.Model).Str("version", verdict.Stop.Version).
+		Uint64("generation", verdict.Stop.Generation).Str("cause", string(verdict.Cause)).Float64("log_evidence", verdict.LogE)
+	if verdict.Alert {
+		c.router.metrics.alerts.Inc()
+		log.Msg("version is below its target and has no replacement")
+		return
+	}
+	log.Msg("version stopped")
+	c.router.Keeper.Stop(&rpc.StopNotice{
+		Model:      verdict.Stop.Model,
+		Version:    verdict.Stop.Version,
+		Generation: verdict.Stop.Generation,
+		Reason:     string(verdict.Cause),
+		Origin:     c.router.settings.VM,
+	})
+}
--- /dev/null
+++ b/daemon/router/log.go
@@ -0,0 +1,107 @@
+package router
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cactusknot.example/daemon/balance"
+	"cactusknot.example/daemon/result"
+	"cactusknot.example/daemon/routing"
+)
+
+// logPlacement writes the decision log line of the choice of model and version.
+func (r *Router) logPlacement(c *call, v *view) {
+	d := &c.decision
+	event := r.Log.Info().Hex("request", c.id[:]).Str("workspace", c.workspace.Name).Str("asked", c.chat.Model).Str("kind", c.route.Kind).
+		Str("model", d.Model).Str("version", d.Version).Stringer("reason", d.Reason).Bool("refused", d.Refused).
+		Uint64("bundle_version", v.version())
+	if d.Policy != nil {
+		event.Str("second", d.Policy.Second).Float64("threshold", d.Policy.Threshold).Float64("lower_bound", d.Policy.Lower).Bool("explored", d.Explored)
+	}
+	event.Msg("model chosen")
+}
+
+// logAttempt writes the decision log line of the choice of a backend server.
+func (r *Router) logAttempt(j *job, to peer, version uint64, out attemptResult) {
+	event := r.Log.Info().Hex("request", j.call.id[:]).Uint32("step", j.in.GetStep()).Uint32("attempt", j.in.GetAttempt()).
+		Str("workspace", j.call.workspace.Name).Str("target", j.target).Str("chosen_vm", to.vm).Str("data_centre", to.dataCentre).
+		Uint64("bundle_version", version)
+	if debug := r.Log.Debug(); debug.Enabled() {
+		event.Interface("candidates", r.candidates(j))
+	}
+	if out.err != nil {
+		event.Int("code", out.err.Code.Number).Str("result", out.err.Error())
+	} else {
+		event.Str("result", "done")
+	}
+	event.Msg("backend server chosen")
+}
+
+func (r *Router) candidates(j *job) []balance.Candidate {
+	return r.view.Load().servers.Explain(r.Clock.Now(), balance.Request{Target: j.target, Prefix: j.prefix, Tried: j.tried})
+}
+
+func (r *Router) logEscalation(c *call, score float64, rated bool, d *routing.Decision, escalate bool) {
+	r.Log.Info().Hex("request", c.id[:]).Str("workspace", c.workspace.Name).Float64("score", score).Bool("rated", rated).
+		Bool("escalated", escalate).Str("model", d.Model).Str("version", d.Version).Stringer("reason", d.Reason).Msg("cascade decided")
+}
+
+func (r *Router) logError(c *call, err *result.Error) {
+	event := r.Log.Info().Hex("request", c.id[:]).Str("path", c.request.URL.Path).Int("code", err.Code.Number).Str("result", err.Error())
+	if c.workspace != nil {
+		event.Str("workspace", c.workspace.Name)
+	}
+	event.Msg("request failed")
+}
+
+// routerMetrics are the counters of a router.
+type routerMetrics struct {
+	set            *metrics.Set
+	requests       *metrics.Counter
+	attempts       *metrics.Counter
+	retries        *metrics.Counter
+	budgetRefusals *metrics.Counter
+	droppedEvents  *metrics.Counter
+	unrated        *metrics.Counter
+	alerts         *metrics.Counter
+	duration       *metrics.Histogram
+}
+
+func newRouterMetrics(r *Router) *routerMetrics {
+	set := r.Metrics
+	set.NewGauge("cactusknot_router_running_requests", func() float64 {
+		running, _ := r.fair.Usage()
+		return float64(running)
+	})
+	set.NewGauge("cactusknot_router_queued_requests", func() float64 {
+		_, queued := r.fair.Usage()
+		return float64(queued)
+	})
+	set.NewGauge("cactusknot_router_unstored_charges", func() float64 {
+		lines, _ := r.charges.Len()
+		return float64(lines)
+	})
+	set.NewGauge("cactusknot_bundle_version", func() float64 { return float64(r.view.Load().version()) })
+	return &routerMetrics{
+		set:            set,
+		requests:       set.NewCounter("cactusknot_router_requests_total"),
+		attempts:       set.NewCounter("cactusknot_router_attempts_total"),
+		retries:        set.NewCounter("cactusknot_router_retries_total"),
+		budgetRefusals: set.NewCounter("cactusknot_router_retry_budget_refusals_total"),
+		droppedEvents:  set.NewCounter("cactusknot_router_dropped_events_total"),
+		unrated:        set.NewCounter("cactusknot_router_unrated_answers_total"),
+		alerts:         set.NewCounter("cactusknot_router_quality_alerts_total"),
+		duration:       set.NewHistogram("cactusknot_router_request_seconds"),
+	}
+}
+
+// finished counts a request by its result code.
+func (m *routerMetrics) finished(err *result.Error, took time.Duration) {
+	name := "ok"
+	if err != nil {
+		name = err.Code.Name
+	}
+	m.set.GetOrCreateCounter(`cactusknot_router_results_total{code="` + name + `"}`).Inc()
+	m.duration.Update(took.Seconds())
+}
--- /dev/null
+++ b/daemon/router/router.go
@@ -0,0 +1,143 @@
+// Package router is the role on entry VMs. A router authenticates callers, chooses
+// model, version and backend server, and passes answers on. It owns the
+// connections of its callers and nothing else that must last.
+package router
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+
+	"cactusknot.example/coord/ledger"
+	"cactusknot.example/coord/limit"
+	"cactusknot.example/coord/once"
+	"cactusknot.example/daemon/config"
+	"cactusknot.example/daemon/distribute"
+	"cactusknot.example/daemon/node"
+	"cactusknot.example/daemon/platform"
+	"cactusknot.example/daemon/routing"
+	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/secure"
+)
+
+// queueShare is the bound of waiting requests as a multiple of those in progress.
+const queueShare = 1
+
+// Router runs the router role.
+type Router struct {
+	*node.Node
+	settings *config.Router
+	sessions *secure.Sessions
+	fair     *limit.Fair
+	retries  *limit.RetryBudget
+	keys     *once.Generator
+	charges  *ledger.Queue
+	rating   *platform.Rating
+	metrics  *routerMetrics
+	view     atomic.Pointer[view]
+	events   chan event
+	chat     pipe
+	service  pipe
+	running  sync.WaitGroup
+	ratingUp atomic.Bool
+	rateSlot chan struct{}
+}
+
+// New builds a router; it connects nowhere yet.
+func New(settings *config.Router, log zerolog.Logger) (*Router, error) {
+	common, err := node.New(settings.Node, secure.RoleRouter, log)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	r := &Router{
+		Node:     common,
+		settings: settings,
+		events:   make(chan event, eventQueue),
+		rateSlot: make(chan struct{}, maxRatings),
+	}
+	if r.sessions, err = secure.NewSessions(settings.SessionSecrets); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	r.fair, err = limit.NewFair(limit.FairConfig{
+		Capacity:             settings.MaxRequests,
+		MaxQueue:             settings.MaxRequests * queueShare,
+		MaxQueuePerWorkspace: settings.MaxRequests * queueShare,
+		MinService:           minService,
+	}, r.Clock)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	r.retries = limit.NewRetryBudget(limit.RetryConfig{}, r.Clock)
+	r.keys = once.NewGenerator(r.Clock, rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	r.charges = ledger.NewQueue(r.Clock, settings.LedgerLines)
+	if settings.Platform.Rating != "" {
+		r.rating = platform.NewRating(settings.Platform.Rating)
+		r.ratingUp.Store(true)
+	}
+	r.metrics = newRouterMetrics(r)
+	r.view.Store(&view{})
+	r.chat = r.chatPipe()
+	r.service = r.servicePipe()
+	r.Configure(node.Hooks{
+		OnBundle:  func(*distribute.Current) { r.send(changedEvent{}) },
+		OnStop:    func() { r.send(changedEvent{}) },
+		OnCounter: func(c *rpc.QualityCounter) { r.send(counterEvent{c}) },
+	})
+	return r, nil
+}
+
+// Run serves until ctx ends, then performs a graceful shutdown.
+func (r *Router) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	r.LocalLedger = newCollectorSet(background, r)
+	internal, err := r.ServeInternal(r.internalHandler())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	admin, err := r.ServePlain("admin", r.settings.AdminListen, r.adminHandler())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	public, err := r.ServePlain("callers", r.settings.Listen, r.publicHandler())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	r.Node.Run(background)
+	go r.control(background)
+	go r.deliverCharges(background)
+	r.Log.Info().Str("listen", r.settings.Listen).Msg("router started")
+	<-ctx.Done()
+	r.shutDown(background, public, internal, admin)
+	return nil
+}
+
+// shutDown stops without interrupting a request: the balancer sees the failed
+// readiness first, and connections are accepted until it has.
+func (r *Router) shutDown(ctx context.Context, public, internal, admin *http.Server) {
+	r.Log.Info().Msg("planned stop: not ready")
+	r.SetDraining()
+	_ = r.Clock.Sleep(ctx, time.Duration(r.settings.DrainDelayMs)*time.Millisecond)
+	_ = public.Shutdown(context.Background())
+	r.running.Wait()
+	r.handOverCharges(ctx)
+	_ = internal.Shutdown(context.Background())
+	_ = admin.Shutdown(context.Background())
+	r.Log.Info().Msg("router stopped")
+}
+
+func isDeadline(err error) bool { return errors.Is(err, limit.ErrDeadline) }
+
+func newSource() rand.Source { return rand.NewPCG(rand.Uint64(), rand.Uint64()) }
+
+// ratings tells whether answers are rated.
+func (r *Router) ratings() bool { return r.rating != nil }
+
+var _ = routing.AutoModel
--- /dev/null
+++ b/daemon/router/service.go
@@ -0,0 +1,289 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"cactusknot.example/coord/once"
+	"cactusknot.example/daemon/result"
+	"cactusknot.example/daemon/routing"
+	"cactusknot.example/daemon/rpc"
+)
+
+// servicePrefix is the path of plain services: /v1/services/{service}/{path}.
+const servicePrefix = "/v1/services/"
+
+// bindTimeout bounds the store write that binds a caller's key to a home.
+const bindTimeout = 2 * time.Second
+
+// rejoinInterval is the pause before a call whose connection broke asks its home
+// for the outcome.
+const rejoinInterval = 200 * time.Millisecond
+
+// servicePipe returns the filters of a call to a plain service.
+func (r *Router) servicePipe() pipe {
+	return pipe{
+		{"authenticate", r.authenticate},
+		{"deadline", r.setDeadline},
+		{"body", r.readBody},
+		{"operation", r.findOperation},
+		{"key", r.readKey},
+		{"admit", r.admit},
+		{"call", r.callService},
+	}
+}
+
+func (r *Router) serveService(w http.ResponseWriter, request *http.Request) {
+	r.serveCall(w, request, r.service, func(c *call) {
+		rest := strings.TrimPrefix(request.URL.Path, servicePrefix)
+		name, path, _ := strings.Cut(rest, "/")
+		c.service, c.path = name, "/"+path
+	})
+}
+
+// findOperation finds the operation of the bundle that covers the call.
+func (r *Router) findOperation(_ context.Context, c *call) *result.Error {
+	operation, reason := c.view.routes.AuthoriseService(c.workspace.Name, c.service, c.request.Method, c.path)
+	if reason != routing.ReasonNone {
+		return reason.Code().With("%s %s %s: %s", c.service, c.request.Method, c.path, reason)
+	}
+	c.operation = operation
+	return c.identify()
+}
+
+// readKey parses the caller's idempotency key of a non-idempotent call.
+func (r *Router) readKey(_ context.Context, c *call) *result.Error {
+	if c.operation.Idempotent || !c.callerKey {
+		return nil
+	}
+	key, err := once.ParseKey(c.request.Header.Get(headerIdempotencyKey))
+	if err != nil {
+		return result.BadIdempotency.With("%v", err)
+	}
+	c.key = key
+	return nil
+}
+
+// callService runs the call and answers the caller.
+func (r *Router) callService(ctx context.Context, c *call) *result.Error {
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	out := &serviceAnswer{call: c}
+	j := r.newServiceJob(c, out)
+	attempt := r.runServiceJob(ctx, j)
+	if attempt.err != nil {
+		return attempt.err
+	}
+	if err := out.finish(); err != nil {
+		return result.CallerGone.With("")
+	}
+	return nil
+}
+
+func (r *Router) runServiceJob(ctx context.Context, j *job) attemptResult {
+	if j.idempotent {
+		return r.runJob(ctx, j)
+	}
+	if !r.charges.Reserve() {
+		return attemptResult{err: result.LedgerFull.With("")}
+	}
+	out := r.runOnce(ctx, j)
+	if out.charge == nil {
+		r.charges.Release()
+		return out
+	}
+	r.commitCharge(out.charge)
+	return out
+}
+
+func (r *Router) newServiceJob(c *call, out receiver) *job {
+	return &job{
+		call:       c,
+		target:     c.service,
+		out:        out,
+		idempotent: c.operation.Idempotent,
+		in: &rpc.ExecuteRequest{
+			RequestId:    c.id[:],
+			Workspace:    c.workspace.Name,
+			Service:      c.service,
+			Method:       c.request.Method,
+			Path:         c.path,
+			ContentType:  c.request.Header.Get("Content-Type"),
+			Body:         c.body,
+			Idempotent:   c.operation.Idempotent,
+			PromptTokens: 1,
+		},
+	}
+}
+
+// runOnce runs a non-idempotent call at the home of its key. Without a key of
+// the caller each refusal gets a new key of another home, since a key whose run
+// was refused never runs.
+func (r *Router) runOnce(ctx context.Context, j *job) attemptResult {
+	if j.call.callerKey {
+		home, err := r.homeOf(ctx, j)
+		if err != nil {
+			return attemptResult{err: err}
+		}
+		return r.runAtHome(ctx, j, home)
+	}
+	random := newRandom()
+	r.retries.Attempt()
+	for {
+		to, err := r.chooseServer(random, j)
+		if err != nil {
+			return attemptResult{err: err}
+		}
+		key, keyErr := r.keys.New(to.incarnation)
+		if keyErr != nil {
+			return attemptResult{err: result.NoBackend.With("%v", keyErr)}
+		}
+		j.call.key = key
+		j.call.writer.Header().Set(headerIdempotencyKey, key.String())
+		out := r.runAtHome(ctx, j, to)
+		if out.err == nil || out.err.Code.Run != result.NotRun || !r.mayRetry(ctx, j, out) {
+			return out
+		}
+		if refused := r.pause(ctx, random, j, out); refused != nil {
+			return attemptResult{err: refused}
+		}
+	}
+}
+
+// runAtHome runs the call at its home. After a broken connection it asks the same
+// home again, which joins the running call or returns its recorded outcome.
+func (r *Router) runAtHome(ctx context.Context, j *job, home peer) attemptResult {
+	j.in.IdempotencyKey = j.call.key.String()
+	j.in.Home = home.incarnation
+	sent := false
+	for {
+		out := r.attempt(ctx, j, home)
+		if out.err == nil {
+			return out
+		}
+		unknown := out.err.Code.Run == result.Unknown
+		sent = sent || unknown
+		if sent && !unknown && !definiteRefusal(out.err.Code) {
+			// An earlier attempt may have reached the home; a refusal of this one
+			// proves nothing about it.
+			out.err = result.OutcomeUnknown.With("%s", out.err)
+			unknown = true
+		}
+		if !unknown || out.err.Code == result.OutcomeUnknown && !sent || j.attempts >= maxAttempts {
+			return asOutcomeUnknown(out)
+		}
+		if r.Clock.Sleep(ctx, rejoinInterval) != nil {
+			return asOutcomeUnknown(out)
+		}
+	}
+}
+
+// definiteRefusal tells whether a refusal speaks about the key and not only about
+// this attempt.
+func definiteRefusal(code result.Code) bool { return code == result.KeyReused }
+
+// asOutcomeUnknown gives every unknown outcome of a non-idempotent call one code,
+// which does not invite a retry under another key.
+func asOutcomeUnknown(out attemptResult) attemptResult {
+	if out.err != nil && out.err.Code.Run == result.Unknown && out.err.Code != result.CallerGone {
+		out.err = result.OutcomeUnknown.With("%s", out.err)
+	}
+	return out
+}
+
+// homeOf finds the home of the caller's key. A key of the caller's own making is
+// bound to a home in the store first.
+func (r *Router) homeOf(ctx context.Context, j *job) (peer, *result.Error) {
+	v := r.view.Load()
+	incarnation, generated := once.Home(j.call.key)
+	if !generated {
+		bound, err := r.bind(ctx, j)
+		if err != nil {
+			return peer{}, err
+		}
+		incarnation = bound
+	}
+	to, ok := v.peers[v.homes[incarnation]]
+	if !ok {
+		return peer{}, result.OutcomeUnknown.With("the home of the key is gone")
+	}
+	return to, nil
+}
+
+func (r *Router) bind(ctx context.Context, j *job) (uint64, *result.Error) {
+	random := newRandom()
+	to, err := r.chooseServer(random, j)
+	if err != nil {
+		return 0, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, bindTimeout)
+	defer cancel()
+	home, bindErr := once.Bind(bounded, r.Store, j.call.service, j.call.workspace.Name, j.call.key, to.incarnation)
+	if bindErr == nil {
+		return home, nil
+	}
+	if suggestion, keyErr := r.keys.New(to.incarnation); keyErr == nil {
+		j.call.writer.Header().Set(headerSuggestedKey, suggestion.String())
+	}
+	return 0, result.KeyNeedsStore.With("%v", bindErr)
+}
+
+// keyAnswer is the body of POST /v1/idempotency-keys.
+type keyAnswer struct {
+	Key string `json:"key"`
+}
+
+// newKey answers POST /v1/idempotency-keys?service=NAME with a key whose home is
+// in service now.
+func (r *Router) newKey(_ context.Context, c *call) *result.Error {
+	service := c.request.URL.Query().Get("service")
+	if !slices.Contains(c.workspace.Allowed, "service:"+service) {
+		return result.NotAllowed.With("service %q", service)
+	}
+	to, err := r.chooseServer(newRandom(), &job{call: c, target: service})
+	if err != nil {
+		return err
+	}
+	key, keyErr := r.keys.New(to.incarnation)
+	if keyErr != nil {
+		return result.NoBackend.With("%v", keyErr)
+	}
+	return writeJSON(c.writer, http.StatusOK, keyAnswer{Key: key.String()})
+}
+
+// serviceAnswer collects the answer of a plain service. It implements receiver.
+type serviceAnswer struct {
+	call        *call
+	status      int
+	contentType string
+	body        []byte
+}
+
+func (a *serviceAnswer) begin(status int, contentType string) error {
+	a.status, a.contentType, a.body = status, contentType, nil
+	return nil
+}
+
+func (a *serviceAnswer) chunk(data []byte) error {
+	a.body = append(a.body, data...)
+	return nil
+}
+
+func (a *serviceAnswer) finish() error {
+	header := a.call.writer.Header()
+	if a.contentType != "" {
+		header.Set("Content-Type", a.contentType)
+	}
+	header.Set(headerRequestID, uuid.UUID(a.call.id).String())
+	if a.call.key != (once.Key{}) {
+		header.Set(headerIdempotencyKey, a.call.key.String())
+	}
+	a.call.writer.WriteHeader(a.status)
+	_, err := a.call.writer.Write(a.body)
+	return err
+}
--- a/daemon/secure/session.go
+++ b/daemon/secure/session.go
@@ -9,6 +9,8 @@
 
 	"github.com/golang-jwt/jwt/v5"
 	"github.com/gravitational/trace"
+
+	"cactusknot.example/daemon/routing"
 )
 
 // ErrBadSession: the session token is forged, damaged or of another workspace.
@@ -17,20 +19,14 @@
 // minSecretBytes is the shortest session secret; HS256 needs 32 bytes.
 const minSecretBytes = 32
 
-// Session is what a session token carries.
-type Session struct {
-	ID        string
-	Workspace string
-	Model     string
-	Version   string
-}
+// maxPins bounds the models of one session.
+const maxPins = 64
 
-// sessionClaims are the JWT claims of a Session.
+// sessionClaims are the JWT claims of a routing.Session.
 type sessionClaims struct {
 	jwt.RegisteredClaims
-	Workspace string `json:"ws"`
-	Model     string `json:"mdl"`
-	Version   string `json:"ver"`
+	Workspace string        `json:"ws"`
+	Pins      []routing.Pin `json:"pins"`
 }
 
 // Sessions signs and verifies session tokens with secrets that all routers share.
@@ -59,19 +55,18 @@
 }
 
 // Sign returns the token of a session.
-func (s *Sessions) Sign(session Session, now time.Time) (string, error) {
+func (s *Sessions) Sign(session routing.Session, now time.Time) (string, error) {
 	claims := sessionClaims{
 		RegisteredClaims: jwt.RegisteredClaims{ID: session.ID, IssuedAt: jwt.NewNumericDate(now)},
 		Workspace:        session.Workspace,
-		Model:            session.Model,
-		Version:          session.Version,
+		Pins:             session.Pins,
 	}
 	return jwt.NewWithClaims(jwt.SigningMethodHS256, claims).SignedString(s.secrets[0])
 }
 
 // Verify returns the session of a token, or ErrBadSession when the token is not
 // valid or belongs to another workspace.
-func (s *Sessions) Verify(token, workspace string) (Session, error) {
+func (s *Sessions) Verify(token, workspace string) (routing.Session, error) {
 	// Issue times are not checked: a stepped clock must not end sessions.
 	parser := jwt.NewParser(jwt.WithValidMethods([]string{"HS256"}), jwt.WithoutClaimsValidation())
 	for _, secret := range s.secrets {
@@ -80,12 +75,12 @@
 		if err != nil {
 			continue
 		}
-		if claims.Workspace != workspace || claims.ID == "" || claims.Model == "" || claims.Version == "" {
-			return Session{}, ErrBadSession
+		if claims.Workspace != workspace || claims.ID == "" || len(claims.Pins) > maxPins {
+			return routing.Session{}, ErrBadSession
 		}
-		return Session{ID: claims.ID, Workspace: claims.Workspace, Model: claims.Model, Version: claims.Version}, nil
+		return routing.Session{ID: claims.ID, Workspace: claims.Workspace, Pins: claims.Pins}, nil
 	}
-	return Session{}, ErrBadSession
+	return routing.Session{}, ErrBadSession
 }
 
 // KeyHash returns the hex SHA-256 of an API key, as bundles hold it.
