Test concurrent folds and the collector's memory

Two planted defects passed the earlier tests: taking another collector's totals for one's own write, and keeping folded identities in memory. Both fail now.

--- a/coord/ledger/collector_test.go
+++ b/coord/ledger/collector_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,7 +141,11 @@
 		settle(<-done)
 		settle(<-done)
 		k := r.IntN(3)
-		_ = collectors[k].Fold(context.Background())
+		var folds sync.WaitGroup
+		for _, c := range collectors {
+			folds.Go(func() { _ = c.Fold(context.Background()) })
+		}
+		folds.Wait()
 		if r.IntN(5) == 0 {
 			collectors[k] = collector(s, chk, r.Uint64())
 		}
@@ -155,8 +160,10 @@
 		settle(res)
 	}
 	report := checkOnce(t, s, chk)
-	if len(report.Sums) < len(stored) {
-		t.Fatalf("seed %d: %d acknowledged, %d billed", seed, len(stored), len(report.Sums))
+	for id := range stored {
+		if w := workspaceOf(int(id.RequestID[0])<<8 | int(id.RequestID[1])); report.Sums[w].Lines != 1 {
+			t.Fatalf("seed %d: %v was acknowledged and is not billed", seed, id)
+		}
 	}
 }
 
@@ -362,6 +369,9 @@
 		if report := checkOnce(t, s, chk); len(report.Sums) != 20 || len(report.Stored) != 0 {
 			t.Error(len(report.Sums), "billed,", len(report.Stored), "not folded")
 		}
+		if len(c.log.ids)+len(c.log.segments)+len(c.log.folded) != 0 {
+			t.Error("folded segments must leave the collector's memory")
+		}
 	})
 }
 
