Add late writes to the in-memory store's faults

A request can wait in the network and take effect after its caller read the key back. The property tests of PutOnce and of racing collectors run with it.

--- a/coord/kv/faults.go
+++ b/coord/kv/faults.go
@@ -21,6 +21,11 @@
 	// LoseNext is the number of following successful writes whose answer is
 	// lost for certain; it counts down.
 	LoseNext int
+	// LateWrites is the share (0 to 1) of Put calls that return
+	// ErrUnknownOutcome at once and are carried out LateBy afterwards, as a
+	// request does that waits in the network after its caller gave up.
+	LateWrites float64
+	LateBy     time.Duration
 	// CallsPerSecond limits the rate of calls with a burst of one second; calls
 	// above it fail with ErrRateLimited. 0 means no limit.
 	CallsPerSecond float64
--- a/coord/kv/memory.go
+++ b/coord/kv/memory.go
@@ -124,6 +124,28 @@
 	if err := m.enter(ctx, KindPut, len(key)+len(value), true); err != nil {
 		return 0, err
 	}
+	if late := m.lateness(); late > 0 {
+		value = bytes.Clone(value)
+		go func() {
+			_ = m.clock.Sleep(context.WithoutCancel(ctx), late)
+			_, _ = m.put(key, value, expect, lease)
+		}()
+		return 0, ErrUnknownOutcome
+	}
+	return m.put(key, value, expect, lease)
+}
+
+// lateness returns by how much the next write is carried out late.
+func (m *Memory) lateness() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.faults.LateWrites > 0 && m.random.Float64() < m.faults.LateWrites {
+		return m.faults.LateBy
+	}
+	return 0
+}
+
+func (m *Memory) put(key string, value []byte, expect Revision, lease LeaseID) (Revision, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire()
