--- /dev/null
+++ b/daemon/bench/cost.go
@@ -0,0 +1,242 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"cactusknot.example/coord/invariant"
+	"cactusknot.example/coord/stats"
+	"cactusknot.example/daemon/routing"
+)
+
+const (
+	costRequests = 300_000
+	// oracleSteps halve the range of the oracle's price of quality.
+	oracleSteps = 60
+	// splitSteps is the resolution of the static split.
+	splitSteps = 200
+
+	costBoundOracle  = 1.15
+	costBoundDearest = 0.5
+)
+
+// bill is the cost and quality per workspace of one variant.
+type bill struct {
+	cost  float64
+	score []float64
+	count []float64
+}
+
+func newBill(w *Workload) *bill {
+	return &bill{score: make([]float64, len(w.Workspaces)), count: make([]float64, len(w.Workspaces))}
+}
+
+func (b *bill) add(workspace int, cost, score float64) {
+	b.cost += cost
+	b.score[workspace] += score
+	b.count[workspace]++
+}
+
+// margin returns the smallest difference of a workspace's mean true score to its
+// target, and the number of workspaces that miss it.
+func (b *bill) margin(w *Workload) (worst float64, missed int) {
+	worst = math.Inf(1)
+	for i, ws := range w.Workspaces {
+		margin := b.score[i]/math.Max(1, b.count[i]) - ws.QualityTarget
+		worst = math.Min(worst, margin)
+		if margin < 0 {
+			missed++
+		}
+	}
+	return worst, missed
+}
+
+// RunCost measures the cost per request at the quality target, from the first
+// request on, so the cost of learning is included.
+func RunCost(ctx context.Context, o Options) (Report, error) {
+	report := Report{Scenario: "cost", Notes: fmt.Sprintf("%d requests per run, learning included", int(costRequests*o.Scale))}
+	workloads, err := loadWorkloads(o)
+	if err != nil {
+		return report, err
+	}
+	for _, w := range workloads {
+		for _, seed := range o.Seeds {
+			if ctx.Err() != nil {
+				return report, ctx.Err()
+			}
+			costRun(&report, w, seed, int(costRequests*o.Scale))
+		}
+		report.atMost(w.Name, "product workspaces below target", 0, report.worst(w.Name, "product", "workspaces below target"))
+		report.atMost(w.Name, "product cost / oracle", costBoundOracle, report.worst(w.Name, "product", "cost / oracle"))
+		report.atMost(w.Name, "product cost / dearest", costBoundDearest, report.worst(w.Name, "product", "cost / dearest"))
+	}
+	return report, nil
+}
+
+func costRun(report *Report, w *Workload, seed uint64, n int) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	drafts := make([]draft, n)
+	for i := range drafts {
+		drafts[i] = w.draw(rng)
+	}
+	dearest := len(w.Models) - 1
+	bills := []struct {
+		variant string
+		bill    *bill
+	}{
+		{"product", productBill(w, drafts, seed)},
+		{"dearest", fixedBill(w, drafts, dearest)},
+		{"cheapest", fixedBill(w, drafts, 0)},
+		{"static split", splitBill(w, drafts, rng)},
+		{"oracle", oracleBill(w, drafts)},
+	}
+	reference, top := bills[len(bills)-1].bill.cost, bills[1].bill.cost
+	for _, b := range bills {
+		margin, missed := b.bill.margin(w)
+		report.Rows = append(report.Rows, Row{
+			Measure: "cost", Deployment: w.Name, Variant: b.variant, Seed: seed,
+			Values: []Value{
+				{"cost per request", "millionths", b.bill.cost / float64(n)},
+				{"cost / oracle", "", b.bill.cost / reference},
+				{"cost / dearest", "", b.bill.cost / top},
+				{"worst margin to target", "", margin},
+				{"workspaces below target", "", float64(missed)},
+			},
+		})
+	}
+}
+
+func fixedBill(w *Workload, drafts []draft, model int) *bill {
+	b := newBill(w)
+	for i := range drafts {
+		a := &drafts[i].answers[model]
+		b.add(drafts[i].workspace, a.cost, a.score)
+	}
+	return b
+}
+
+// splitBill sends the same random share of every workspace to the dearest model
+// and the rest to the cheapest: the smallest share that meets all targets.
+func splitBill(w *Workload, drafts []draft, rng *rand.Rand) *bill {
+	coins := make([]float64, len(drafts))
+	for i := range coins {
+		coins[i] = rng.Float64()
+	}
+	var b *bill
+	for step := range splitSteps + 1 {
+		b = newBill(w)
+		for i := range drafts {
+			model := 0
+			if coins[i] < float64(step)/splitSteps {
+				model = len(w.Models) - 1
+			}
+			a := &drafts[i].answers[model]
+			b.add(drafts[i].workspace, a.cost, a.score)
+		}
+		if _, missed := b.margin(w); missed == 0 {
+			break
+		}
+	}
+	return b
+}
+
+// oracleBill knows the true score of every answer beforehand. Per workspace it
+// takes the answer with the largest price*score-cost, at the lowest price of
+// quality that meets the target.
+func oracleBill(w *Workload, drafts []draft) *bill {
+	b := newBill(w)
+	for ws := range w.Workspaces {
+		low, high := 0.0, 1e9
+		for range oracleSteps {
+			price := (low + high) / 2
+			trial := newBill(w)
+			oracleWorkspace(trial, w, drafts, ws, price)
+			if trial.score[ws] >= w.Workspaces[ws].QualityTarget*trial.count[ws] {
+				high = price
+			} else {
+				low = price
+			}
+		}
+		oracleWorkspace(b, w, drafts, ws, high)
+	}
+	return b
+}
+
+func oracleWorkspace(b *bill, w *Workload, drafts []draft, ws int, price float64) {
+	for i := range drafts {
+		if drafts[i].workspace != ws {
+			continue
+		}
+		best := &drafts[i].answers[0]
+		for m := 1; m < len(w.Models); m++ {
+			a := &drafts[i].answers[m]
+			if price*a.score-a.cost > price*best.score-best.cost {
+				best = a
+			}
+		}
+		b.add(ws, best.cost, best.score)
+	}
+}
+
+// lateRating is a rating that has not arrived yet.
+type lateRating struct {
+	key    routing.Key
+	rating float64
+}
+
+// productBill runs the router's decisions on the requests. Ratings arrive one
+// snapshot later than the answers.
+func productBill(w *Workload, drafts []draft, seed uint64) *bill {
+	src := rand.NewPCG(seed, 2)
+	rng := rand.New(rand.NewPCG(seed, 3))
+	who := newCallers(w, rng)
+	table := stats.NewTable[routing.Key](stats.Node{Name: "router", Incarnation: 1})
+	b, out := w.bundle(), newBill(w)
+	inv := &invariant.Checker{OnViolation: func(name invariant.Name, detail string) {
+		panic(fmt.Sprintf("invariant %s: %s", name, detail))
+	}}
+	interval := w.RequestsPerSecond * w.RatingDelaySeconds
+	var snapshot *routing.Snapshot
+	var late []lateRating
+	for i := range drafts {
+		if i%interval == 0 {
+			snapshot = routing.Build(b, 1, nil, routing.Quality{Ratings: table.Totals(), RatingUp: true})
+			for _, l := range late {
+				_ = table.Add(l.key, l.rating)
+			}
+			late = late[:0]
+		}
+		late = serve(w, snapshot, &drafts[i], who, src, inv, out, late)
+	}
+	return out
+}
+
+// serve answers one request with at most two steps.
+func serve(w *Workload, s *routing.Snapshot, d *draft, who *callers, src rand.Source, inv *invariant.Checker, out *bill, late []lateRating) []lateRating {
+	req := who.request(d.workspace, d.kind, routing.AutoModel)
+	first := s.Place(&req, src, inv)
+	remember(req.Session, &first)
+	a := d.answers[w.modelIndex(first.Model)]
+	cascade := first.Policy != nil && first.Policy.Second != ""
+	rated := cascade || who.rng.Float64() < w.RatedShare
+	if rated {
+		late = append(late, lateRating{routing.RatingKey(&req, &first, a.rating), a.rating})
+	}
+	step := routing.Step{Score: a.rating, Rated: rated, Remaining: time.Minute, Expected: time.Second}
+	second, escalated := s.Escalate(&req, &first, step, inv)
+	if !escalated {
+		out.add(d.workspace, a.cost, a.score)
+		return late
+	}
+	remember(req.Session, &second)
+	dearer := d.answers[w.modelIndex(second.Model)]
+	if who.rng.Float64() < w.RatedShare {
+		key := routing.EscalatedKey(&req, &first, &second, a.rating)
+		late = append(late, lateRating{key, dearer.rating})
+	}
+	out.add(d.workspace, a.cost+dearer.cost, dearer.score)
+	return late
+}
--- /dev/null
+++ b/daemon/bench/scenario.go
@@ -0,0 +1,34 @@
+package bench
+
+import "context"
+
+// Options are common to all scenarios.
+type Options struct {
+	// Seeds gives one run of each variant per seed.
+	Seeds []uint64
+	// Scale multiplies the number of requests; 1 is the documented size.
+	Scale float64
+	// Deployment limits the run to one deployment; empty means all.
+	Deployment string
+}
+
+// DefaultOptions are those of the figures in docs/decisions.
+func DefaultOptions() Options {
+	return Options{Seeds: []uint64{1, 2, 3, 4, 5}, Scale: 1}
+}
+
+// Scenario is one measurement.
+type Scenario struct {
+	Name    string
+	Summary string
+	// Run ends early with ctx's error when ctx ends.
+	Run func(ctx context.Context, o Options) (Report, error)
+}
+
+// Scenarios returns all scenarios in the order in which they run.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "sequential", Summary: "sequential tests: false stops and ratings until a stop", Run: RunSequential},
+		{Name: "cost", Summary: "cost at the quality target against fixed choices and an oracle", Run: RunCost},
+	}
+}
--- /dev/null
+++ b/daemon/bench/sequential.go
@@ -0,0 +1,90 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"cactusknot.example/coord/stats"
+)
+
+const (
+	sequentialRuns    = 1000
+	sequentialRatings = 3000
+	// sequentialLook is the number of ratings between two looks.
+	sequentialLook = 20
+	// sequentialShare is the candidate's share of the ratings.
+	sequentialShare = 0.2
+)
+
+// RunSequential compares the sequential tests on the ratings of each
+// deployment's roll-out model: false stops of equal versions, and the number of
+// candidate ratings until a bad version is stopped.
+func RunSequential(ctx context.Context, o Options) (Report, error) {
+	report := Report{Scenario: "sequential", Notes: fmt.Sprintf(
+		"level 0.01, %d roll-outs per seed, %d ratings each, a look after every %d", int(sequentialRuns*o.Scale), sequentialRatings, sequentialLook)}
+	workloads, err := loadWorkloads(o)
+	if err != nil {
+		return report, err
+	}
+	for _, w := range workloads {
+		for _, method := range []stats.Method{stats.EmpiricalBernstein, stats.Betting, stats.Hoeffding} {
+			for _, seed := range o.Seeds {
+				if ctx.Err() != nil {
+					return report, ctx.Err()
+				}
+				report.Rows = append(report.Rows, sequentialRow(w, method, seed, int(sequentialRuns*o.Scale)))
+			}
+			name := "false stops, " + method.String()
+			report.atMost(w.Name, name, 0.01, report.worst(w.Name, method.String(), "false stops"))
+		}
+	}
+	return report, nil
+}
+
+func sequentialRow(w *Workload, method stats.Method, seed uint64, runs int) Row {
+	row := Row{Measure: "sequential", Deployment: w.Name, Variant: method.String(), Seed: seed}
+	test := stats.Sequential{Method: method, Level: 0.01}
+	rng := rand.New(rand.NewPCG(seed, 4))
+	stopped := 0
+	for range runs {
+		if _, fired := sequentialRun(w, test, rng, 0); fired {
+			stopped++
+		}
+	}
+	row.Values = append(row.Values, Value{"false stops", "", float64(stopped) / float64(runs)})
+	for _, failures := range w.Rollout.FailureShares {
+		var ratings []float64
+		for range max(1, runs/10) {
+			n, _ := sequentialRun(w, test, rng, failures)
+			ratings = append(ratings, float64(n))
+		}
+		slices.Sort(ratings)
+		name := fmt.Sprintf("ratings to stop, %.0f%% failures", failures*100)
+		row.Values = append(row.Values, Value{name, "", middle(ratings)})
+	}
+	return row
+}
+
+// sequentialRun returns the number of candidate ratings when the test fired.
+func sequentialRun(w *Workload, test stats.Sequential, rng *rand.Rand, failures float64) (uint64, bool) {
+	model := w.modelIndex(w.Rollout.Model)
+	var candidate, base stats.Counter
+	for i := range sequentialRatings {
+		d := w.draw(rng)
+		rating := d.answers[model].rating
+		if rng.Float64() < sequentialShare {
+			if rng.Float64() < failures {
+				rating = w.Rollout.FailureScore
+			}
+			candidate, _ = candidate.Add(rating)
+		} else {
+			base, _ = base.Add(rating)
+		}
+		if (i+1)%sequentialLook == 0 && test.Worse(candidate, base).Fired {
+			return candidate.Count, true
+		}
+	}
+	return candidate.Count, false
+}
--- /dev/null
+++ b/daemon/bench/sessions.go
@@ -0,0 +1,66 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"strconv"
+
+	"cactusknot.example/daemon/routing"
+)
+
+// openSessions is the number of sessions kept open per workspace.
+const openSessions = 20
+
+// callers makes the identities of requests: new, or of an open session.
+type callers struct {
+	workload *Workload
+	rng      *rand.Rand
+	open     [][]*routing.Session
+	next     int
+}
+
+func newCallers(w *Workload, rng *rand.Rand) *callers {
+	return &callers{workload: w, rng: rng, open: make([][]*routing.Session, len(w.Workspaces))}
+}
+
+// request returns the request of the workspace for the model.
+func (c *callers) request(workspace, kind int, modelName string) routing.Request {
+	c.next++
+	req := routing.Request{
+		ID:        strconv.Itoa(c.next) + "-" + strconv.FormatUint(c.rng.Uint64(), 36),
+		Workspace: c.workload.Workspaces[workspace].Name,
+		Model:     modelName,
+		Kind:      c.workload.Kinds[kind].Name,
+	}
+	if c.rng.Float64() < c.workload.SessionShare {
+		req.Session = c.session(workspace, req.ID)
+	}
+	return req
+}
+
+func (c *callers) session(workspace int, id string) *routing.Session {
+	open := c.open[workspace]
+	if len(open) > 0 && c.rng.Float64() >= 1/c.workload.SessionRequests {
+		return open[c.rng.IntN(len(open))]
+	}
+	s := &routing.Session{ID: id, Workspace: c.workload.Workspaces[workspace].Name}
+	if len(open) < openSessions {
+		c.open[workspace] = append(open, s)
+		return s
+	}
+	open[c.rng.IntN(len(open))] = s
+	return s
+}
+
+// remember updates the session's pins as the router does with the token.
+func remember(s *routing.Session, d *routing.Decision) {
+	if s == nil || !d.NewPin {
+		return
+	}
+	for i := range s.Pins {
+		if s.Pins[i].Model == d.Model {
+			s.Pins[i].Version = d.Version
+			return
+		}
+	}
+	s.Pins = append(s.Pins, routing.Pin{Model: d.Model, Version: d.Version})
+}
--- /dev/null
+++ b/daemon/ctl/bench.go
@@ -0,0 +1,64 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"cactusknot.example/daemon/bench"
+)
+
+func benchCommands() []Command {
+	return []Command{{Name: "bench", Summary: "measure against baselines", Run: runBench}}
+}
+
+func runBench(ctx context.Context, env Env, args []string) int {
+	flags := flag.NewFlagSet("bench", flag.ContinueOnError)
+	flags.SetOutput(env.Stderr)
+	name := flags.String("scenario", "", "run one scenario; empty runs all")
+	deployment := flags.String("deployment", "", "coop or creches; empty means both")
+	seeds := flags.Int("seeds", 5, "number of seeds, counted from 1")
+	scale := flags.Float64("scale", 1, "factor on the number of requests")
+	asJSON := flags.Bool("json", false, "write JSON instead of a table")
+	if err := flags.Parse(args); err != nil {
+		return ExitUsage
+	}
+	o := bench.Options{Scale: *scale, Deployment: *deployment}
+	for i := range *seeds {
+		o.Seeds = append(o.Seeds, uint64(i+1))
+	}
+	code, found := ExitOK, false
+	for _, s := range bench.Scenarios() {
+		if *name != "" && *name != s.Name {
+			continue
+		}
+		found = true
+		if !runScenario(ctx, env, s, o, *asJSON) {
+			code = ExitFailed
+		}
+	}
+	if !found {
+		fmt.Fprintf(env.Stderr, "bench: unknown scenario %q\n", *name)
+		return ExitUsage
+	}
+	return code
+}
+
+// runScenario reports whether the scenario ran and met its targets.
+func runScenario(ctx context.Context, env Env, s bench.Scenario, o bench.Options, asJSON bool) bool {
+	report, err := s.Run(ctx, o)
+	if err != nil {
+		fmt.Fprintf(env.Stderr, "bench %s: %v\n", s.Name, err)
+		return false
+	}
+	if asJSON {
+		err = report.WriteJSON(env.Stdout)
+	} else {
+		err = report.WriteTable(env.Stdout)
+	}
+	ok := err == nil
+	for _, c := range report.Checks {
+		ok = ok && c.Met
+	}
+	return ok
+}
