--- a/daemon/bundle/parts.go
+++ b/daemon/bundle/parts.go
@@ -175,3 +175,15 @@
 	}
 	return nil
 }
+
+// Foreign returns the parts of m that this program version does not know. Tools
+// that change a bundle must keep them.
+func (m Manifest) Foreign() map[string]Hash {
+	out := make(map[string]Hash)
+	for name, hash := range m.Parts {
+		if !knownPart(name) {
+			out[name] = hash
+		}
+	}
+	return out
+}
--- a/daemon/ctl/command.go
+++ b/daemon/ctl/command.go
@@ -50,7 +50,9 @@
 }
 
 // groups lists the functions that return the commands of each topic.
-var groups = []func() []Command{}
+var groups = []func() []Command{
+	bundleCommands, operateCommands, explainCommands,
+}
 
 // Main runs the subcommand that args name and returns the exit code.
 func Main(ctx context.Context, args []string) int {
--- a/daemon/distribute/stops.go
+++ b/daemon/distribute/stops.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// stopPrefix is followed by <model>@<version>/<generation>.
-	stopPrefix = "stops/"
+	// KeyStops is followed by <model>@<version>/<generation>.
+	KeyStops = "stops/"
 	// hotRounds is in how many messages a new notice or counter is repeated. With
 	// two peers a round it reaches 350 routers with a wide margin (2^10 > 350).
 	hotRounds = 10
@@ -117,7 +117,7 @@
 }
 
 func stopKey(n *rpc.StopNotice) string {
-	return fmt.Sprintf("%s%s@%s/%d", stopPrefix, n.GetModel(), n.GetVersion(), n.GetGeneration())
+	return fmt.Sprintf("%s%s@%s/%d", KeyStops, n.GetModel(), n.GetVersion(), n.GetGeneration())
 }
 
 // writeStops writes the pending notices and returns whether some remain.
@@ -155,7 +155,7 @@
 func (k *Keeper) ReadStops(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	entries, err := k.cfg.Store.List(ctx, stopPrefix)
+	entries, err := k.cfg.Store.List(ctx, KeyStops)
 	if err != nil {
 		return fmt.Errorf("distribute: read stop notices: %w", err)
 	}
