--- a/daemon/ctl/command.go
+++ b/daemon/ctl/command.go
@@ -53,6 +53,7 @@
 var groups = []func() []Command{
 	emulateCommands,
 	benchCommands,
+	bundleCommands, operateCommands, explainCommands,
 }
 
 // Main runs the subcommand that args name and returns the exit code.
