--- /dev/null
+++ b/daemon/loadgen/loadgen_test.go
@@ -0,0 +1,187 @@
+package loadgen
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cactusknot.example/daemon/emulate"
+)
+
+func testWorkload() Workload {
+	return Workload{
+		Workspaces: []Workspace{{Name: "a", Weight: 3}, {Name: "b", Weight: 1}},
+		Classes: []Class{
+			{Name: "note", Weight: 1, Chat: &Chat{
+				Model: "diary@1", Stream: true, PromptMin: 40, PromptMax: 80, Prefixes: 2, PrefixBytes: 30, Sessions: 3,
+			}},
+			{Name: "whole", Weight: 1, Workspaces: []string{"b"}, Chat: &Chat{Model: "diary@1", PromptMin: 1, PromptMax: 1}},
+		},
+		TimeoutMs: 30000,
+	}
+}
+
+func startEngine(t *testing.T) *emulate.Engine {
+	t.Helper()
+	cfg := emulate.DefaultEngineConfig()
+	cfg.StepUs, cfg.StepPerRequestUs, cfg.PrefillUs, cfg.StartWarm = 50, 1, 0.1, true
+	e, err := emulate.StartEngine("127.0.0.1:0", cfg, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+func testOptions(target string) Options {
+	return Options{Targets: []string{target}, Rate: 400, Duration: 250 * time.Millisecond, Seed: 7, Workload: testWorkload()}
+}
+
+// Guards against complete answers that are reported as faults, and against
+// requests that the report loses.
+func TestRunAgainstEngine(t *testing.T) {
+	e := startEngine(t)
+	r, err := Run(context.Background(), testOptions(e.URL()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.All.Requests == 0 || r.All.Codes[CodeOK] != r.All.Requests {
+		t.Errorf("codes %v of %d requests", r.All.Codes, r.All.Requests)
+	}
+	if n := e.Totals().Completed; n != r.All.Requests || r.All.Served["diary@1"] != n {
+		t.Errorf("engine completed %d, report %+v", n, r.All)
+	}
+	if r.Classes["whole"].Requests+r.Classes["note"].Requests != r.All.Requests {
+		t.Errorf("classes %+v", r.Classes)
+	}
+}
+
+// Guards against streams that are cut without a trace in the report.
+func TestRunCountsCutStreams(t *testing.T) {
+	e := startEngine(t)
+	limit := 1000
+	if err := e.Apply(emulate.EngineFaults{ResetAfterBytes: &limit}); err != nil {
+		t.Fatal(err)
+	}
+	o := testOptions(e.URL())
+	o.Workload.Classes = o.Workload.Classes[:1]
+	r, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.All.Codes[CodeIncomplete] != r.All.Requests || r.Bad() != r.All.Requests {
+		t.Errorf("codes %v of %d requests", r.All.Codes, r.All.Requests)
+	}
+}
+
+// Guards against schedules that differ between runs of one seed.
+func TestScheduleIsDeterministic(t *testing.T) {
+	o := testOptions("http://x")
+	a, b := newSchedule(&o), newSchedule(&o)
+	for range 200 {
+		p, q := a.next(), b.next()
+		if !reflect.DeepEqual(p, q) {
+			t.Fatalf("%+v differs from %+v", p, q)
+		}
+		if p.class.Name == "whole" && p.workspace.Name != "b" {
+			t.Fatalf("workspace %s got a class that it may not use", p.workspace.Name)
+		}
+	}
+}
+
+// Guards against a generator that waits for answers: with the server holding
+// every request, the whole schedule must still start.
+func TestRunIsOpenLoop(t *testing.T) {
+	o := testOptions("")
+	want := 0
+	for s := newSchedule(&Options{Targets: []string{""}, Rate: o.Rate, Seed: o.Seed, Workload: o.Workload}); s.next().at < o.Duration; {
+		want++
+	}
+	arrived := make(chan struct{}, want)
+	release := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer srv.Close()
+	o.Targets = []string{srv.URL}
+	go func() {
+		for range want {
+			<-arrived
+		}
+		close(release)
+	}()
+	r, err := Run(context.Background(), o)
+	if err != nil || r.All.Codes["status_503"] != uint64(want) {
+		t.Errorf("codes %v, want %d refusals: %v", r.All.Codes, want, err)
+	}
+}
+
+// Guards against result codes of a router that are counted as something else.
+func TestRunCountsCodes(t *testing.T) {
+	event := `{"error":{"message":"m","code":"stream_broken","number":4002,"run":"unknown"}}`
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Request-Kind") == "refused" {
+			w.WriteHeader(http.StatusTooManyRequests)
+			_, _ = w.Write([]byte(strings.ReplaceAll(event, "stream_broken", "overloaded")))
+			return
+		}
+		_, _ = w.Write([]byte("data: " + event + "\n\ndata: [DONE]\n\n"))
+	}))
+	defer srv.Close()
+	o := testOptions(srv.URL)
+	o.Workload.Classes[1] = o.Workload.Classes[0]
+	o.Workload.Classes[1].Name, o.Workload.Classes[1].Kind = "refused", "refused"
+	r, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for class, code := range map[string]string{"note": "stream_broken", "refused": "overloaded"} {
+		if g := r.Classes[class]; g.Codes[code] != g.Requests {
+			t.Errorf("%s: codes %v of %d", class, g.Codes, g.Requests)
+		}
+	}
+}
+
+// Guards against incomplete or foreign streams that pass the check.
+func TestStreamChecks(t *testing.T) {
+	const (
+		text   = `data: {"choices":[{"delta":{"content":"x"}}]}` + "\n\n"
+		finish = `data: {"choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\n"
+		usage  = `data: {"choices":[],"usage":{"completion_tokens":1}}` + "\n\n"
+		done   = "data: [DONE]\n\n"
+	)
+	for name, c := range map[string]struct {
+		body string
+		want error
+	}{
+		"complete":        {text + finish + usage + done, nil},
+		"no finish":       {text + usage + done, ErrIncomplete},
+		"no usage":        {text + finish + done, ErrIncomplete},
+		"no end":          {text + finish + usage, ErrIncomplete},
+		"end is cut":      {text + finish + usage + "data: [DONE]\n", ErrIncomplete},
+		"two finishes":    {text + finish + finish + usage + done, ErrWrongAnswer},
+		"text after end":  {text + finish + text + usage + done, ErrWrongAnswer},
+		"event after end": {text + finish + usage + done + text, ErrWrongAnswer},
+		"not JSON":        {"data: {\n\n" + done, ErrWrongAnswer},
+	} {
+		a, err := readStream(strings.NewReader(c.body), func() {}, func() {})
+		if err == nil {
+			err = a.check()
+		}
+		if !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+		if _, err := a.checkMarker("p"); !errors.Is(err, ErrWrongAnswer) {
+			t.Errorf("%s: a text without a marker passed", name)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/loadgen/run.go
@@ -0,0 +1,142 @@
+package loadgen
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Bounds of the generator.
+const (
+	// defaultMaxInFlight bounds the memory of a run against a system that does
+	// not answer: some 50 KB for each request in flight.
+	defaultMaxInFlight = 20000
+	idleConnsPerHost   = 1024
+)
+
+// Options of a run.
+type Options struct {
+	// Targets are base URLs; each request goes to one of them at random.
+	Targets []string
+	// Rate is the mean number of requests per second.
+	Rate float64
+	// Duration is the time during which requests start. The run ends when the
+	// last of them has ended.
+	Duration time.Duration
+	// Seed determines the schedule and the content of the requests.
+	Seed     uint64
+	Workload Workload
+	// Client sends the requests; nil means a client without TLS settings.
+	Client *http.Client
+	// MaxInFlight bounds the requests in flight; requests beyond it are counted
+	// as CodeNotSent. 0 means 20,000.
+	MaxInFlight int
+	// OnResult receives each result, also those not sent, from many goroutines;
+	// nil means none.
+	OnResult func(Result)
+}
+
+func (o *Options) check() error {
+	if len(o.Targets) == 0 || o.Rate <= 0 || o.Duration <= 0 {
+		return trace.BadParameter("want a target, a rate above 0 and a duration above 0")
+	}
+	return trace.Wrap(o.Workload.check())
+}
+
+// NewClient returns a client that keeps enough idle connections for an open-loop
+// load. Transport may be nil or a base with TLS settings.
+func NewClient(transport *http.Transport) *http.Client {
+	if transport == nil {
+		transport = &http.Transport{}
+	}
+	transport.MaxIdleConns = 0
+	transport.MaxIdleConnsPerHost = idleConnsPerHost
+	return &http.Client{Transport: transport}
+}
+
+// Run sends the load and returns the report. When ctx ends, no further requests
+// start and those in flight are cancelled; the report covers what was sent.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if err := o.check(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if o.MaxInFlight <= 0 {
+		o.MaxInFlight = defaultMaxInFlight
+	}
+	if o.Client == nil {
+		o.Client = NewClient(nil)
+		defer o.Client.CloseIdleConnections()
+	}
+	r := &run{
+		opts:   o,
+		record: newRecorder(),
+		slots:  make(chan struct{}, o.MaxInFlight),
+		sender: &sender{
+			client:  o.Client,
+			timeout: o.Workload.timeout(),
+			started: time.Now(),
+			tokens:  map[string]string{},
+		},
+	}
+	r.start(ctx)
+	r.wait.Wait()
+	return r.record.report(o, time.Since(r.sender.started)), nil
+}
+
+// run is a run in progress.
+type run struct {
+	opts   Options
+	record *recorder
+	sender *sender
+	slots  chan struct{}
+	wait   sync.WaitGroup
+}
+
+// start starts the requests of the schedule at their times.
+func (r *run) start(ctx context.Context) {
+	s := newSchedule(&r.opts)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		p := s.next()
+		if p.at >= r.opts.Duration {
+			return
+		}
+		timer.Reset(p.at - time.Since(r.sender.started))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+		r.launch(ctx, p)
+	}
+}
+
+func (r *run) launch(ctx context.Context, p plan) {
+	select {
+	case r.slots <- struct{}{}:
+	default:
+		r.finish(Result{
+			Number: p.number, Class: p.class.Name, Workspace: p.workspace.Name,
+			Ref: p.ref, At: p.at, Code: CodeNotSent,
+		})
+		return
+	}
+	r.wait.Add(1)
+	go func() {
+		defer r.wait.Done()
+		res := r.sender.send(ctx, p)
+		<-r.slots
+		r.finish(res)
+	}()
+}
+
+func (r *run) finish(res Result) {
+	r.record.add(res)
+	if r.opts.OnResult != nil {
+		r.opts.OnResult(res)
+	}
+}
--- /dev/null
+++ b/daemon/loadgen/workload.go
@@ -0,0 +1,168 @@
+package loadgen
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cactusknot.example/daemon/emulate"
+)
+
+// ErrWorkload: the workload breaks a rule.
+var ErrWorkload = errors.New("loadgen: bad workload")
+
+// defaultTimeout bounds a request whose workload sets no timeout.
+const defaultTimeout = 60 * time.Second
+
+// Workload describes the mix of requests.
+type Workload struct {
+	Workspaces []Workspace `json:"workspaces"`
+	Classes    []Class     `json:"classes"`
+	// TimeoutMs bounds a request from its start; 0 means 60 s.
+	TimeoutMs int `json:"timeout_ms,omitempty"`
+}
+
+// Workspace is a caller.
+type Workspace struct {
+	Name string `json:"name"`
+	// Key is the API key; empty sends none, as for a bare engine.
+	Key string `json:"key,omitempty"`
+	// Weight is the workspace's share of the requests, relative to the others.
+	Weight float64 `json:"weight"`
+}
+
+// KeyMode tells where the idempotency key of a request comes from.
+type KeyMode string
+
+// Values of KeyMode.
+const (
+	// KeyNone: the request carries no key.
+	KeyNone KeyMode = ""
+	// KeyOwn: the caller makes a UUIDv7.
+	KeyOwn KeyMode = "own"
+	// KeyAsked: the caller asks the router for a key first.
+	KeyAsked KeyMode = "asked"
+)
+
+// Class is a kind of request with its share of the mix.
+type Class struct {
+	Name string `json:"name"`
+	// Weight is the class's share of the requests, relative to the others.
+	Weight float64 `json:"weight"`
+	// Workspaces limits the class to some workspaces; empty means all.
+	Workspaces []string `json:"workspaces,omitempty"`
+	// Chat or Service is set, not both.
+	Chat    *Chat    `json:"chat,omitempty"`
+	Service *Service `json:"service,omitempty"`
+	// Kind is sent as X-Request-Kind.
+	Kind string `json:"kind,omitempty"`
+	// DeadlineMs is sent as X-Deadline-Ms; 0 sends none.
+	DeadlineMs int     `json:"deadline_ms,omitempty"`
+	Key        KeyMode `json:"key,omitempty"`
+}
+
+// Chat is a chat-completions request.
+type Chat struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+	// PromptMin and PromptMax bound the bytes of the prompt.
+	PromptMin int `json:"prompt_min"`
+	PromptMax int `json:"prompt_max"`
+	// Prefixes is the number of distinct prompt beginnings of PrefixBytes each;
+	// 0 means that prompts share none.
+	Prefixes    int `json:"prefixes,omitempty"`
+	PrefixBytes int `json:"prefix_bytes,omitempty"`
+	// MaxTokens is sent as max_tokens; 0 sends none.
+	MaxTokens int `json:"max_tokens,omitempty"`
+	// Sessions is the number of sessions of each workspace, among which the
+	// requests are spread; 0 means that requests belong to no session.
+	Sessions int `json:"sessions,omitempty"`
+	Priority int `json:"priority,omitempty"`
+	// ReadPauseMs is the pause of a slow reader after each event of a stream.
+	ReadPauseMs int `json:"read_pause_ms,omitempty"`
+	// NoMarker turns off the check of the answer's marker, for backend servers
+	// that are not the engine emulator.
+	NoMarker bool `json:"no_marker,omitempty"`
+}
+
+// Service is a call of a plain service.
+type Service struct {
+	// Name is the service; empty calls the path directly, without a router.
+	Name   string `json:"name,omitempty"`
+	Method string `json:"method"`
+	// Path is the path within the service, such as "bookings".
+	Path string `json:"path"`
+}
+
+// ReadWorkload decodes and checks a workload; unknown fields are refused.
+func ReadWorkload(r io.Reader) (Workload, error) {
+	var w Workload
+	if err := emulate.DecodeStrict(r, &w); err != nil {
+		return Workload{}, trace.Wrap(err)
+	}
+	return w, trace.Wrap(w.check())
+}
+
+func (w Workload) timeout() time.Duration {
+	if w.TimeoutMs <= 0 {
+		return defaultTimeout
+	}
+	return time.Duration(w.TimeoutMs) * time.Millisecond
+}
+
+func (w Workload) check() error {
+	names := map[string]bool{}
+	for _, ws := range w.Workspaces {
+		if ws.Name == "" || names[ws.Name] || ws.Weight <= 0 {
+			return trace.Wrap(ErrWorkload, "workspace %q: want a unique name and a weight above 0", ws.Name)
+		}
+		names[ws.Name] = true
+	}
+	if len(w.Workspaces) == 0 || len(w.Classes) == 0 {
+		return trace.Wrap(ErrWorkload, "want at least one workspace and one class")
+	}
+	classes := map[string]bool{}
+	for _, c := range w.Classes {
+		if classes[c.Name] {
+			return trace.Wrap(ErrWorkload, "class %q is listed twice", c.Name)
+		}
+		classes[c.Name] = true
+		if err := c.check(names); err != nil {
+			return trace.Wrap(err, "class %q", c.Name)
+		}
+	}
+	return nil
+}
+
+func (c Class) check(workspaces map[string]bool) error {
+	for _, name := range c.Workspaces {
+		if !workspaces[name] {
+			return trace.Wrap(ErrWorkload, "unknown workspace %q", name)
+		}
+	}
+	if c.Name == "" || c.Weight <= 0 || (c.Chat == nil) == (c.Service == nil) {
+		return trace.Wrap(ErrWorkload, "want a name, a weight above 0 and one of chat and service")
+	}
+	if c.Key != KeyNone && c.Key != KeyOwn && c.Key != KeyAsked {
+		return trace.Wrap(ErrWorkload, "unknown key mode %q", c.Key)
+	}
+	if c.Service != nil && (c.Service.Method == "" || c.Service.Path == "") {
+		return trace.Wrap(ErrWorkload, "want method and path of the service")
+	}
+	if c.Chat != nil {
+		return c.Chat.check()
+	}
+	return nil
+}
+
+func (c Chat) check() error {
+	if c.Model == "" || c.PromptMin < 1 || c.PromptMax < c.PromptMin {
+		return trace.Wrap(ErrWorkload, "want a model and 1 <= prompt_min <= prompt_max")
+	}
+	if c.Prefixes > 0 && (c.PrefixBytes < 1 || c.PrefixBytes > c.PromptMin) {
+		return trace.Wrap(ErrWorkload, "want 1 <= prefix_bytes <= prompt_min")
+	}
+	return nil
+}
