--- a/daemon/emulate/batch.go
+++ b/daemon/emulate/batch.go
@@ -30,14 +30,14 @@
 // paused reports whether the reader is so far behind that the sequence waits.
 func (s *sequence) paused() bool { return len(s.out) == cap(s.out) }
 
-// submit adds a sequence to the waiting queue. It returns false when the engine
-// then holds more requests than it can handle.
-func (e *Engine) submit(s *sequence) bool {
+// submit adds a sequence to the waiting queue. It returns the epoch, and false
+// when the engine then holds more requests than it can handle.
+func (e *Engine) submit(s *sequence) (uint64, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.crashed {
 		s.end()
-		return true
+		return e.epoch, true
 	}
 	e.arrivals++
 	s.arrival = e.arrivals
@@ -47,13 +47,13 @@
 	e.totals.MaxHeld = max(e.totals.MaxHeld, held)
 	if held > e.maxHeldLocked() {
 		e.totals.Overloads++
-		return false
+		return e.epoch, false
 	}
 	select {
 	case e.wake <- struct{}{}:
 	default:
 	}
-	return true
+	return e.epoch, true
 }
 
 // cancel takes a sequence out of the engine when its connection has closed.
--- a/daemon/emulate/engine.go
+++ b/daemon/emulate/engine.go
@@ -157,11 +157,21 @@
 	e.log.Info().Uint64("epoch", e.epoch).Msg("engine restarted cold")
 }
 
+// Crash ends all requests and refuses connections for d, or until Reopen when d
+// is zero. The engine then starts cold in a new epoch.
+func (e *Engine) Crash(d time.Duration) {
+	e.mu.Lock()
+	epoch := e.epoch
+	e.mu.Unlock()
+	e.crash(epoch, d, "ordered")
+}
+
 // crash ends all requests and refuses connections for d; zero means until
-// Reopen. An engine that is down already stays so.
-func (e *Engine) crash(d time.Duration, reason string) {
+// Reopen. It does nothing when the engine is down or no longer in epoch: of
+// several requests that overload one epoch, only the first may have an effect.
+func (e *Engine) crash(epoch uint64, d time.Duration, reason string) {
 	e.mu.Lock()
-	if e.crashed {
+	if e.crashed || e.epoch != epoch {
 		e.mu.Unlock()
 		return
 	}
--- a/daemon/emulate/engine_config.go
+++ b/daemon/emulate/engine_config.go
@@ -1,6 +1,7 @@
 package emulate
 
 import (
+	"bytes"
 	"strings"
 	"time"
 
@@ -102,6 +103,22 @@
 	}
 }
 
+// UnmarshalJSON decodes strictly over the present settings. A list of models
+// replaces the present one; encoding/json would decode its entries over the
+// present entries and keep their fields.
+func (c *EngineConfig) UnmarshalJSON(b []byte) error {
+	type plain EngineConfig
+	models := c.Models
+	c.Models = nil
+	if err := DecodeStrict(bytes.NewReader(b), (*plain)(c)); err != nil {
+		return trace.Wrap(err)
+	}
+	if c.Models == nil {
+		c.Models = models
+	}
+	return nil
+}
+
 // Roles of an engine.
 const (
 	RoleBoth    = "both"
--- a/daemon/emulate/engine_faults.go
+++ b/daemon/emulate/engine_faults.go
@@ -64,7 +64,7 @@
 		e.host.StopReading(ms(*f.StopReadingMs))
 	}
 	if f.CrashMs != nil {
-		e.crash(ms(*f.CrashMs), "fault")
+		e.Crash(ms(*f.CrashMs))
 	}
 	return nil
 }
--- a/daemon/emulate/engine_http.go
+++ b/daemon/emulate/engine_http.go
@@ -146,8 +146,8 @@
 	if status != http.StatusOK {
 		return fail(c, status, "engine_error", why)
 	}
-	if !e.submit(w.seq) {
-		e.crash(ms(e.cfg.RestartMs), "more requests than the engine can hold")
+	if epoch, ok := e.submit(w.seq); !ok {
+		e.crash(epoch, ms(e.cfg.RestartMs), "more requests than the engine can hold")
 	}
 	defer e.cancel(w.seq)
 	out := e.limitBytes(c)
--- a/daemon/emulate/engine_test.go
+++ b/daemon/emulate/engine_test.go
@@ -156,6 +156,21 @@
 	eventually(t, "request cancelled", func() bool { return e.Totals().Cancelled == 1 })
 }
 
+// Guards against settings whose models inherit fields of the default model, and
+// against unknown settings that pass.
+func TestEngineConfigReplacesModels(t *testing.T) {
+	cfg := DefaultEngineConfig()
+	if err := DecodeStrict(strings.NewReader(`{"models":[{"id":"x@1"}]}`), &cfg); err != nil {
+		t.Fatal(err)
+	}
+	if m := cfg.Models[0]; len(cfg.Models) != 1 || m.Loaded || m.Quality != 0 || cfg.BatchLimit == 0 {
+		t.Errorf("settings %+v", cfg)
+	}
+	if err := DecodeStrict(strings.NewReader(`{"modles":[]}`), &cfg); err == nil {
+		t.Error("an unknown setting passed")
+	}
+}
+
 // Guards against a waiting queue that ignores priority.
 func TestEngineFillsByPriority(t *testing.T) {
 	e := &Engine{cfg: EngineConfig{BatchLimit: 2}}
--- a/daemon/loadgen/loadgen_test.go
+++ b/daemon/loadgen/loadgen_test.go
@@ -81,6 +81,48 @@
 	}
 }
 
+// Guards against requests that an engine loses or counts twice while it crashes,
+// freezes and falls over, and against requests without a result.
+func TestRunThroughCrashes(t *testing.T) {
+	cfg := emulate.DefaultEngineConfig()
+	cfg.StepUs, cfg.StepPerRequestUs, cfg.BatchLimit, cfg.MaxHeld, cfg.RestartMs = 300, 10, 4, 12, 5
+	cfg.ColdMaxHeld = 6
+	e, err := emulate.StartEngine("127.0.0.1:0", cfg, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	o := testOptions(e.URL())
+	o.OnResult = func(r Result) {
+		if r.Number%40 == 10 {
+			e.Crash(3 * time.Millisecond)
+		}
+		if r.Number%40 == 30 {
+			freeze := 5
+			_ = e.Apply(emulate.EngineFaults{FreezeMs: &freeze})
+		}
+	}
+	r, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var sum uint64
+	for _, n := range r.All.Codes {
+		sum += n
+	}
+	if sum != r.All.Requests || r.All.Codes[CodeWrongAnswer] != 0 {
+		t.Errorf("codes %v of %d requests", r.All.Codes, r.All.Requests)
+	}
+	// A caller may see its end before the engine has seen the closed connection.
+	for range 2000 {
+		if n := e.Totals(); n.Accepted == n.Completed+n.Cancelled {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Errorf("totals %+v: accepted requests are neither completed nor cancelled", e.Totals())
+}
+
 // Guards against schedules that differ between runs of one seed.
 func TestScheduleIsDeterministic(t *testing.T) {
 	o := testOptions("http://x")
--- a/daemon/loadgen/report.go
+++ b/daemon/loadgen/report.go
@@ -38,7 +38,8 @@
 	// Quality is the mean stated quality of the complete answers that have a
 	// marker; 0 when there are none.
 	Quality float64 `json:"quality,omitempty"`
-	// FirstToken and Total cover complete answers, from the intended start.
+	// FirstToken covers complete streamed answers and Total all complete answers,
+	// both from the intended start.
 	FirstToken Latency `json:"first_token"`
 	Total      Latency `json:"total"`
 }
--- a/daemon/loadgen/send.go
+++ b/daemon/loadgen/send.go
@@ -58,7 +58,8 @@
 	Model   string
 	Quality float64
 	// At is the intended start from the start of the run. FirstToken and Total
-	// count from it; FirstToken is 0 when no token arrived.
+	// count from it; FirstToken is 0 when no token arrived and for answers that
+	// are not streamed.
 	At         time.Duration
 	FirstToken time.Duration
 	Total      time.Duration
@@ -289,7 +290,6 @@
 		a, err = readStream(resp.Body, first, pauser(p.class.Chat.ReadPauseMs))
 	} else {
 		a, err = readWhole(resp.Body)
-		r.FirstToken = s.since(p)
 	}
 	if a.err != nil {
 		r.fail(*a.err)
