--- a/daemon/ctl/command.go
+++ b/daemon/ctl/command.go
@@ -54,6 +54,7 @@
 	emulateCommands,
 	benchCommands,
 	bundleCommands, operateCommands, explainCommands,
+	loadCommands,
 }
 
 // Main runs the subcommand that args name and returns the exit code.
