--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -12,7 +12,6 @@
 
 	"github.com/go-playground/validator/v10"
 
-	"cactusknot.example/daemon/bundle"
 	"cactusknot.example/daemon/strict"
 )
 
@@ -29,7 +28,7 @@
 	TLS         TLS      `json:"tls"`
 	Platform    Platform `json:"platform"`
 	// RootKeys are the Ed25519 public keys that sign the operators' keys.
-	RootKeys []bundle.OperatorKey `json:"root_keys" validate:"required,min=1,dive"`
+	RootKeys []RootKey `json:"root_keys" validate:"required,min=1,dive"`
 	// RootSignOffs is how many root keys must sign. Default 1.
 	RootSignOffs int `json:"root_sign_offs" validate:"min=0"`
 	// Peers are internal addresses asked for the configuration at start.
@@ -39,6 +38,13 @@
 	FatalInvariants bool `json:"fatal_invariants"`
 }
 
+// RootKey is a root key with its holder's name.
+type RootKey struct {
+	Name string `json:"name" validate:"required"`
+	// PublicKey is standard base64.
+	PublicKey string `json:"public_key" validate:"required,base64"`
+}
+
 // TLS names the PEM files of this process.
 type TLS struct {
 	CA   string `json:"ca" validate:"required"`
--- a/daemon/ctl/bench.go
+++ b/daemon/ctl/bench.go
@@ -5,7 +5,7 @@
 	"flag"
 	"fmt"
 
-	"cactusknot.example/daemon/bench"
+	benchmark "cactusknot.example/daemon/bench"
 )
 
 func benchCommands() []Command {
@@ -23,12 +23,12 @@
 	if err := flags.Parse(args); err != nil {
 		return ExitUsage
 	}
-	o := bench.Options{Scale: *scale, Deployment: *deployment}
+	o := benchmark.Options{Scale: *scale, Deployment: *deployment}
 	for i := range *seeds {
 		o.Seeds = append(o.Seeds, uint64(i+1))
 	}
 	code, found := ExitOK, false
-	for _, s := range bench.Scenarios() {
+	for _, s := range benchmark.Scenarios() {
 		if *name != "" && *name != s.Name {
 			continue
 		}
@@ -45,7 +45,7 @@
 }
 
 // runScenario reports whether the scenario ran and met its targets.
-func runScenario(ctx context.Context, env Env, s bench.Scenario, o bench.Options, asJSON bool) bool {
+func runScenario(ctx context.Context, env Env, s benchmark.Scenario, o benchmark.Options, asJSON bool) bool {
 	report, err := s.Run(ctx, o)
 	if err != nil {
 		fmt.Fprintf(env.Stderr, "bench %s: %v\n", s.Name, err)
--- a/daemon/ctl/command.go
+++ b/daemon/ctl/command.go
@@ -52,6 +52,7 @@
 // groups lists the functions that return the commands of each topic.
 var groups = []func() []Command{
 	emulateCommands,
+	demoCommands,
 	benchCommands,
 	bundleCommands, operateCommands, explainCommands,
 	loadCommands,
--- a/daemon/ctl/session.go
+++ b/daemon/ctl/session.go
@@ -16,13 +16,11 @@
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/bundle"
 	"cactusknot.example/daemon/distribute"
+	"cactusknot.example/daemon/platform"
 )
 
-// OpenStore opens the store at a URL. It is set by the program that links a
-// store client.
-var OpenStore = func(url string) (kv.Store, error) {
-	return nil, fmt.Errorf("no store client for %q in this program", url)
-}
+// OpenStore opens the store at a URL. Tests replace it.
+var OpenStore = func(url string) (kv.Store, error) { return platform.NewStore(url), nil }
 
 const (
 	// toolTimeout bounds a command that uses the store.
--- /dev/null
+++ b/daemon/fleet/process.go
@@ -0,0 +1,273 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Process is one process of a fleet.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan error
+}
+
+// Tool runs cactusctl and returns its standard output. The error holds what the
+// command printed to standard error.
+func (f *Fleet) Tool(ctx context.Context, args ...string) ([]byte, error) {
+	var out, errs bytes.Buffer
+	cmd := exec.CommandContext(ctx, f.spec.Tool, args...)
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	if err := cmd.Run(); err != nil {
+		return out.Bytes(), fmt.Errorf("cactusctl %s: %w: %s%s", args[0], err, errs.String(), out.String())
+	}
+	return out.Bytes(), nil
+}
+
+// StartPlatform starts the emulators of the platform and of all backend servers.
+func (f *Fleet) StartPlatform() error {
+	if err := f.StartStore(); err != nil {
+		return err
+	}
+	if err := f.startEmulator(VMs, "vms", f.addresses[VMs], f.vmList()); err != nil {
+		return err
+	}
+	if err := f.startEmulator(Rating, "rating", f.addresses[Rating], nil); err != nil {
+		return err
+	}
+	if err := f.startEmulator(Weights, "weights", f.addresses[Weights], nil); err != nil {
+		return err
+	}
+	for _, a := range f.spec.Agents {
+		if err := f.StartBackend(a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartStore starts the emulated store, empty.
+func (f *Fleet) StartStore() error { return f.startEmulator(Store, "store", f.addresses[Store], nil) }
+
+// StartBackend starts the backend server of an agent.
+func (f *Fleet) StartBackend(a AgentSpec) error {
+	name := a.VM + suffixBackend
+	if a.Service != nil {
+		return f.startEmulator(name, "service", f.addresses[name], a.Service)
+	}
+	return f.startEmulator(name, "engine", f.addresses[name], a.Engine)
+}
+
+func (f *Fleet) startEmulator(name, kind, address string, settings any) error {
+	args := []string{"emulate", kind, "-listen", address}
+	if settings != nil {
+		file := f.path(fileName(name) + "-emulator.json")
+		if err := writeJSON(file, settings); err != nil {
+			return trace.Wrap(err)
+		}
+		args = append(args, "-config", file)
+	}
+	return f.start(name, f.spec.Tool, args...)
+}
+
+// StartRouter starts a router.
+func (f *Fleet) StartRouter(r RouterSpec) error {
+	file := f.path(r.VM + ".json")
+	if err := writeJSON(file, f.routerSettings(r)); err != nil {
+		return trace.Wrap(err)
+	}
+	return f.start(r.VM, f.spec.Daemon, "router", "-config", file)
+}
+
+// StartAgent starts an agent.
+func (f *Fleet) StartAgent(a AgentSpec) error {
+	file := f.path(a.VM + ".json")
+	if err := writeJSON(file, f.agentSettings(a)); err != nil {
+		return trace.Wrap(err)
+	}
+	return f.start(a.VM, f.spec.Daemon, "agent", "-config", file)
+}
+
+// StartDaemons starts all agents and routers.
+func (f *Fleet) StartDaemons() error {
+	for _, a := range f.spec.Agents {
+		if err := f.StartAgent(a); err != nil {
+			return err
+		}
+	}
+	for _, r := range f.spec.Routers {
+		if err := f.StartRouter(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Start starts everything, puts the bundle in force and waits until all daemons
+// are ready.
+func (f *Fleet) Start(ctx context.Context) error {
+	if err := f.StartPlatform(); err != nil {
+		return err
+	}
+	if err := f.waitListening(ctx, Store, VMs); err != nil {
+		return err
+	}
+	if err := f.Propose(ctx); err != nil {
+		return err
+	}
+	if err := f.StartDaemons(); err != nil {
+		return err
+	}
+	return f.WaitReady(ctx)
+}
+
+// waitListening blocks until the named processes accept connections.
+func (f *Fleet) waitListening(ctx context.Context, names ...string) error {
+	for _, name := range names {
+		err := f.poll(ctx, name+" listens", func() bool {
+			conn, err := net.Dial("tcp", f.addresses[name])
+			if err != nil {
+				return false
+			}
+			_ = conn.Close()
+			return true
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// start runs a program with its output in a log file. A process that runs under
+// the name already must have ended.
+func (f *Fleet) start(name, program string, args ...string) error {
+	log, err := os.OpenFile(f.LogFile(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		_ = log.Close()
+		return trace.Wrap(err)
+	}
+	p := &Process{Name: name, cmd: cmd, log: log, done: make(chan error, 1)}
+	go func() {
+		p.done <- cmd.Wait()
+		_ = log.Close()
+	}()
+	f.processes[name] = p
+	return nil
+}
+
+// LogFile returns the path of a process's log.
+func (f *Fleet) LogFile(name string) string { return f.path(fileName(name) + ".log") }
+
+func fileName(name string) string {
+	return string(bytes.ReplaceAll([]byte(name), []byte("/"), []byte("-")))
+}
+
+// Signal sends a signal to one process.
+func (f *Fleet) Signal(name string, signal syscall.Signal) error {
+	p, ok := f.processes[name]
+	if !ok {
+		return trace.NotFound("process %s", name)
+	}
+	return trace.ConvertSystemError(p.cmd.Process.Signal(signal))
+}
+
+// Wait blocks until a process has ended or ctx ends, and returns its exit error.
+func (f *Fleet) Wait(ctx context.Context, name string) error {
+	p, ok := f.processes[name]
+	if !ok {
+		return trace.NotFound("process %s", name)
+	}
+	select {
+	case err := <-p.done:
+		delete(f.processes, name)
+		return err
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	}
+}
+
+// Kill ends a process at once and waits for its end.
+func (f *Fleet) Kill(ctx context.Context, name string) error {
+	if err := f.Signal(name, syscall.SIGKILL); err != nil {
+		return err
+	}
+	_ = f.Wait(ctx, name)
+	return nil
+}
+
+// BackendName returns the name of an agent's backend server process.
+func BackendName(vm string) string { return vm + suffixBackend }
+
+// WaitReady blocks until all daemons answer their readiness check with success.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, a := range f.spec.Agents {
+		if err := f.WaitReadyVM(ctx, a.VM); err != nil {
+			return err
+		}
+	}
+	for _, r := range f.spec.Routers {
+		if err := f.WaitReadyVM(ctx, r.VM); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitReadyVM blocks until the daemon of a VM is ready.
+func (f *Fleet) WaitReadyVM(ctx context.Context, vm string) error {
+	return f.poll(ctx, vm+" is ready", func() bool { return statusOK(ctx, f.Admin(vm)+"/readyz") })
+}
+
+// poll calls check until it returns true.
+func (f *Fleet) poll(ctx context.Context, what string, check func() bool) error {
+	const interval = 20 * time.Millisecond
+	for !check() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("waiting until %s: %w", what, ctx.Err())
+		case <-time.After(interval):
+		}
+	}
+	return nil
+}
+
+func statusOK(ctx context.Context, url string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Close ends all processes that still run.
+func (f *Fleet) Close() {
+	for _, p := range f.processes {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+	}
+	for name, p := range f.processes {
+		<-p.done
+		delete(f.processes, name)
+	}
+}
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -80,7 +80,10 @@
 
 // Configure creates the keeper of the configuration.
 func (n *Node) Configure(hooks Hooks) {
-	anchor := bundle.Anchor{Roots: n.Settings.RootKeys, SignOffs: max(n.Settings.RootSignOffs, 1)}
+	anchor := bundle.Anchor{SignOffs: max(n.Settings.RootSignOffs, 1)}
+	for _, key := range n.Settings.RootKeys {
+		anchor.Roots = append(anchor.Roots, bundle.OperatorKey{Name: key.Name, PublicKey: key.PublicKey})
+	}
 	n.Keeper = distribute.New(distribute.Config{
 		Self:     n.self(),
 		Anchor:   anchor,
