--- a/daemon/bench/queueing/record.go
+++ b/daemon/bench/queueing/record.go
@@ -24,6 +24,15 @@
 	duplicates     int
 	outcomes       [4]int
 	samples        []sample
+	// dispatches are the times of all attempts, admissions those of admissions.
+	dispatches []time.Duration
+	admissions []admission
+}
+
+// admission is one admitted request.
+type admission struct {
+	at time.Duration
+	dc int
 }
 
 // sample is the end of one request.
@@ -111,13 +120,14 @@
 	return c
 }
 
-// p99WithFailures returns the p99 of the total latency in [from, to), where a
-// request that was not answered counts as longer than any other.
+// p99WithFailures returns the p99 of the total latency of requests that ended in
+// [from, to), where a request that was not answered counts as longer than any
+// other.
 func (r *record) p99WithFailures(from, to time.Duration) time.Duration {
 	const failed = time.Hour
 	var all []time.Duration
 	for _, s := range r.samples {
-		if s.arrived < from || s.arrived >= to {
+		if ended := s.arrived + s.total; ended < from || ended >= to {
 			continue
 		}
 		if s.outcome != outcomeDone {
@@ -149,3 +159,31 @@
 	slices.Sort(sorted)
 	return Spread{Median: sorted[len(sorted)/2], Min: sorted[0], Max: sorted[len(sorted)-1]}
 }
+
+// admittedIn counts the admissions in a data centre in [from, to).
+func (r *record) admittedIn(dc int, from, to time.Duration) int {
+	count := 0
+	for _, a := range r.admissions {
+		if a.dc == dc && a.at >= from && a.at < to {
+			count++
+		}
+	}
+	return count
+}
+
+// worstAmplification returns the largest ratio of attempts to arrivals of a
+// window in [from, to).
+func (r *record) worstAmplification(from, to time.Duration) float64 {
+	worst := 0.0
+	for at := from; at+recoveryWindow <= to; at += recoveryWindow {
+		attempts := 0
+		for _, d := range r.dispatches {
+			if d >= at && d < at+recoveryWindow {
+				attempts++
+			}
+		}
+		arrivals := r.counts(at, at+recoveryWindow).Requests
+		worst = max(worst, float64(attempts)/float64(max(arrivals, 1)))
+	}
+	return worst
+}
--- a/daemon/bench/queueing/request.go
+++ b/daemon/bench/queueing/request.go
@@ -66,6 +66,7 @@
 	s := c.servers[index]
 	q.attempts++
 	c.record.attempts++
+	c.record.dispatches = append(c.record.dispatches, c.loop.now)
 	q.tried = append(q.tried, s.vm)
 	a := &attempt{request: q, number: q.attempts, server: s, at: c.loop.now}
 	q.current = a
@@ -97,6 +98,7 @@
 		return
 	}
 	a.permit = permit
+	c.record.admissions = append(c.record.admissions, admission{at: c.loop.now, dc: s.dc})
 	a.sequence = &sequence{lengths: l, first: a.first, done: a.done, failed: a.failed}
 	s.engine.submit(a.sequence)
 }
--- a/daemon/bench/queueing/router.go
+++ b/daemon/bench/queueing/router.go
@@ -135,3 +135,8 @@
 	}
 	return a.Phase == limit.Cold || a.Phase == limit.Warm
 }
+
+// exclude puts a data centre out of service or back for this router.
+func (r *router) exclude(dc int, out bool) {
+	r.exclusion = balance.Exclusion{DataCentres: map[string]bool{fmt.Sprintf("dc-%d", dc): out}}
+}
--- a/daemon/bench/queueing/scenario_bench_test.go
+++ b/daemon/bench/queueing/scenario_bench_test.go
@@ -5,10 +5,36 @@
 	"flag"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
 
+// workers bounds the seeds that run at once.
+const workers = 3
+
+// eachSeed runs a scenario for all seeds and returns the results in seed order.
+func eachSeed[T any](b *testing.B, run func(context.Context, uint64) ([]T, error)) [][]T {
+	out := make([][]T, *seeds)
+	errs := make([]error, *seeds)
+	slots := make(chan struct{}, workers)
+	var wait sync.WaitGroup
+	for i := range *seeds {
+		wait.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			out[i], errs[i] = run(context.Background(), uint64(i+1))
+		})
+	}
+	wait.Wait()
+	for i, err := range errs {
+		if err != nil {
+			b.Fatalf("seed %d: %v", i+1, err)
+		}
+	}
+	return out
+}
+
 var seeds = flag.Int("seeds", 5, "number of seeds of each scenario")
 
 // table collects figures by row and column over seeds.
@@ -52,11 +78,7 @@
 func BenchmarkLatency(b *testing.B) {
 	for _, d := range deployments() {
 		var t table
-		for seed := range *seeds {
-			results, err := NewLatency(d).Run(context.Background(), uint64(seed+1))
-			if err != nil {
-				b.Fatal(err)
-			}
+		for _, results := range eachSeed(b, NewLatency(d).Run) {
 			var roundRobin LatencyResult
 			for _, r := range results {
 				if r.Policy == "round robin" {
@@ -83,3 +105,49 @@
 			"not served %", "amplification", "falls", "false colds", "violations")
 	}
 }
+
+func BenchmarkDataCentre(b *testing.B) {
+	for _, d := range deployments() {
+		var t table
+		for _, results := range eachSeed(b, NewDataCentre(d).Run) {
+			for _, r := range results {
+				t.add(r.Policy, "in time %", r.InTime())
+				t.add(r.Policy, "not served leaving", float64(r.Leaving.Requests-r.Leaving.InTime))
+				t.add(r.Policy, "not served returning", float64(r.Returning.Requests-r.Returning.InTime))
+				t.add(r.Policy, "p99 leaving ms", ms(r.LeavingTotal.P99))
+				t.add(r.Policy, "p99 returning ms", ms(r.ReturningTotal.P99))
+				t.add(r.Policy, "lost+duplicates", float64(r.Lost+r.Duplicates))
+				t.add(r.Policy, "admitted late", float64(r.AdmittedLate))
+				t.add(r.Policy, "falls", float64(r.Falls))
+				t.add(r.Policy, "amplification", r.Amplification)
+				t.add(r.Policy, "violations", float64(r.Violations))
+			}
+		}
+		t.print("data centre leaves and returns, "+d.Name, "in time %", "not served leaving", "not served returning", "p99 leaving ms",
+			"p99 returning ms", "lost+duplicates", "admitted late", "falls", "amplification", "violations")
+	}
+}
+
+func BenchmarkRecovery(b *testing.B) {
+	for _, d := range deployments() {
+		for name, scenario := range map[string]Recovery{"crash": NewCrash(d), "30% replaced": NewReplacement(d), "30% replaced, overload": NewOverload(d)} {
+			var t table
+			for _, results := range eachSeed(b, scenario.Run) {
+				for _, r := range results {
+					t.add(r.Policy, "to normal s", r.TimeToNormal.Seconds())
+					t.add(r.Policy, "not served", float64(r.Counts.Requests-r.Counts.InTime))
+					t.add(r.Policy, "refused", float64(r.Counts.Refused))
+					t.add(r.Policy, "broken", float64(r.Counts.Broken))
+					t.add(r.Policy, "timed out", float64(r.Counts.TimedOut))
+					t.add(r.Policy, "amplification", r.Amplification)
+					t.add(r.Policy, "worst 5 s", r.WorstAmplification)
+					t.add(r.Policy, "lost+duplicates", float64(r.Lost+r.Duplicates))
+					t.add(r.Policy, "falls", float64(r.Falls))
+					t.add(r.Policy, "violations", float64(r.Violations))
+				}
+			}
+			t.print(name+", "+d.Name, "to normal s", "not served", "refused", "broken", "timed out", "amplification", "worst 5 s",
+				"lost+duplicates", "falls", "violations")
+		}
+	}
+}
