--- /dev/null
+++ b/coord/limit/fair_test.go
@@ -0,0 +1,300 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cactusknot.example/coord/clock"
+)
+
+var (
+	testFair = FairConfig{Capacity: 8, MaxQueue: 100, MaxQueuePerWorkspace: 50, MinService: time.Millisecond}
+	errTest  = errors.New("test")
+)
+
+// Guards against starvation of a small workspace by a large one, and against
+// shares that do not follow the weights.
+func TestFairShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, err := NewFair(testFair, clock.System{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithTimeout(t.Context(), 100*time.Second)
+		defer stop()
+		var mu sync.Mutex
+		served := map[string]int{}
+		var callers sync.WaitGroup
+		start := func(name string, n int, share Share) {
+			for range n {
+				callers.Go(func() {
+					for ctx.Err() == nil {
+						release, err := f.Acquire(ctx, name, share, time.Now().Add(time.Hour))
+						if err != nil {
+							continue
+						}
+						_ = clock.System{}.Sleep(ctx, time.Second)
+						release()
+						mu.Lock()
+						served[name]++
+						mu.Unlock()
+					}
+				})
+			}
+		}
+		start("large", 40, Share{Weight: 3})
+		start("small", 40, Share{Weight: 1})
+		start("single", 1, Share{Weight: 1})
+		callers.Wait()
+		// 800 places of 1 s: a single caller gets nearly each second; the others
+		// share 7 places as 3 to 1, rounded to whole places.
+		if served["single"] < 40 || served["small"] < 100 || served["large"] < 2*served["small"] {
+			t.Errorf("served %v", served)
+		}
+		if running, queued := f.Usage(); running != 0 || queued != 0 || len(f.workspaces) != 0 || f.weights != 0 {
+			t.Errorf("left over: running %d, queued %d, workspaces %d", running, queued, len(f.workspaces))
+		}
+	})
+}
+
+// Guards against starvation by workspaces that are briefly idle between requests
+// and so come back with a fresh position.
+func TestFairReturningWorkspacesDoNotStarve(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := testFair
+		cfg.Capacity = 1
+		f, _ := NewFair(cfg, clock.System{})
+		ctx, stop := context.WithTimeout(t.Context(), 100*time.Second)
+		defer stop()
+		var callers sync.WaitGroup
+		for _, name := range []string{"a", "b", "c"} {
+			callers.Go(func() {
+				for ctx.Err() == nil {
+					release, err := f.Acquire(ctx, name, Share{Weight: 10}, time.Now().Add(time.Hour))
+					if err == nil {
+						_ = clock.System{}.Sleep(ctx, time.Second)
+						release()
+					}
+				}
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		waited := 0
+		for range 3 {
+			release, err := f.Acquire(ctx, "low", Share{Weight: 1}, time.Now().Add(time.Hour))
+			if err != nil {
+				t.Fatalf("low weight starved after %d grants: %v", waited, err)
+			}
+			waited++
+			release()
+		}
+		stop()
+		callers.Wait()
+	})
+}
+
+// Guards against requests that wait although they can't be served in time, queues
+// without bound, and places lost by a cancellation.
+func TestFairRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := NewFair(FairConfig{Capacity: 1, MaxQueue: 2, MaxQueuePerWorkspace: 1, MinService: time.Second}, clock.System{})
+		share := Share{Weight: 1}
+		far := time.Now().Add(time.Hour)
+		if _, err := f.Acquire(t.Context(), "a", share, time.Now().Add(time.Second/2)); !errors.Is(err, ErrDeadline) {
+			t.Fatalf("deadline below the least service: %v", err)
+		}
+		release, _ := f.Acquire(t.Context(), "a", share, far)
+		time.Sleep(10 * time.Second)
+		release()
+		release, _ = f.Acquire(t.Context(), "a", share, far)
+		if _, err := f.Acquire(t.Context(), "a", share, time.Now().Add(5*time.Second)); !errors.Is(err, ErrDeadline) {
+			t.Fatalf("deadline below the expected wait of 10 s: %v", err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		failed := make(chan error, 2)
+		wait := func(name string, deadline time.Time) {
+			_, err := f.Acquire(ctx, name, share, deadline)
+			failed <- err
+		}
+		go wait("a", far)
+		synctest.Wait()
+		if _, err := f.Acquire(t.Context(), "a", share, far); !errors.Is(err, ErrWorkspaceFull) {
+			t.Fatalf("full workspace queue: %v", err)
+		}
+		go wait("b", time.Now().Add(30*time.Second))
+		synctest.Wait()
+		if _, err := f.Acquire(t.Context(), "c", share, far); !errors.Is(err, ErrQueueFull) {
+			t.Fatalf("full queue: %v", err)
+		}
+		if err := <-failed; !errors.Is(err, ErrDeadline) {
+			t.Fatalf("deadline passed while waiting: %v", err)
+		}
+		cancel()
+		if err := <-failed; !errors.Is(err, context.Canceled) {
+			t.Fatalf("cancelled: %v", err)
+		}
+		release()
+		release()
+		if running, queued := f.Usage(); running != 0 || queued != 0 {
+			t.Fatalf("left over: running %d, queued %d", running, queued)
+		}
+	})
+}
+
+// Guards against a retry storm: when everything fails, retries stay within a
+// tenth of the first attempts; and against no retries at all at low traffic.
+func TestRetryBudget(t *testing.T) {
+	c := clock.NewManual(time.Unix(0, 0))
+	b := NewRetryBudget(RetryConfig{}, c)
+	const attempts = 10_000
+	for range attempts {
+		b.Attempt()
+		c.Advance(time.Millisecond)
+		for range 5 {
+			b.Retry()
+		}
+	}
+	if _, retries := b.Counts(); retries > attempts/10+1 || retries < attempts/10-1 {
+		t.Errorf("%d retries for %d attempts", retries, attempts)
+	}
+	low := NewRetryBudget(RetryConfig{}, c)
+	granted := 0
+	for range 60 {
+		low.Attempt()
+		c.Advance(10 * time.Second)
+		if low.Retry() {
+			granted++
+		}
+	}
+	if granted < 59 {
+		t.Errorf("floor granted %d of 60 retries at one in 10 s", granted)
+	}
+}
+
+// Guards against synchronised retries: pauses of one failure spread over the
+// whole range.
+func TestBackoffSpreads(t *testing.T) {
+	const seed = 1
+	random := rand.New(rand.NewPCG(seed, 0))
+	b := NewRetryBudget(RetryConfig{BackoffBase: 100 * time.Millisecond}, clock.System{})
+	var tenths [10]int
+	for range 1000 {
+		d := b.Backoff(1, random)
+		tenths[min(int(d/(10*time.Millisecond)), 9)]++
+	}
+	for i, n := range tenths[1:] {
+		if n < 50 {
+			t.Errorf("seed %d: %d of 1000 pauses in tenth %d", seed, n, i+1)
+		}
+	}
+	if d := b.Backoff(1000, random); d > DefaultBackoffMax {
+		t.Errorf("pause %v", d)
+	}
+}
+
+var testBuffers = BufferConfig{Reserve: 10, PerRequest: 50, PerWorkspace: 80, PerProcess: 100}
+
+// Guards against memory that grows with a reader of one byte per second, against
+// other readers that stop because of it, and against bytes that are not given
+// back.
+func TestSlowReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool, _ := NewBuffers(testBuffers)
+		slow, _ := pool.Open("w")
+		another, _ := pool.Open("w")
+		fast, _ := pool.Open("w")
+		ctx, cancel := context.WithCancel(t.Context())
+		var writers sync.WaitGroup
+		for _, b := range []*Buffer{slow, another} {
+			writers.Go(func() {
+				for b.Put(ctx, make([]byte, 7)) == nil {
+				}
+			})
+		}
+		synctest.Wait()
+		if used := pool.WorkspaceUsed("w"); used > testBuffers.PerWorkspace || slow.held > testBuffers.PerRequest {
+			t.Fatalf("workspace uses %d, slow reader %d", used, slow.held)
+		}
+		writers.Go(func() { fast.Close(fast.Put(ctx, make([]byte, 1000))) })
+		got := 0
+		for {
+			chunk, err := fast.Take(ctx)
+			got += len(chunk)
+			if errors.Is(err, io.EOF) {
+				break
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got != 1000 {
+			t.Fatalf("fast reader got %d bytes", got)
+		}
+		for range 5 {
+			time.Sleep(time.Second)
+			if _, err := slow.Take(ctx); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+			if slow.held > testBuffers.PerRequest {
+				t.Fatalf("slow reader holds %d", slow.held)
+			}
+		}
+		cancel()
+		slow.Discard()
+		another.Discard()
+		fast.Discard()
+		fast.Discard()
+		writers.Wait()
+		if pool.Used() != 0 || pool.WorkspaceUsed("w") != 0 || len(pool.workspaces) != 0 {
+			t.Fatalf("left over: %d bytes, %d workspaces", pool.Used(), len(pool.workspaces))
+		}
+	})
+}
+
+// Guards against a writer that waits for ever on a reader that has gone, an error
+// of the engine that does not reach the reader, and reserves beyond the bound.
+func TestBufferEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool, _ := NewBuffers(testBuffers)
+		b, _ := pool.Open("w")
+		failed := make(chan error, 1)
+		go func() { failed <- b.Put(t.Context(), make([]byte, 1000)) }()
+		synctest.Wait()
+		b.Discard()
+		if err := <-failed; !errors.Is(err, ErrDiscarded) {
+			t.Fatalf("writer after discard: %v", err)
+		}
+		var open []*Buffer
+		for range 8 {
+			b, err := pool.Open("w")
+			if err != nil {
+				t.Fatal(err)
+			}
+			open = append(open, b)
+		}
+		if _, err := pool.Open("w"); !errors.Is(err, ErrNoBufferSpace) {
+			t.Fatalf("reserve beyond the workspace: %v", err)
+		}
+		_ = open[0].Put(t.Context(), []byte("ab"))
+		open[0].Close(errTest)
+		if chunk, err := open[0].Take(t.Context()); string(chunk) != "ab" || err != nil {
+			t.Fatalf("chunk %q, %v", chunk, err)
+		}
+		if _, err := open[0].Take(t.Context()); !errors.Is(err, errTest) {
+			t.Fatalf("end: %v", err)
+		}
+		for _, b := range open {
+			b.Discard()
+		}
+		if pool.Used() != 0 {
+			t.Fatalf("left over: %d bytes", pool.Used())
+		}
+	})
+}
