Bound control traffic and ignore forged claims

With 100 counters on each of 60 nodes the traffic was 6.0 KB/s a node, because a node may spend the full rate itself while peers send more. Idle messages repeat a few known counters, since a process that missed a new one did not get it in one of the test runs. Claims of a peer that presented a forged manifest are ignored for a minute, so that it can't stop an agent.

--- a/daemon/ctl/operate_test.go
+++ b/daemon/ctl/operate_test.go
@@ -9,6 +9,8 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -68,7 +70,7 @@
 	for _, c := range Commands() {
 		if c.Name == args[0] {
 			args = append(args[1:], "-store", "memory")
-			if c.Name == "sign" || c.Name == "keygen" {
+			if c.Name == "sign" || c.Name == "keygen" || c.Name == "explain" {
 				args = args[:len(args)-2]
 			}
 			code = c.Run(context.Background(), Env{Stdout: &out, Stderr: &errs}, args)
@@ -143,6 +145,25 @@
 	}
 }
 
+// TestExplain guards against a client that fails on an answer that is not JSON
+// and against one that reports a refusal as success.
+func TestExplain(t *testing.T) {
+	b := newBench(t)
+	router := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/admin/explain" || r.URL.Query().Get("workspace") != "harbour" {
+			w.WriteHeader(http.StatusNotFound)
+		}
+		fmt.Fprint(w, "plain text")
+	}))
+	defer router.Close()
+	if out := b.run("explain -router " + router.URL + " -workspace harbour"); out != "plain text\nexit 0\n" {
+		t.Error(out)
+	}
+	if out := b.run("explain -router " + router.URL); !strings.HasSuffix(out, "exit 1\n") {
+		t.Error(out)
+	}
+}
+
 // TestNodeCertificates guards against certificates that do not name the role and
 // VM or do not serve both ends of a mutual TLS connection.
 func TestNodeCertificates(t *testing.T) {
--- a/daemon/distribute/claims.go
+++ b/daemon/distribute/claims.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // claims are versions that peers said they hold. Traffic reports one with each
@@ -12,8 +13,14 @@
 
 	mu     sync.Mutex
 	byNode map[string]uint64
+	// ignored holds nodes that presented a forged manifest, until the time given.
+	ignored map[string]time.Time
 }
 
+// ignoreFor is how long claims of a node that presented a forged manifest are
+// ignored, so that it can't keep agents from serving.
+const ignoreFor = time.Minute
+
 // maxClaims bounds the nodes remembered as holders of a higher version.
 const maxClaims = 16
 
@@ -25,6 +32,10 @@
 	}
 	c := &k.claims
 	c.mu.Lock()
+	if k.cfg.Clock.Now().Before(c.ignored[node]) {
+		c.mu.Unlock()
+		return
+	}
 	if c.byNode == nil {
 		c.byNode = make(map[string]uint64)
 	}
@@ -65,6 +76,18 @@
 	c.refresh()
 }
 
+// ignore drops the claim of node and its claims until the time given.
+func (c *claims) ignore(node string, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ignored == nil {
+		c.ignored = make(map[string]time.Time)
+	}
+	c.ignored[node] = until
+	delete(c.byNode, node)
+	c.refresh()
+}
+
 // settle drops the claims up to version.
 func (c *claims) settle(version uint64) {
 	c.mu.Lock()
--- a/daemon/distribute/counters.go
+++ b/daemon/distribute/counters.go
@@ -12,6 +12,9 @@
 	// counterBytesPerMessage bounds the counters in one message, so that two
 	// messages a second and their replies stay within BytesPerSecond.
 	counterBytesPerMessage = 1000
+	// refreshCounters is how many known counters an idle message repeats, about
+	// 300 bytes.
+	refreshCounters = 3
 )
 
 type counterKey struct {
@@ -71,14 +74,16 @@
 	return out
 }
 
-// refresh marks a counter of the node for sending again, so that a process that
-// missed it gets it later.
-func (t *counterTable) refresh(node string) {
+// refresh marks a few arbitrary counters for sending once more, so that a
+// process that missed one while it was new gets it later.
+func (t *counterTable) refresh() {
+	left := refreshCounters
 	for key := range t.all {
-		if key.node == node {
-			t.hot[key] = max(t.hot[key], 1)
+		if left == 0 {
 			return
 		}
+		left--
+		t.hot[key] = 1
 	}
 }
 
@@ -124,7 +129,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.counters.hot) == 0 {
-		k.counters.refresh(k.cfg.Self.Node)
+		k.counters.refresh()
 	}
 	return k.counters.take(limit)
 }
--- a/daemon/distribute/distribute_test.go
+++ b/daemon/distribute/distribute_test.go
@@ -219,7 +219,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		for i := range 60 {
-			f.add(fmt.Sprintf("n%02d", i), fmt.Sprintf("dc%d", i%3), i < 30, f.store)
+			node := fmt.Sprintf("n%02d", i)
+			k := f.add(node, fmt.Sprintf("dc%d", i%3), i < 30, f.store)
+			for j := range 100 {
+				k.Count(&rpc.QualityCounter{Node: node, Workspace: fmt.Sprintf("workspace-%d", j), Model: "diary", Version: "1", Count: 1})
+			}
 		}
 		f.publish(1, 1)
 		stop := f.run()
@@ -234,14 +238,16 @@
 			}
 		}
 		const elapsed = 75
+		worst := uint64(0)
 		for node, k := range f.keepers {
 			total := k.ControlBytes("sync") + k.ControlBytes("manifest") + k.ControlBytes("parts") + k.ControlBytes("store")
+			worst = max(worst, total/elapsed)
 			if total > elapsed*BytesPerSecond {
 				t.Errorf("%s: %d control bytes in %d s", node, total, elapsed)
 			}
 		}
 		usage := f.store.Usage()
-		t.Logf("60 nodes, 65 s, 5 versions: %d reads, %d watches", usage[kv.KindGet].Calls-before, usage[kv.KindWatch].Calls)
+		t.Logf("60 nodes, 65 s, 5 versions: %d reads, %d watches, at most %d B/s a node", usage[kv.KindGet].Calls-before, usage[kv.KindWatch].Calls, worst)
 		// 6 watchers wait once for each version and renew the wait every 30 s.
 		if got, most := usage[kv.KindWatch].Calls, uint64(6*(6+3)); got > most {
 			t.Errorf("%d watches, at most %d expected", got, most)
@@ -378,6 +384,35 @@
 	}
 }
 
+// TestForeignParts guards against a program that drops a part of a newer program
+// version, or that puts a version in force although it needs such a part.
+func TestForeignParts(t *testing.T) {
+	f := newFleet(t)
+	k := f.add("n", "dc0", true, f.store)
+	foreign := []byte(`{"new":true}`)
+	for version, needs := range map[uint64][]string{1: nil, 2: {"policies"}} {
+		s, parts := sealed(t, content(1), version, 1)
+		m, err := s.Open()
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.Parts["policies"] = bundle.HashOf(foreign)
+		m.Needs = needs
+		parts[bundle.HashOf(foreign)] = foreign
+		if s, err = bundle.NewSigned(m); err != nil {
+			t.Fatal(err)
+		}
+		err = k.Accept(bundle.Sign(s, testKey(1)), parts)
+		if (version == 2) != errors.Is(err, bundle.ErrUnknownPart) {
+			t.Errorf("version %d: %v", version, err)
+		}
+	}
+	out, err := k.FetchParts(t.Context(), &rpc.FetchPartsRequest{Hashes: []string{string(bundle.HashOf(foreign))}})
+	if err != nil || len(out.GetParts()) != 1 {
+		t.Errorf("the foreign part is not served: %v", err)
+	}
+}
+
 // TestRevertedInvariant plants a defect, a lower version that skips the checks,
 // and guards against an assertion that does not fire.
 func TestRevertedInvariant(t *testing.T) {
@@ -473,6 +508,40 @@
 	})
 }
 
+// TestForgedPeer guards against a starting process that takes a forged manifest
+// because its version is the highest, and against one that a forger keeps from
+// serving.
+func TestForgedPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.store.SetFaults(kv.Faults{Outage: true})
+		accept(t, f.add("honest", "dc0", true, f.store), 4, 4)
+		s, parts := sealed(t, content(99), 99, 3)
+		encoded, err := s.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		forger := f.add("forger", "dc0", true, f.store)
+		forger.current.Store(&Current{Bundle: content(99), Version: 99, Signed: s, Encoded: encoded, Parts: parts})
+		fresh := f.add("fresh", "dc1", false, f.store)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = fresh.Run(ctx)
+		}()
+		time.Sleep(20 * time.Second)
+		if fresh.Version() != 4 || fresh.Behind() {
+			t.Errorf("version %d, behind %v", fresh.Version(), fresh.Behind())
+		}
+		if fresh.Refused("sign_offs") == 0 {
+			t.Error("the forged manifest is not counted")
+		}
+		cancel()
+		<-done
+	})
+}
+
 // TestClaims guards against an agent that a false claim of a high version keeps
 // from serving for ever.
 func TestClaims(t *testing.T) {
--- a/daemon/distribute/freshness.go
+++ b/daemon/distribute/freshness.go
@@ -1,17 +1,22 @@
 package distribute
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
 	// FreshnessBound is the age of the last confirmation after which a process
-	// polls the store itself. It leaves 3 s of the 13 s in which a configuration
-	// must be in force.
-	FreshnessBound = 10 * time.Second
-	// contactWindow is how long a contact with a data centre counts.
-	contactWindow = 30 * time.Second
+	// polls the store itself. An agent has 12 gossip rounds in it, enough to reach
+	// more than half of 13 data centres. Gossip, not polling, meets the 13 s in
+	// which a configuration must be in force.
+	FreshnessBound = 60 * time.Second
+	// contactAge is the age after which gossip renews the contact with a data
+	// centre.
+	contactAge = FreshnessBound / 3
+	// storeWindow bounds one watch, and is how long an answer of the store counts.
+	storeWindow = 30 * time.Second
 	// defaultIsolatedServe applies when limits.isolated_serve_seconds is 0.
 	defaultIsolatedServe = 300 * time.Second
 )
@@ -35,16 +40,27 @@
 	if at.After(f.contacts[dataCentre]) {
 		f.contacts[dataCentre] = at
 	}
-	reached := 0
+	times := make([]time.Time, 0, len(needed))
 	for _, name := range needed {
-		last, ok := f.contacts[name]
-		if ok && at.Sub(last) <= contactWindow || alone && name == k.cfg.Self.DataCentre {
-			reached++
+		last := f.contacts[name]
+		if alone && name == k.cfg.Self.DataCentre {
+			last = at
 		}
+		times = append(times, last)
 	}
-	if 2*reached > len(needed) && at.After(f.confirmed) {
-		f.confirmed = at
+	if since := majority(times); since.After(f.confirmed) {
+		f.confirmed = since
+	}
+}
+
+// majority returns the latest time since which more than half of the contacts
+// took place.
+func majority(times []time.Time) time.Time {
+	if len(times) == 0 {
+		return time.Time{}
 	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[len(times)/2]
 }
 
 // aloneInDataCentre reports whether no other process of this data centre is
@@ -101,12 +117,11 @@
 	return k.fresh.confirmed
 }
 
-// StoreReachable reports whether the store answered within the window that
-// contacts count.
+// StoreReachable reports whether the store answered this process lately.
 func (k *Keeper) StoreReachable(now time.Time) bool {
 	k.fresh.mu.Lock()
 	defer k.fresh.mu.Unlock()
-	return !k.fresh.stored.IsZero() && now.Sub(k.fresh.stored) <= contactWindow
+	return !k.fresh.stored.IsZero() && now.Sub(k.fresh.stored) <= storeWindow
 }
 
 // Isolated reports whether this process must refuse new work, because it has
@@ -119,15 +134,15 @@
 	return now.Sub(k.Confirmed()) > serve
 }
 
-// staleDataCentres returns the data centres without a contact in the last third
-// of the window. Gossip prefers them, so that contacts do not run out by chance.
+// staleDataCentres returns the data centres without a contact within contactAge.
+// Gossip prefers them, so that contacts do not run out by chance.
 func (k *Keeper) staleDataCentres(now time.Time) map[string]bool {
 	needed := k.dataCentres()
 	k.fresh.mu.Lock()
 	defer k.fresh.mu.Unlock()
 	out := make(map[string]bool)
 	for _, name := range needed {
-		if now.Sub(k.fresh.contacts[name]) > contactWindow/3 {
+		if now.Sub(k.fresh.contacts[name]) > contactAge {
 			out[name] = true
 		}
 	}
--- a/daemon/distribute/meter.go
+++ b/daemon/distribute/meter.go
@@ -13,8 +13,14 @@
 const (
 	// BytesPerSecond is the control traffic that a node may cause on average.
 	BytesPerSecond = 5 << 10
-	// burstBytes lets a node fetch a part of a 1 MB bundle without delay.
-	burstBytes = 12 * BytesPerSecond
+	// optionalPerSecond is the rate up to which optional content fills the
+	// messages. The rest covers what peers send unasked: with the full rate a node
+	// of 60 received 6.0 KB/s.
+	optionalPerSecond = BytesPerSecond * 4 / 5
+	// maxSaved bounds the unused bytes that a node may spend later.
+	maxSaved = 2 * counterBytesPerMessage
+	// maxDebt bounds how long optional content waits after a large fetch.
+	maxDebt = 12 * BytesPerSecond
 	// callOverhead estimates the headers of a call and its reply over HTTP/2 with
 	// compressed headers and TLS framing.
 	callOverhead = 250
@@ -32,7 +38,7 @@
 }
 
 func newMeter(c clock.Clock, set *metrics.Set) *meter {
-	return &meter{clock: c, set: set, tokens: burstBytes, last: c.Now()}
+	return &meter{clock: c, set: set, last: c.Now()}
 }
 
 // spend counts n bytes of the kind plus the overhead of one call.
@@ -42,7 +48,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.refill()
-	m.tokens = max(m.tokens-float64(n), -burstBytes)
+	m.tokens = max(m.tokens-float64(n), -maxDebt)
 }
 
 // room returns the bytes that may be spent now.
@@ -56,7 +62,7 @@
 func (m *meter) refill() {
 	now := m.clock.Now()
 	if passed := now.Sub(m.last); passed > 0 {
-		m.tokens = min(m.tokens+passed.Seconds()*BytesPerSecond, burstBytes)
+		m.tokens = min(m.tokens+passed.Seconds()*optionalPerSecond, maxSaved)
 	}
 	m.last = now
 }
--- a/daemon/distribute/pull.go
+++ b/daemon/distribute/pull.go
@@ -306,6 +306,11 @@
 	return Member{Node: node}
 }
 
+// forged reports whether a manifest is not what operators signed.
+func forged(err error) bool {
+	return errors.Is(err, bundle.ErrSignOffs) || errors.Is(err, bundle.ErrUntrustedKeys) || errors.Is(err, bundle.ErrMalformed)
+}
+
 // catchUp fetches what peers claim to hold, then asks random peers and the store.
 func (k *Keeper) catchUp(ctx context.Context) {
 	claimed := k.claims.snapshot()
@@ -316,6 +321,9 @@
 		}
 		for _, s := range k.peers([]Member{k.member(node)}) {
 			presented, err := k.pull(ctx, s, spare...)
+			if forged(err) {
+				k.claims.ignore(node, k.cfg.Clock.Now().Add(ignoreFor))
+			}
 			if err == nil && presented < version {
 				k.count("cactusknot_config_refused_total{reason=%q}", "claim_disproved")
 				k.claims.disprove(node, presented)
--- a/daemon/distribute/run.go
+++ b/daemon/distribute/run.go
@@ -228,7 +228,7 @@
 		}
 	}
 	sent := k.cfg.Clock.Now()
-	wait, cancel := context.WithTimeout(ctx, contactWindow)
+	wait, cancel := context.WithTimeout(ctx, storeWindow)
 	defer cancel()
 	entry, err := k.cfg.Store.Watch(wait, KeyCurrent, seen)
 	k.meter.spend("store", len(entry.Value))
@@ -338,14 +338,14 @@
 	wg.Wait()
 }
 
-// roundMembers picks random peers of the region. In each farRounds-th round, and
-// when this process is unconfirmed, one is of a data centre without a recent
-// contact or else of another region.
+// roundMembers picks random peers of the region. In each farRounds-th round of a
+// router, in each round of an agent and of an unconfirmed process, one is of a
+// data centre without a recent contact or else of another region.
 func (k *Keeper) roundMembers() []Member {
 	now := k.cfg.Clock.Now()
 	k.mu.Lock()
 	k.rounds++
-	far := k.rounds%farRounds == 0
+	far := k.rounds%farRounds == 0 || !k.cfg.Self.Router
 	k.mu.Unlock()
 	near := k.pick(peersPerRound, func(m Member) bool { return m.Region == k.cfg.Self.Region })
 	if !far && len(near) > 0 && !k.unconfirmed() {
