Share the names of queued lines

The queue kept the name strings of each message and its size was above the design's 20 MB at 200,000 lines. Lines now share one handle per combination of names.

--- a/coord/ledger/queue.go
+++ b/coord/ledger/queue.go
@@ -1,8 +1,10 @@
 package ledger
 
 import (
+	"math"
 	"sync"
 	"time"
+	"unique"
 
 	"cactusknot.example/coord/clock"
 )
@@ -19,6 +21,7 @@
 // losing a charge. No method waits. Safe for concurrent use.
 type Queue struct {
 	clock    clock.Clock
+	start    time.Time
 	capacity int
 
 	mu       sync.Mutex
@@ -27,10 +30,54 @@
 	order    []*held // by since, oldest first; may contain acknowledged entries
 }
 
+// names are the names of a line. Few combinations occur, so that lines share
+// them instead of keeping the strings of the message they came with.
+type names struct{ workspace, model, version string }
+
+// held is a line without its own copies of the names.
 type held struct {
-	line  Line
-	since time.Time
-	acked bool
+	id            [16]byte
+	step          uint32
+	attempt       uint32
+	names         unique.Handle[names]
+	tokensIn      uint64
+	tokensOut     uint64
+	amountMicros  uint64
+	bundleVersion uint64
+	completedMS   int64
+	since         time.Duration // after Queue.start, or acked
+}
+
+// acked in held.since marks a line that was acknowledged.
+const acked time.Duration = math.MinInt64
+
+func (h *held) set(l Line) {
+	h.id = l.RequestID
+	h.step = l.Step
+	h.attempt = l.Attempt
+	h.names = unique.Make(names{l.Workspace, l.Model, l.Version})
+	h.tokensIn = l.TokensIn
+	h.tokensOut = l.TokensOut
+	h.amountMicros = l.AmountMicros
+	h.bundleVersion = l.BundleVersion
+	h.completedMS = l.CompletedMS
+}
+
+func (h *held) line() Line {
+	n := h.names.Value()
+	return Line{
+		RequestID:     h.id,
+		Step:          h.step,
+		Attempt:       h.attempt,
+		Workspace:     n.workspace,
+		Model:         n.model,
+		Version:       n.version,
+		TokensIn:      h.tokensIn,
+		TokensOut:     h.tokensOut,
+		AmountMicros:  h.amountMicros,
+		BundleVersion: h.bundleVersion,
+		CompletedMS:   h.completedMS,
+	}
 }
 
 // NewQueue returns an empty Queue for capacity lines (0: DefaultQueueLines).
@@ -38,9 +85,11 @@
 	if capacity <= 0 {
 		capacity = DefaultQueueLines
 	}
-	return &Queue{clock: clk, capacity: capacity, held: make(map[ID]*held)}
+	return &Queue{clock: clk, start: clk.Now(), capacity: capacity, held: make(map[ID]*held)}
 }
 
+func (q *Queue) elapsed() time.Duration { return q.clock.Now().Sub(q.start) }
+
 // Reserve makes room for one line, or returns false when the queue is full. Each
 // reservation ends with exactly one Commit or Release.
 func (q *Queue) Reserve() bool {
@@ -67,10 +116,11 @@
 	defer q.mu.Unlock()
 	q.reserved = max(0, q.reserved-1)
 	if h := q.held[l.ID()]; h != nil {
-		h.line = Merge(h.line, l)
+		h.set(Merge(h.line(), l))
 		return
 	}
-	h := &held{line: l, since: q.clock.Now()}
+	h := &held{since: q.elapsed()}
+	h.set(l)
 	q.held[l.ID()] = h
 	q.order = append(q.order, h)
 }
@@ -81,22 +131,22 @@
 func (q *Queue) Pending(olderThan time.Duration, max int) []Line {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.clock.Now()
+	now := q.elapsed()
 	var out []Line
 	var again []*held
 	for len(q.order) > 0 && len(out) < max {
 		h := q.order[0]
-		if !h.acked && now.Sub(h.since) < olderThan {
+		if h.since != acked && now-h.since < olderThan {
 			break
 		}
 		q.order[0] = nil
 		q.order = q.order[1:]
-		if h.acked {
+		if h.since == acked {
 			continue
 		}
 		h.since = now
 		again = append(again, h)
-		out = append(out, h.line)
+		out = append(out, h.line())
 	}
 	q.order = append(q.order, again...)
 	return out
@@ -108,7 +158,7 @@
 	defer q.mu.Unlock()
 	for _, id := range ids {
 		if h := q.held[id]; h != nil {
-			h.acked = true
+			h.since = acked
 			delete(q.held, id)
 		}
 	}
@@ -120,7 +170,7 @@
 func (q *Queue) compact() {
 	kept := make([]*held, 0, len(q.held))
 	for _, h := range q.order {
-		if !h.acked {
+		if h.since != acked {
 			kept = append(kept, h)
 		}
 	}
