--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
@@ -29,7 +30,7 @@
 	Platform    Platform `json:"platform"`
 	// RootKeys are the Ed25519 public keys that sign the operators' keys.
 	RootKeys []RootKey `json:"root_keys" validate:"required,min=1,dive"`
-	// RootSignOffs is how many root keys must sign. Default 1.
+	// RootSignOffs is how many root keys must sign. 0 means 1.
 	RootSignOffs int `json:"root_sign_offs" validate:"min=0"`
 	// Peers are internal addresses asked for the configuration at start.
 	Peers    []string `json:"peers" validate:"dive,hostname_port"`
@@ -73,11 +74,11 @@
 	// BufferBytes bounds the answer bytes buffered for all callers.
 	BufferBytes int64 `json:"buffer_bytes" validate:"required,min=65536"`
 	// DrainDelayMs is how long a stopping router goes on accepting after it has
-	// failed its readiness check. Default 5000.
+	// failed its readiness check. 0 means 5000.
 	DrainDelayMs int `json:"drain_delay_ms" validate:"min=0,max=600000"`
-	// DefaultDeadlineMs is used for requests without X-Deadline-Ms. Default 600000.
+	// DefaultDeadlineMs is used for requests without X-Deadline-Ms. 0 means 600000.
 	DefaultDeadlineMs int `json:"default_deadline_ms" validate:"min=0,max=3600000"`
-	// LedgerLines bounds the queue of charges. Default 200000.
+	// LedgerLines bounds the queue of charges. 0 means 200000.
 	LedgerLines int `json:"ledger_lines" validate:"min=0"`
 }
 
@@ -112,10 +113,10 @@
 type Agent struct {
 	Node
 	Backend Backend `json:"backend"`
-	// Records and RecordBytes bound the at-most-once records. Defaults 100000, 32 MiB.
+	// Records and RecordBytes bound the at-most-once records. 0 means 100000 and 32 MiB.
 	Records     int   `json:"records" validate:"min=0"`
 	RecordBytes int64 `json:"record_bytes" validate:"min=0"`
-	// LedgerLines bounds the queue of charges. Default 200000.
+	// LedgerLines bounds the queue of charges. 0 means 200000.
 	LedgerLines int `json:"ledger_lines" validate:"min=0"`
 }
 
@@ -131,20 +132,26 @@
 // LoadRouter reads and checks a router's settings file. The error is one line
 // with file, field path and reason.
 func LoadRouter(file string) (*Router, error) {
-	r := &Router{DrainDelayMs: defaultDrainDelayMs, DefaultDeadlineMs: defaultDeadlineMs, LedgerLines: defaultLedgerLines}
+	r := &Router{}
 	if err := load(file, r); err != nil {
 		return nil, err
 	}
+	r.DrainDelayMs = cmp.Or(r.DrainDelayMs, defaultDrainDelayMs)
+	r.DefaultDeadlineMs = cmp.Or(r.DefaultDeadlineMs, defaultDeadlineMs)
+	r.LedgerLines = cmp.Or(r.LedgerLines, defaultLedgerLines)
 	return r, nil
 }
 
 // LoadAgent reads and checks an agent's settings file. The error is one line
 // with file, field path and reason.
 func LoadAgent(file string) (*Agent, error) {
-	a := &Agent{Records: defaultRecords, RecordBytes: defaultRecordBytes, LedgerLines: defaultLedgerLines}
+	a := &Agent{}
 	if err := load(file, a); err != nil {
 		return nil, err
 	}
+	a.Records = cmp.Or(a.Records, defaultRecords)
+	a.RecordBytes = cmp.Or(a.RecordBytes, defaultRecordBytes)
+	a.LedgerLines = cmp.Or(a.LedgerLines, defaultLedgerLines)
 	return a, nil
 }
 
