--- /dev/null
+++ b/coord/suspect/suspect_test.go
@@ -0,0 +1,66 @@
+package suspect
+
+import (
+	"testing"
+	"time"
+)
+
+var bounds = Config{Min: time.Second, Max: 10 * time.Second}
+
+// Guards against suspicion of a peer that is regular, a peer that is never
+// suspected, and a timeout that one outage leaves at its upper bound.
+func TestTimeoutFollowsIntervals(t *testing.T) {
+	d, err := New(bounds)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(0, 0)
+	regular := func(n int, interval time.Duration) {
+		for range n {
+			now = now.Add(interval)
+			if level := d.Level("a", now); level >= Suspected {
+				t.Fatalf("regular peer suspected at level %v", level)
+			}
+			d.Observe("a", now)
+		}
+	}
+	d.Observe("a", now)
+	regular(100, 100*time.Millisecond)
+	if got := d.Timeout("a"); got != bounds.Min {
+		t.Errorf("timeout of a fast peer: %v", got)
+	}
+	if level := d.Level("a", now.Add(bounds.Min)); level < Suspected {
+		t.Errorf("silent peer at level %v", level)
+	}
+	now = now.Add(time.Hour)
+	d.Observe("a", now)
+	regular(30, 100*time.Millisecond)
+	if got := d.Timeout("a"); got != bounds.Min {
+		t.Errorf("timeout 30 replies after an outage: %v", got)
+	}
+	regular(100, 800*time.Millisecond)
+	if got := d.Timeout("a"); got < bounds.Min || got > 2*time.Second {
+		t.Errorf("timeout of a slower peer: %v", got)
+	}
+}
+
+// Guards against harm by a clock that steps back and by unknown peers.
+func TestStepBackAndUnknownPeers(t *testing.T) {
+	d, _ := New(bounds)
+	now := time.Unix(100, 0)
+	d.Observe("a", now)
+	d.Observe("a", now.Add(-time.Hour))
+	if level := d.Level("a", now.Add(-time.Hour)); level != 0 {
+		t.Errorf("level after a step back: %v", level)
+	}
+	if level := d.Level("b", now); level != 0 {
+		t.Errorf("level of an unknown peer: %v", level)
+	}
+	d.Forget("a")
+	if level := d.Level("a", now.Add(time.Hour)); level != 0 {
+		t.Errorf("level of a forgotten peer: %v", level)
+	}
+	if _, err := New(Config{Min: 2, Max: 1}); err == nil {
+		t.Error("bad bounds accepted")
+	}
+}
