Let cascades choose the second model per score interval; add exposure scenario

One dearer model for all low scores pays for the dearest where a middle one would do. The plan now takes the best option per interval at the lowest price of quality.

--- a/daemon/bench/cost.go
+++ b/daemon/bench/cost.go
@@ -16,6 +16,8 @@
 	costRequests = 300_000
 	// oracleSteps halve the range of the oracle's price of quality.
 	oracleSteps = 60
+	// oraclePrice is above any useful price of one unit of score, in millionths.
+	oraclePrice = 1e7
 	// splitSteps is the resolution of the static split.
 	splitSteps = 200
 
@@ -70,6 +72,7 @@
 			costRun(&report, w, seed, int(costRequests*o.Scale))
 		}
 		report.atMost(w.Name, "product workspaces below target", 0, report.worst(w.Name, "product", "workspaces below target"))
+		report.atMost(w.Name, "product cost / oracle per kind", costBoundOracle, report.worst(w.Name, "product", "cost / oracle per kind"))
 		report.atMost(w.Name, "product cost / oracle", costBoundOracle, report.worst(w.Name, "product", "cost / oracle"))
 		report.atMost(w.Name, "product cost / dearest", costBoundDearest, report.worst(w.Name, "product", "cost / dearest"))
 	}
@@ -91,9 +94,11 @@
 		{"dearest", fixedBill(w, drafts, dearest)},
 		{"cheapest", fixedBill(w, drafts, 0)},
 		{"static split", splitBill(w, drafts, rng)},
-		{"oracle", oracleBill(w, drafts)},
+		{"oracle per kind", oracleBill(w, drafts, true)},
+		{"oracle", oracleBill(w, drafts, false)},
 	}
-	reference, top := bills[len(bills)-1].bill.cost, bills[1].bill.cost
+	last := len(bills) - 1
+	reference, perKind, top := bills[last].bill.cost, bills[last-1].bill.cost, bills[1].bill.cost
 	for _, b := range bills {
 		margin, missed := b.bill.margin(w)
 		report.Rows = append(report.Rows, Row{
@@ -101,6 +106,7 @@
 			Values: []Value{
 				{"cost per request", "millionths", b.bill.cost / float64(n)},
 				{"cost / oracle", "", b.bill.cost / reference},
+				{"cost / oracle per kind", "", b.bill.cost / perKind},
 				{"cost / dearest", "", b.bill.cost / top},
 				{"worst margin to target", "", margin},
 				{"workspaces below target", "", float64(missed)},
@@ -145,40 +151,53 @@
 
 // oracleBill knows the true score of every answer beforehand. Per workspace it
 // takes the answer with the largest price*score-cost, at the lowest price of
-// quality that meets the target.
-func oracleBill(w *Workload, drafts []draft) *bill {
-	b := newBill(w)
-	for ws := range w.Workspaces {
-		low, high := 0.0, 1e9
-		for range oracleSteps {
-			price := (low + high) / 2
-			trial := newBill(w)
-			oracleWorkspace(trial, w, drafts, ws, price)
-			if trial.score[ws] >= w.Workspaces[ws].QualityTarget*trial.count[ws] {
-				high = price
-			} else {
-				low = price
-			}
+// quality that meets the target. With perKind every kind of request meets the
+// target, as the product's rule demands; else only the workspace's mean does.
+func oracleBill(w *Workload, drafts []draft, perKind bool) *bill {
+	groups := make(map[[2]int][]*draft)
+	for i := range drafts {
+		id := [2]int{drafts[i].workspace, 0}
+		if perKind {
+			id[1] = drafts[i].kind
 		}
-		oracleWorkspace(b, w, drafts, ws, high)
+		groups[id] = append(groups[id], &drafts[i])
+	}
+	b := newBill(w)
+	for id, group := range groups {
+		oracleGroup(b, w, group, w.Workspaces[id[0]].QualityTarget)
 	}
 	return b
 }
 
-func oracleWorkspace(b *bill, w *Workload, drafts []draft, ws int, price float64) {
-	for i := range drafts {
-		if drafts[i].workspace != ws {
-			continue
+func oracleGroup(b *bill, w *Workload, group []*draft, target float64) {
+	low, high := 0.0, oraclePrice
+	for range oracleSteps {
+		price := (low + high) / 2
+		score := 0.0
+		for _, d := range group {
+			score += oracleAnswer(w, d, price).score
 		}
-		best := &drafts[i].answers[0]
-		for m := 1; m < len(w.Models); m++ {
-			a := &drafts[i].answers[m]
-			if price*a.score-a.cost > price*best.score-best.cost {
-				best = a
-			}
+		if score >= target*float64(len(group)) {
+			high = price
+		} else {
+			low = price
+		}
+	}
+	for _, d := range group {
+		a := oracleAnswer(w, d, high)
+		b.add(d.workspace, a.cost, a.score)
+	}
+}
+
+func oracleAnswer(w *Workload, d *draft, price float64) *answer {
+	best := &d.answers[0]
+	for m := 1; m < len(w.Models); m++ {
+		a := &d.answers[m]
+		if price*a.score-a.cost > price*best.score-best.cost {
+			best = a
 		}
-		b.add(ws, best.cost, best.score)
 	}
+	return best
 }
 
 // lateRating is a rating that has not arrived yet.
@@ -220,7 +239,7 @@
 	first := s.Place(&req, src, inv)
 	remember(req.Session, &first)
 	a := d.answers[w.modelIndex(first.Model)]
-	cascade := first.Policy != nil && first.Policy.Second != ""
+	cascade := first.Policy != nil && first.Policy.Plan != nil
 	rated := cascade || who.rng.Float64() < w.RatedShare
 	if rated {
 		late = append(late, lateRating{routing.RatingKey(&req, &first, a.rating), a.rating})
--- a/daemon/bench/scenario.go
+++ b/daemon/bench/scenario.go
@@ -30,5 +30,6 @@
 	return []Scenario{
 		{Name: "sequential", Summary: "sequential tests: false stops and ratings until a stop", Run: RunSequential},
 		{Name: "cost", Summary: "cost at the quality target against fixed choices and an oracle", Run: RunCost},
+		{Name: "exposure", Summary: "requests answered by a bad version before it is stopped", Run: RunExposure},
 	}
 }
--- a/daemon/routing/place.go
+++ b/daemon/routing/place.go
@@ -184,7 +184,7 @@
 	if stands.Reason = escalationHindrance(first, st); stands.Reason != ReasonNone {
 		return stands, false
 	}
-	d := s.placeModel(w, req, first.Policy.Second)
+	d := s.placeModel(w, req, first.Policy.Plan.next(st.Score))
 	d.Policy, d.Explored = first.Policy, first.Explored
 	d = s.checked(w, req, d, inv)
 	if d.Refused {
@@ -199,11 +199,11 @@
 
 func escalationHindrance(first *Decision, st Step) Reason {
 	switch {
-	case first.Policy == nil || first.Policy.Second == "":
+	case first.Policy == nil || first.Policy.Plan == nil:
 		return ReasonNoCascade
 	case !st.Rated:
 		return ReasonRatingDown
-	case st.Score >= first.Policy.Threshold:
+	case first.Policy.Plan.next(st.Score) == "":
 		return ReasonScoreSuffices
 	case st.Expected > st.Remaining:
 		return ReasonDeadline
--- a/daemon/routing/policy.go
+++ b/daemon/routing/policy.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math"
 	"math/rand/v2"
 
 	"cactusknot.example/coord/stats"
@@ -22,18 +21,15 @@
 	// boundZ is the number of standard errors of a one-sided 90% bound. A choice
 	// is revised with each snapshot, so the bound need not hold at all times at once.
 	boundZ = 1.2816
-	// unknownThreshold is the escalation threshold before any rating is known.
-	unknownThreshold = 0.5
 )
 
 // Policy is a way to answer requests of one workspace and kind: one model, or a
-// cascade of two.
+// cascade.
 type Policy struct {
 	First string
-	// Second answers when the rating of First's answer is below Threshold. It is
-	// empty for a single model.
-	Second    string
-	Threshold float64
+	// Plan tells which dearer model replaces First's answer, by its rating. It is
+	// nil for a single model.
+	Plan *Plan
 	// Mean, Lower and Upper are the estimated mean rating and its bounds.
 	Mean  float64
 	Lower float64
@@ -82,12 +78,15 @@
 		if !s.ratingUp {
 			continue
 		}
+		c := newCascade(a, view)
 		for _, b := range w.ordered {
 			if b.base != nil && b.model.price > a.model.price {
-				second := s.view(w, b, kind)
-				out = append(out, cascadePolicy(a, b, view, second, w.cfg.QualityTarget))
+				c.addSecond(b, s.view(w, b, kind))
 			}
 		}
+		if len(c.seconds) > 0 {
+			out = append(out, c.policy(w.cfg.QualityTarget))
+		}
 	}
 	if dearest != nil {
 		dearest.dearest = true
@@ -113,90 +112,6 @@
 	}
 }
 
-// cascadePolicy sets the lowest threshold whose lower bound meets the target,
-// else the one with the best lower bound. The estimate is exact at the borders
-// of the score intervals and interpolated between them.
-func cascadePolicy(a, b *access, first, second view, target float64) *Policy {
-	p := &Policy{First: a.model.cfg.Name, Second: b.model.cfg.Name, Threshold: unknownThreshold}
-	c := newCascade(p.First, first, second)
-	if c.weight == 0 {
-		p.bounds(stats.Estimate{Mean: 0.5})
-		p.Cost = (a.model.price + unknownThreshold*b.model.price) / 1e6
-		return p
-	}
-	escalated := c.threshold(target)
-	p.bounds(c.at(escalated))
-	p.Threshold = escalated / ScoreBins
-	p.Cost = (a.model.price + c.escalatedShare(escalated)*b.model.price) / 1e6
-	return p
-}
-
-// cascade holds the shares and means per interval of the first answer's rating.
-type cascade struct {
-	weight   float64
-	share    [ScoreBins]float64
-	kept     [ScoreBins]float64
-	spread   [ScoreBins]float64
-	replaced [ScoreBins]stats.Estimate
-}
-
-func newCascade(firstModel string, first, second view) cascade {
-	m := first.first()
-	c := cascade{weight: m.weight}
-	direct := second.single()
-	for i := range ScoreBins {
-		var mass float64
-		mass, c.kept[i], c.spread[i] = m.interval(i)
-		if c.weight > 0 {
-			c.share[i] = mass / c.weight
-		}
-		c.replaced[i] = second.second(firstModel, i, direct)
-	}
-	return c
-}
-
-// at estimates the mean rating when the lowest intervals are escalated; escalated
-// is their number, with the fraction of the last one.
-func (c *cascade) at(escalated float64) stats.Estimate {
-	var mean, square, within, replaced float64
-	for i := range ScoreBins {
-		part := math.Max(0, math.Min(1, escalated-float64(i)))
-		up, stay := c.share[i]*part, c.share[i]*(1-part)
-		mean += up*c.replaced[i].Mean + stay*c.kept[i]
-		square += up*c.replaced[i].Mean*c.replaced[i].Mean + stay*c.kept[i]*c.kept[i]
-		within += stay * c.spread[i]
-		replaced += up * up * c.replaced[i].MeanVariance
-	}
-	variance := (math.Max(0, square-mean*mean)+within)/c.weight + replaced
-	return stats.Estimate{Mean: mean, MeanVariance: variance, Weight: c.weight}
-}
-
-func (c *cascade) escalatedShare(escalated float64) float64 {
-	share := 0.0
-	for i := range ScoreBins {
-		share += c.share[i] * math.Max(0, math.Min(1, escalated-float64(i)))
-	}
-	return share
-}
-
-// threshold returns the smallest number of escalated intervals whose lower bound
-// meets the target, or the number with the best lower bound.
-func (c *cascade) threshold(target float64) float64 {
-	const parts = 10 // steps within one interval
-	best, bestLower := 0.0, -1.0
-	for i := range ScoreBins*parts + 1 {
-		escalated := float64(i) / parts
-		lower := c.at(escalated).Lower(boundZ)
-		if lower >= target {
-			return escalated
-		}
-		if lower > bestLower {
-			best, bestLower = escalated, lower
-		}
-	}
-	return best
-}
-
 // choose takes the cheapest policy that is proved to meet the target, else the
 // best known one.
 func choose(all []*Policy, target float64) *choice {
--- a/daemon/routing/routing_test.go
+++ b/daemon/routing/routing_test.go
@@ -137,8 +137,12 @@
 	if d.Rollout != "" {
 		out += " rollout=" + d.Rollout
 	}
-	if p := d.Policy; p != nil && p.Second != "" {
-		out += fmt.Sprintf(" then=%s below=%.2f", p.Second, p.Threshold)
+	if p := d.Policy; p != nil && p.Plan != nil {
+		out += " then="
+		for _, next := range p.Plan.Second {
+			out += fmt.Sprintf("%.1s,", next+"-")
+		}
+		out += fmt.Sprintf(" below %.2f %s", p.Plan.CutBelow, p.Plan.CutSecond)
 	}
 	return out + "\n"
 }
@@ -148,8 +152,8 @@
 	b.WriteString(describe(&e.Decision))
 	for _, c := range e.Candidates {
 		second := ""
-		if c.Policy != nil && c.Policy.Second != "" {
-			second = ">" + c.Policy.Second
+		if c.Policy != nil && c.Policy.Plan != nil {
+			second = " cascade"
 		}
 		fmt.Fprintf(&b, "  %s@%s%s chosen=%v %s\n", c.Model, c.Version, second, c.Chosen, c.Reason)
 	}
