Wait for capacity instead of spending retries; place versions on engines

Cause: in the first seconds all engines are cold, so requests used up their retries on refusals. A refusal costs no engine work. Change: a router waits for spare capacity before an attempt; refusals pause without taking from the retry budget; work that a backend server may have seen takes from it. Each request reserves the memory that its reader can hold.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -159,7 +159,12 @@
 		next.routes = routing.Build(next.current.Bundle, next.current.Version, node.Stops(a.Keeper), routing.Quality{})
 		a.SetConfigured()
 	}
-	previous := a.view.Swap(next)
+	previous := a.view.Load()
+	next.since = previous.since
+	if previous.leaving != next.leaving {
+		next.since = a.Clock.Now()
+	}
+	a.view.Store(next)
 	a.admission.SetLeaving(next.leaving != "")
 	if previous.leaving != next.leaving || previous.version() != next.version() {
 		a.Log.Info().Uint64("bundle_version", next.version()).Str("leaving", next.leaving).Strs("loaded", next.names).Msg("state changed")
--- a/daemon/agent/engine.go
+++ b/daemon/agent/engine.go
@@ -202,3 +202,33 @@
 	}
 	return reply{status: response.StatusCode, tokensIn: parsed.Usage.PromptTokens, tokensOut: parsed.Usage.CompletionTokens}
 }
+
+// Kinds of orders.
+const (
+	orderLoad   = "load"
+	orderUnload = "unload"
+)
+
+// engineOrder is the body of an engine's POST /orders.
+type engineOrder struct {
+	Fence uint64 `json:"fence"`
+	Kind  string `json:"kind"`
+	Model string `json:"model"`
+}
+
+// order implements orderer. The engine carries out an accepted order later.
+func (g *engine) order(ctx context.Context, kind, version string, fence uint64) error {
+	body, err := json.Marshal(engineOrder{Fence: fence, Kind: kind, Model: version})
+	if err != nil {
+		return err
+	}
+	response, refusal := call(ctx, g.client, http.MethodPost, g.settings.URL+"/orders", "application/json", body)
+	if refusal != nil {
+		return refusal
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		return engineError(response)
+	}
+	return nil
+}
--- a/daemon/agent/invariants.go
+++ b/daemon/agent/invariants.go
@@ -28,6 +28,7 @@
 	if v.version() > in.GetBundleVersion() && v.current.Since.After(a.Clock.Now().Add(-viewGrace)) {
 		return
 	}
+	a.Check.Assert(v.leaving == "" || a.Clock.Now().Sub(v.since) < viewGrace, invariantLeaving, "%s", v.leaving)
 	reason := v.routes.Authorise(in.GetWorkspace(), in.GetModel(), in.GetVersion())
 	a.Check.Assert(reason == routing.ReasonNone, invariantDispatch, "%s for %s in version %d: %s",
 		target(in), in.GetWorkspace(), v.version(), reason)
--- a/daemon/agent/service.go
+++ b/daemon/agent/service.go
@@ -14,7 +14,7 @@
 
 // maxAnswerBytes bounds the answer of a plain service and of an engine that does
 // not stream.
-const maxAnswerBytes = 8 << 20
+const maxAnswerBytes = 1 << 20
 
 // service is a plain service behind an agent.
 type service struct {
--- a/daemon/agent/view.go
+++ b/daemon/agent/view.go
@@ -18,6 +18,8 @@
 	routes  *routing.Snapshot
 	// leaving names the reason why no new work is taken; empty while serving.
 	leaving string
+	// since is when leaving took its present value.
+	since time.Time
 	// loaded holds the model@version names the engine serves.
 	loaded map[string]bool
 	names  []string
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -139,9 +139,9 @@
 func NewRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 const (
-	// streamBufferBytes bounds what a paused stream holds in this process; it is
+	// StreamBufferBytes bounds what a paused stream holds in this process; it is
 	// the HTTP/2 receive window of one stream.
-	streamBufferBytes = 64 << 10
+	StreamBufferBytes = 64 << 10
 	// pingAfter and pingTimeout find connections whose peer is gone or paused.
 	pingAfter   = 2 * time.Second
 	pingTimeout = 2 * time.Second
@@ -155,7 +155,7 @@
 		DialContext:         dialer().DialContext,
 		TLSHandshakeTimeout: dialTimeout,
 		HTTP2: &http.HTTP2Config{
-			MaxReceiveBufferPerStream: streamBufferBytes,
+			MaxReceiveBufferPerStream: StreamBufferBytes,
 			SendPingTimeout:           pingAfter,
 			PingTimeout:               pingTimeout,
 		},
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"cactusknot.example/coord/limit"
 	"cactusknot.example/coord/once"
 	"cactusknot.example/daemon/bundle"
 	"cactusknot.example/daemon/result"
@@ -32,7 +31,6 @@
 	chat     chatRequest
 	route    routing.Request
 	decision routing.Decision
-	buffer   *limit.Buffer
 
 	// Of plain service calls.
 	service   string
--- a/daemon/router/chat.go
+++ b/daemon/router/chat.go
@@ -47,7 +47,8 @@
 	}
 }
 
-// admit takes a place of the workspace's fair share and an answer buffer.
+// admit takes a place of the workspace's fair share and the memory that a slow
+// reader of the answer can hold: the receive window of one stream.
 func (r *Router) admit(ctx context.Context, c *call) *result.Error {
 	share := limit.Share{Weight: max(int(c.workspace.Weight), 1), Max: c.workspace.MaxConcurrent}
 	release, err := r.fair.Acquire(ctx, c.workspace.Name, share, c.deadline)
@@ -55,6 +56,11 @@
 		return admissionError(ctx, err)
 	}
 	c.onEnd(release)
+	buffer, err := r.buffers.Open(c.workspace.Name)
+	if err != nil {
+		return result.Overloaded.With("%v", err)
+	}
+	c.onEnd(buffer.Discard)
 	return nil
 }
 
@@ -107,7 +113,7 @@
 func (r *Router) answer(ctx context.Context, c *call) *result.Error {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	if c.decision.Policy != nil && c.decision.Policy.Second != "" {
+	if c.decision.Policy != nil && c.decision.Policy.Plan != nil {
 		return r.cascade(ctx, c)
 	}
 	out := r.newAnswer(c, &c.decision)
--- a/daemon/router/dispatch.go
+++ b/daemon/router/dispatch.go
@@ -2,17 +2,30 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
+	"time"
 
 	"cactusknot.example/daemon/balance"
+	"cactusknot.example/daemon/node"
 	"cactusknot.example/daemon/result"
 	"cactusknot.example/daemon/routing"
 	"cactusknot.example/daemon/rpc"
 )
 
-// maxAttempts bounds the attempts of one request, refusals included.
-const maxAttempts = 6
+const (
+	// maxAttempts bounds the attempts of one request that a backend server may
+	// have seen.
+	maxAttempts = 6
+	// maxRefusals bounds the refusals by agents of one request.
+	maxRefusals = 64
+	// capacityWait bounds the wait for an agent with spare capacity; a longer one
+	// is refused early, so that the caller can go elsewhere.
+	capacityWait = 10 * time.Second
+	// capacityPoll is the first pause between two looks at the agents' capacity;
+	// it doubles up to capacityPollMax.
+	capacityPoll    = 5 * time.Millisecond
+	capacityPollMax = 200 * time.Millisecond
+)
 
 // job is one step of a request: it runs at one backend server, tried at several
 // agents if necessary.
@@ -27,6 +40,9 @@
 	idempotent bool
 	tried      []string
 	attempts   uint32
+	refusals   uint32
+	// waitUntil is when the wait for capacity ends.
+	waitUntil time.Time
 }
 
 // runJob tries agents until the job is done or may not be tried again.
@@ -51,8 +67,8 @@
 		if out.err == nil || !r.mayRetry(ctx, j, out) {
 			return out
 		}
-		if refused := r.pause(ctx, random, j, out); refused != nil {
-			return attemptResult{err: refused, begun: out.begun}
+		if stop := r.pause(ctx, random, j, out); stop != nil {
+			return attemptResult{err: stop, begun: out.begun}
 		}
 	}
 }
@@ -60,13 +76,38 @@
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (r *Router) tryOnce(ctx context.Context, random *rand.Rand, j *job) attemptResult {
-	to, err := r.chooseServer(random, j)
+	to, err := r.awaitServer(ctx, random, j)
 	if err != nil {
 		return attemptResult{err: err}
 	}
 	return r.attempt(ctx, j, to)
 }
 
+// awaitServer chooses an agent and, while the chosen one is full, waits for
+// capacity. Waiting here costs the agents nothing, unlike a refused attempt.
+func (r *Router) awaitServer(ctx context.Context, random *rand.Rand, j *job) (peer, *result.Error) {
+	if j.waitUntil.IsZero() {
+		j.waitUntil = r.Clock.Now().Add(min(capacityWait, j.call.remaining(r.Clock.Now())))
+	}
+	pause := capacityPoll
+	for {
+		to, spare, err := r.chooseServer(random, j)
+		if err == nil && spare > 0 {
+			return to, nil
+		}
+		if !r.Clock.Now().Add(pause).Before(j.waitUntil) {
+			if err == nil {
+				err = result.Overloaded.With("no capacity for %s in time", j.target)
+			}
+			return peer{}, err
+		}
+		if r.Clock.Sleep(ctx, node.Jitter(random, pause)) != nil {
+			return peer{}, result.CallerGone.With("while waiting for capacity")
+		}
+		pause = min(2*pause, capacityPollMax)
+	}
+}
+
 // attempt runs the job at one agent.
 func (r *Router) attempt(ctx context.Context, j *job, to peer) attemptResult {
 	v := r.view.Load()
@@ -81,56 +122,55 @@
 	return out
 }
 
-// mayRetry tells whether another attempt is allowed: always after a proved "not
-// run", after an unknown outcome only when the job is idempotent and the caller
-// has seen nothing.
+// mayRetry tells whether another attempt is allowed: after a proved "not run" of
+// a code that allows it, and after an unknown outcome only when the job is
+// idempotent and the caller has seen nothing.
 func (r *Router) mayRetry(ctx context.Context, j *job, out attemptResult) bool {
-	if ctx.Err() != nil || j.attempts >= maxAttempts || !out.err.Code.Retry {
+	if ctx.Err() != nil || !out.err.Code.Retry {
 		return false
 	}
 	if out.err.Code.Run == result.NotRun {
-		return true
+		return j.refusals < maxRefusals
 	}
-	return j.idempotent && !out.begun
+	return j.idempotent && !out.begun && j.attempts < maxAttempts
 }
 
-// pause waits before the next attempt. The first attempt after a refusal is free,
-// since no backend server has seen the request; all others take from the budget.
+// pause waits before the next attempt and returns an error when there is none.
+// Refusals cost no engine work and only wait; a retry of work that a backend
+// server may have seen takes from the budget.
 func (r *Router) pause(ctx context.Context, random *rand.Rand, j *job, out attemptResult) *result.Error {
-	free := j.attempts <= 1 && out.err.Code.Run == result.NotRun
-	if !free && !r.retries.Retry() {
+	if out.err.Code.Run == result.NotRun {
+		j.refusals++
+		r.metrics.refusals.Inc()
+	} else if !r.retries.Retry() {
 		r.metrics.budgetRefusals.Inc()
-		if out.err.Code.Run == result.NotRun {
-			return result.RetryBudget.With("after %s", out.err)
-		}
-		return out.err
-	}
-	if free {
-		return nil
-	}
-	wait := r.retries.Backoff(int(j.attempts), random)
-	if wait >= j.call.remaining(r.Clock.Now()) {
 		return out.err
+	} else {
+		r.metrics.retries.Inc()
 	}
-	if r.Clock.Sleep(ctx, wait) != nil {
+	wait := r.retries.Backoff(int(min(j.attempts, maxAttempts)), random)
+	if wait >= j.waitUntil.Sub(r.Clock.Now()) || r.Clock.Sleep(ctx, wait) != nil {
 		return out.err
 	}
-	r.metrics.retries.Inc()
 	return nil
 }
 
-// chooseServer picks an agent for the job on the newest view.
-func (r *Router) chooseServer(random *rand.Rand, j *job) (peer, *result.Error) {
+// chooseServer picks an agent for the job on the newest view and returns its
+// estimated spare capacity.
+func (r *Router) chooseServer(random *rand.Rand, j *job) (peer, int, *result.Error) {
 	v := r.view.Load()
+	if v.servers == nil {
+		return peer{}, 0, result.NotReady.With("no configuration")
+	}
 	agent, ok := v.servers.Choose(random, r.Clock.Now(), balance.Request{Target: j.target, Prefix: j.prefix, Tried: j.tried})
 	if !ok {
-		return peer{}, result.NoBackend.With("%s", j.target)
+		return peer{}, 0, result.NoBackend.With("%s", j.target)
 	}
 	to, ok := v.peers[agent.VM]
 	if !ok {
-		return peer{}, result.NoBackend.With("%s", agent.VM)
+		return peer{}, 0, result.NoBackend.With("%s", agent.VM)
 	}
-	return to, nil
+	return to, agent.Free + agent.FlightAtReport - agent.Flight.Count(), nil
 }
 
 // newModelJob prepares one step of a model request.
@@ -156,12 +196,3 @@
 		},
 	}
 }
-
-// asError returns the result error in err, or Internal.
-func asError(err error) *result.Error {
-	var e *result.Error
-	if errors.As(err, &e) {
-		return e
-	}
-	return result.Internal.With("%v", err)
-}
--- a/daemon/router/log.go
+++ b/daemon/router/log.go
@@ -17,7 +17,7 @@
 		Str("model", d.Model).Str("version", d.Version).Stringer("reason", d.Reason).Bool("refused", d.Refused).
 		Uint64("bundle_version", v.version())
 	if d.Policy != nil {
-		event.Str("second", d.Policy.Second).Float64("threshold", d.Policy.Threshold).Float64("lower_bound", d.Policy.Lower).Bool("explored", d.Explored)
+		event.Bool("cascade", d.Policy.Plan != nil).Float64("lower_bound", d.Policy.Lower).Bool("explored", d.Explored)
 	}
 	event.Msg("model chosen")
 }
@@ -61,6 +61,7 @@
 	requests       *metrics.Counter
 	attempts       *metrics.Counter
 	retries        *metrics.Counter
+	refusals       *metrics.Counter
 	budgetRefusals *metrics.Counter
 	droppedEvents  *metrics.Counter
 	unrated        *metrics.Counter
@@ -88,6 +89,7 @@
 		requests:       set.NewCounter("cactusknot_router_requests_total"),
 		attempts:       set.NewCounter("cactusknot_router_attempts_total"),
 		retries:        set.NewCounter("cactusknot_router_retries_total"),
+		refusals:       set.NewCounter("cactusknot_router_agent_refusals_total"),
 		budgetRefusals: set.NewCounter("cactusknot_router_retry_budget_refusals_total"),
 		droppedEvents:  set.NewCounter("cactusknot_router_dropped_events_total"),
 		unrated:        set.NewCounter("cactusknot_router_unrated_answers_total"),
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -22,7 +22,6 @@
 	"cactusknot.example/daemon/distribute"
 	"cactusknot.example/daemon/node"
 	"cactusknot.example/daemon/platform"
-	"cactusknot.example/daemon/routing"
 	"cactusknot.example/daemon/rpc"
 	"cactusknot.example/daemon/secure"
 )
@@ -30,12 +29,17 @@
 // queueShare is the bound of waiting requests as a multiple of those in progress.
 const queueShare = 1
 
+// workspaceBufferPart: the slow readers of one workspace hold at most half of the
+// buffer memory, so that they do not refuse the others.
+const workspaceBufferPart = 2
+
 // Router runs the router role.
 type Router struct {
 	*node.Node
 	settings *config.Router
 	sessions *secure.Sessions
 	fair     *limit.Fair
+	buffers  *limit.Buffers
 	retries  *limit.RetryBudget
 	keys     *once.Generator
 	charges  *ledger.Queue
@@ -74,6 +78,15 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	r.buffers, err = limit.NewBuffers(limit.BufferConfig{
+		Reserve:      node.StreamBufferBytes,
+		PerRequest:   node.StreamBufferBytes,
+		PerWorkspace: max(settings.BufferBytes/workspaceBufferPart, node.StreamBufferBytes),
+		PerProcess:   settings.BufferBytes,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	r.retries = limit.NewRetryBudget(limit.RetryConfig{}, r.Clock)
 	r.keys = once.NewGenerator(r.Clock, rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	r.charges = ledger.NewQueue(r.Clock, settings.LedgerLines)
@@ -139,5 +152,3 @@
 
 // ratings tells whether answers are rated.
 func (r *Router) ratings() bool { return r.rating != nil }
-
-var _ = routing.AutoModel
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -135,7 +135,7 @@
 	random := newRandom()
 	r.retries.Attempt()
 	for {
-		to, err := r.chooseServer(random, j)
+		to, err := r.awaitServer(ctx, random, j)
 		if err != nil {
 			return attemptResult{err: err}
 		}
@@ -217,7 +217,7 @@
 
 func (r *Router) bind(ctx context.Context, j *job) (uint64, *result.Error) {
 	random := newRandom()
-	to, err := r.chooseServer(random, j)
+	to, _, err := r.chooseServer(random, j)
 	if err != nil {
 		return 0, err
 	}
@@ -245,7 +245,7 @@
 	if !slices.Contains(c.workspace.Allowed, "service:"+service) {
 		return result.NotAllowed.With("service %q", service)
 	}
-	to, err := r.chooseServer(newRandom(), &job{call: c, target: service})
+	to, _, err := r.chooseServer(newRandom(), &job{call: c, target: service})
 	if err != nil {
 		return err
 	}
