Let roll-outs grow by pooled ratings without a further proposal

Cause: each step of a roll-out needed an operator, but nobody watches at night. Change: a roll-out marked automatic takes its step from the pooled ratings, as a pure function that all routers evaluate; the signed bundle bounds the steps. Ruled out: step notices in the store, which add state and messages.

--- a/daemon/bundle/bundle.go
+++ b/daemon/bundle/bundle.go
@@ -85,6 +85,9 @@
 	// Step is the index of the step in force.
 	Step  int          `json:"step" validate:"gte=0"`
 	State RolloutState `json:"state" validate:"oneof=running paused halted done"`
+	// Automatic lets the share grow from Step through the steps by the pooled
+	// ratings of the candidate, without a further proposal.
+	Automatic bool `json:"automatic,omitempty"`
 	// Generation makes stop notices of earlier roll-outs of the version void.
 	Generation uint64 `json:"generation"`
 }
--- a/daemon/ctl/operate.go
+++ b/daemon/ctl/operate.go
@@ -126,6 +126,7 @@
 	c := newChanger(env, "rollout start", "MODEL@VERSION", "Starts to move new sessions from the current version of MODEL to VERSION.")
 	steps := c.flags.String("steps", "0.01,0.05,0.2,0.5,1", "ascending `SHARES` of sessions")
 	id := c.flags.String("id", "", "`ID` of the roll-out; default is MODEL-VERSION")
+	automatic := c.flags.Bool("automatic", false, "let the share grow through the steps by the ratings of the candidate")
 	weights := c.flags.String("weights", "", "`OBJECT` in the weight store; adds the version when it does not exist")
 	return c.run(ctx, func(ctx context.Context) error {
 		if err := c.parse(args, 1, 1); err != nil {
@@ -142,7 +143,7 @@
 		if *id == "" {
 			*id = model + "-" + version
 		}
-		r := bundle.Rollout{ID: *id, Model: model, To: version, Steps: shares, State: bundle.RolloutRunning}
+		r := bundle.Rollout{ID: *id, Model: model, To: version, Steps: shares, State: bundle.RolloutRunning, Automatic: *automatic}
 		return c.change(ctx, func(b *bundle.Bundle, next uint64) error { return start(b, r, *weights, next) })
 	})
 }
--- a/daemon/placement/placement.go
+++ b/daemon/placement/placement.go
@@ -86,9 +86,12 @@
 	return 0
 }
 
-// headroom is the share of the roll-out's next step, so that engines have loaded
-// the version before the sessions come.
+// headroom is the share of the roll-out's next step, of an automatic one the last
+// step, so that engines have loaded the version before the sessions come.
 func headroom(r *bundle.Rollout) float64 {
+	if r.Automatic {
+		return r.Steps[len(r.Steps)-1]
+	}
 	return r.Steps[min(r.Step+1, len(r.Steps)-1)]
 }
 
--- a/daemon/routing/growth.go
+++ b/daemon/routing/growth.go
@@ -73,8 +73,6 @@
 		Needed:  rule.RatingsPerStep * uint64(r.Step+1),
 		LogE:    rule.Test.Worse(candidate, base).LogE,
 	}
-	// Half of the stopping evidence on the logarithmic scale already holds the share.
-	suspicious := d.LogE >= -math.Log(rule.Test.Level)/2
 	switch {
 	case r.State != bundle.RolloutRunning:
 		d.Hold = HoldState
@@ -86,12 +84,34 @@
 		d.Hold = HoldRatingDown
 	case d.Ratings < d.Needed:
 		d.Hold = HoldRatings
-	case suspicious:
+	case rule.suspicious(d.LogE):
 		d.Hold = HoldEvidence
 	}
 	return d
 }
 
+// step returns the step in force. That of an automatic roll-out follows from the
+// pooled ratings, so all routers with the same evidence use the same share
+// without an order; evidence against the candidate takes the share back to the
+// step of the bundle. Sessions keep their version either way.
+func (s *Snapshot) step(r *bundle.Rollout) int {
+	if !r.Automatic || r.State != bundle.RolloutRunning {
+		return r.Step
+	}
+	rule := DefaultGrowthRule()
+	candidate, base := s.Trial(r)
+	if rule.suspicious(rule.Test.Worse(candidate, base).LogE) {
+		return r.Step
+	}
+	return min(r.Step+int(candidate.Count/rule.RatingsPerStep), len(r.Steps)-1)
+}
+
+// suspicious tells whether the evidence against the candidate holds its share:
+// half of the stopping evidence on the logarithmic scale does.
+func (g GrowthRule) suspicious(logE float64) bool {
+	return logE >= -math.Log(g.Test.Level)/2
+}
+
 // Trial returns the pooled ratings of candidate and base in the generation of
 // the roll-out.
 func (s *Snapshot) Trial(r *bundle.Rollout) (candidate, base stats.Counter) {
--- a/daemon/routing/snapshot.go
+++ b/daemon/routing/snapshot.go
@@ -173,7 +173,7 @@
 	}
 	for _, a := range w.ordered {
 		a.chooseBase()
-		a.chooseShares(s.bundle)
+		a.chooseShares(s)
 	}
 	slices.SortStableFunc(w.ordered, func(a, b *access) int {
 		return compareFloat(a.model.price, b.model.price)
@@ -237,7 +237,8 @@
 	return true
 }
 
-func (a *access) chooseShares(b *bundle.Bundle) {
+func (a *access) chooseShares(s *Snapshot) {
+	b := s.bundle
 	for i := range b.Rollouts {
 		r := &b.Rollouts[i]
 		if r.Model != a.model.cfg.Name || r.Step < 0 || r.Step >= len(r.Steps) {
@@ -252,7 +253,7 @@
 		}
 		a.shares = append(a.shares, share{
 			rolloutID: r.ID,
-			part:      r.Steps[r.Step],
+			part:      r.Steps[s.step(r)],
 			to:        to,
 			from:      r.From,
 			tag:       rolloutTag(r.ID, r.Generation),
