Mix the products of bets in the comparison of two versions

The product of two mixtures paid for the choice of the bet on both sides. One mixture over (bet, ratio) keeps the level. Betting becomes the default.

--- a/coord/stats/sequential.go
+++ b/coord/stats/sequential.go
@@ -10,7 +10,7 @@
 
 // Values of Method.
 const (
-	// EmpiricalBernstein adapts to the observed spread of the ratings. Zero value.
+	// EmpiricalBernstein adapts to the observed spread of the ratings. It is the zero value.
 	EmpiricalBernstein Method = iota
 	// Betting bounds the wealth of a fixed-fraction bettor from below by the chord
 	// of the logarithm; it is exact for ratings of only 0 and 1.
@@ -25,19 +25,23 @@
 }
 
 const (
-	// The bets form a geometric grid. The smallest suits a version with 1,000
-	// times the ratings of the other; above 0.58 the evidence of the empirical
-	// Bernstein form is no longer monotone in the mean tested.
-	smallestBet = 0.0005
-	betRatio    = 2.0
-	betCount    = 11
+	// The bets form a geometric grid. Bets of a comparison on the base are smaller
+	// by one of ratioCount factors, because the base usually has more ratings.
+	smallestBet = 0.04
+	betFactor   = 2.0
+	betCount    = 5
+	ratioFactor = 0.25
+	ratioCount  = 4
 
 	// The common mean of both versions is searched on a grid and then refined.
-	coarseSteps = 40
-	refineSteps = 24
+	coarseSteps = 20
+	refineSteps = 16
 )
 
-var bets = makeBets()
+var (
+	bets     = makeBets(1)
+	baseBets = makeBaseBets()
+)
 
 type bet struct {
 	size float64
@@ -45,12 +49,22 @@
 	psi float64
 }
 
-func makeBets() [betCount]bet {
+func makeBets(scale float64) [betCount]bet {
 	var out [betCount]bet
-	size := smallestBet
+	size := smallestBet * scale
 	for i := range out {
 		out[i] = bet{size: size, psi: -math.Log1p(-size) - size}
-		size *= betRatio
+		size *= betFactor
+	}
+	return out
+}
+
+func makeBaseBets() [ratioCount][betCount]bet {
+	var out [ratioCount][betCount]bet
+	scale := 1.0
+	for i := range out {
+		out[i] = makeBets(scale)
+		scale *= ratioFactor
 	}
 	return out
 }
@@ -102,14 +116,22 @@
 }
 
 // leastFavourable returns the smallest evidence over the mean m of base. For the
-// true m the product of "candidate below m-margin" and "base above m" is a
-// supermartingale under the null hypothesis, so the minimum is a valid e-value.
+// true m the product of a bet on "candidate below m-margin" and one on "base
+// above m" is a supermartingale under the null hypothesis, so the minimum of
+// their mixture is a valid e-value. Mixing the products costs less evidence than
+// multiplying two mixtures.
 func (s Sequential) leastFavourable(candidate, base Counter) float64 {
 	mirrored := base.mirrored()
 	at := func(m float64) float64 {
-		below := s.Method.logBelow([]Against{{candidate, m}}, s.Margin)
-		above := s.Method.logBelow([]Against{{mirrored, 1 - m}}, 0)
-		return below + above
+		var scores [ratioCount * betCount]float64
+		for j := range bets {
+			below := s.Method.score(bets[j], candidate, m-s.Margin)
+			for i := range baseBets {
+				above := s.Method.score(baseBets[i][j], mirrored, 1-m)
+				scores[i*betCount+j] = below + above
+			}
+		}
+		return logMean(scores[:])
 	}
 	step := (1 - s.Margin) / coarseSteps
 	best, bestValue := s.Margin, at(s.Margin)
@@ -145,18 +167,25 @@
 // logBelow returns the logarithm of the mixture over all bets.
 func (m Method) logBelow(parts []Against, margin float64) float64 {
 	var scores [betCount]float64
-	top := math.Inf(-1)
 	for i := range bets {
 		for _, p := range parts {
 			scores[i] += m.score(bets[i], p.Counter, p.Mean-margin)
 		}
-		top = math.Max(top, scores[i])
+	}
+	return logMean(scores[:])
+}
+
+// logMean returns the logarithm of the mean of exp(score).
+func logMean(scores []float64) float64 {
+	top := scores[0]
+	for _, s := range scores {
+		top = math.Max(top, s)
 	}
 	total := 0.0
 	for _, s := range scores {
 		total += math.Exp(s - top)
 	}
-	return top + math.Log(total/betCount)
+	return top + math.Log(total/float64(len(scores)))
 }
 
 // score returns the log wealth of one bet that the mean is below mean.
--- a/daemon/routing/evidence.go
+++ b/daemon/routing/evidence.go
@@ -88,10 +88,15 @@
 // come from a release with other tags.
 func gatherEvidence(ratings map[Key]stats.Counter) *evidence {
 	e := &evidence{cells: make(map[cellID]*cell), trials: make(map[trialID]stats.Counter), kinds: []string{""}}
+	parsed := make(map[string]Tags) // few kind fields are shared by many keys
 	for key, counter := range ratings {
-		tags, err := ParseTags(key.Kind)
-		if err != nil {
-			continue
+		tags, ok := parsed[key.Kind]
+		if !ok {
+			var err error
+			if tags, err = ParseTags(key.Kind); err != nil {
+				continue
+			}
+			parsed[key.Kind] = tags
 		}
 		e.addCells(key, tags, counter)
 		if tags.Rollout != "" {
@@ -99,9 +104,9 @@
 			e.trials[id] = e.trials[id].Plus(counter)
 		}
 	}
-	for id := range e.cells {
-		if !slices.Contains(e.kinds, id.kind) {
-			e.kinds = append(e.kinds, id.kind)
+	for _, tags := range parsed {
+		if !slices.Contains(e.kinds, tags.Kind) {
+			e.kinds = append(e.kinds, tags.Kind)
 		}
 	}
 	return e
--- a/daemon/routing/growth.go
+++ b/daemon/routing/growth.go
@@ -56,7 +56,7 @@
 
 // DefaultStopTest returns the test used without settings.
 func DefaultStopTest() stats.Sequential {
-	return stats.Sequential{Method: stats.EmpiricalBernstein, Level: DefaultStopLevel}
+	return stats.Sequential{Method: stats.Betting, Level: DefaultStopLevel}
 }
 
 // Growth decides whether the roll-out may take its next step. The bundle stays
