Report the prompt prefixes that an engine answered last

Cause: the choice of backend servers knows prefix affinity, but no agent reported prefixes. Ruled out: the engine's cache events, which come late and with gaps.

--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -25,6 +25,8 @@
 	loaded() []string
 	// prefixes returns the hashes of prompt prefixes believed to be cached.
 	prefixes() []uint64
+	// forget drops what is believed to be cached, after a restart.
+	forget()
 	// probe asks the backend server for its condition.
 	probe(ctx context.Context) (probeReport, error)
 }
--- a/daemon/agent/engine.go
+++ b/daemon/agent/engine.go
@@ -26,7 +26,7 @@
 	settings config.Backend
 	client   *http.Client
 	versions atomic.Pointer[[]string]
-	cached   atomic.Pointer[[]uint64]
+	cached   prefixCache
 }
 
 func newEngine(settings config.Backend) *engine {
@@ -40,12 +40,9 @@
 	return nil
 }
 
-func (g *engine) prefixes() []uint64 {
-	if hashes := g.cached.Load(); hashes != nil {
-		return *hashes
-	}
-	return nil
-}
+func (g *engine) prefixes() []uint64 { return g.cached.list() }
+
+func (g *engine) forget() { g.cached.clear() }
 
 // loadReport holds the used fields of an engine's GET /load.
 type loadReport struct {
@@ -81,6 +78,7 @@
 	if response.StatusCode != http.StatusOK {
 		return reply{err: engineError(response)}
 	}
+	g.cached.used(in.GetPrefixHash())
 	if in.GetStream() {
 		return g.relayStream(ctx, response, out)
 	}
--- a/daemon/agent/server.go
+++ b/daemon/agent/server.go
@@ -36,5 +36,7 @@
 	if p := s.agent.Directory.Processes().Find(id.VM); p != nil {
 		s.agent.Keeper.Contact(p.DataCentre, s.agent.Clock.Now())
 	}
-	return &rpc.ExchangeResponse{State: s.agent.state()}, nil
+	state := s.agent.state()
+	state.CachedPrefixes = s.agent.backend.prefixes()
+	return &rpc.ExchangeResponse{State: state}, nil
 }
--- a/daemon/agent/service.go
+++ b/daemon/agent/service.go
@@ -33,6 +33,8 @@
 
 func (s *service) prefixes() []uint64 { return nil }
 
+func (s *service) forget() {}
+
 // probe checks that the service accepts connections.
 func (s *service) probe(ctx context.Context) (probeReport, error) {
 	response, refusal := call(ctx, s.idempotent, http.MethodGet, s.settings.URL+"/", "", nil)
--- a/daemon/router/control.go
+++ b/daemon/router/control.go
@@ -29,6 +29,9 @@
 	// exchangeInterval is the shortest interval of exchanges with one agent.
 	exchangeInterval = time.Second
 	exchangeTimeout  = 2 * time.Second
+	// busyExchanges is how many intervals pass between exchanges with an agent
+	// that replies to traffic.
+	busyExchanges = 5
 	// subsetSize bounds the agents that one router uses.
 	subsetSize = 64
 	// suspectMin and suspectMax bound the adaptive timeout of suspicion.
@@ -86,6 +89,8 @@
 	flight      *balance.Flight
 	flightAt    int
 	unreachable bool
+	// prefixes are those of the last exchange; other replies carry none.
+	prefixes []uint64
 	// asked is when the last exchange was sent.
 	asked time.Time
 }
@@ -170,6 +175,9 @@
 	if older {
 		return
 	}
+	if len(e.state.GetCachedPrefixes()) > 0 || record.state.GetIncarnation() != e.state.GetIncarnation() {
+		record.prefixes = e.state.GetCachedPrefixes()
+	}
 	record.state = e.state
 	record.at = now
 	record.flightAt = record.flight.Count()
@@ -230,7 +238,9 @@
 	interval := max(exchangeInterval, time.Duration(len(c.agents))*time.Second/exchangesPerSecond)
 	now := c.router.Clock.Now()
 	for _, record := range c.agents {
-		if now.Sub(record.at) < interval || now.Sub(record.asked) < interval {
+		// Replies to traffic carry the state but no prefixes.
+		quiet := now.Sub(record.at) >= interval
+		if now.Sub(record.asked) < interval || !quiet && now.Sub(record.asked) < busyExchanges*interval {
 			continue
 		}
 		record.asked = now
@@ -315,7 +325,7 @@
 		At:             record.at,
 		FirstTokenMS:   float64(s.GetFirstTokenMs()),
 		Targets:        targets,
-		Prefixes:       s.GetCachedPrefixes(),
+		Prefixes:       record.prefixes,
 		Suspicion:      suspicion,
 		Flight:         record.flight,
 		FlightAtReport: record.flightAt,
