Probe candidates for a cached prefix instead of indexing all prefixes

Change: Choose probes up to 32 candidates by binary search; ColdLimit at MaxRequests turns the ramp off.

--- a/coord/limit/admission.go
+++ b/coord/limit/admission.go
@@ -49,7 +49,8 @@
 	MaxRequests int
 	// MaxTokens bounds the sum of the tokens of the held requests.
 	MaxTokens int
-	// ColdLimit is the number of requests held at the start of the ramp.
+	// ColdLimit is the number of requests held at the start of the ramp; a value
+	// of MaxRequests or more turns the ramp off.
 	ColdLimit int
 	// RampGrowth is the growth of the ramp per completed request, in (0, 1].
 	RampGrowth float64
@@ -275,11 +276,12 @@
 }
 
 func (a *Admission) becomeCold(reason ColdReason) {
-	a.cold = true
 	a.reason = reason
 	a.colds++
 	a.ramp = float64(a.cfg.ColdLimit)
 	a.proved = 0
+	// With ColdLimit at MaxRequests there is no ramp.
+	a.cold = a.rampLimit() < a.cfg.MaxRequests
 	a.detector.clearEvidence()
 }
 
--- a/daemon/balance/agent.go
+++ b/daemon/balance/agent.go
@@ -56,7 +56,8 @@
 	FirstTokenMS float64
 	// Targets are the loaded versions as model@version, or the service's name.
 	Targets []string
-	// Prefixes are the hashes of prompt prefixes believed to be cached.
+	// Prefixes are the hashes of prompt prefixes believed to be cached, in
+	// ascending order.
 	Prefixes []uint64
 	// Suspicion is suspect.Detector's level; from 1 the agent is a last resort.
 	Suspicion float64
--- a/daemon/balance/choose.go
+++ b/daemon/balance/choose.go
@@ -21,6 +21,8 @@
 	// maxHolders is the number of random agents compared for a cached prefix. A
 	// fixed order would send all routers to the first holders.
 	maxHolders = 2
+	// maxProbes bounds the agents looked at for a cached prefix.
+	maxProbes = 32
 )
 
 // Request is what the choice needs of a request.
@@ -111,21 +113,38 @@
 	if r.Prefix == 0 {
 		return -1
 	}
+	if len(p.near) == 0 {
+		return -1
+	}
 	best := int32(-1)
-	holders := p.prefixes[r.Prefix]
-	for range min(len(holders), maxHolders) {
-		i := holders[random.IntN(len(holders))]
+	found := 0
+	start := random.IntN(len(p.near))
+	for n := range min(len(p.near), maxProbes) {
+		i := p.near[(start+n)%len(p.near)]
 		a := &s.agents[i]
-		if s.load(a, now, p) > s.cfg.AffinityMaxLoad || slices.Contains(r.Tried, a.VM) {
+		if _, cached := slices.BinarySearch(a.Prefixes, r.Prefix); !cached {
 			continue
 		}
-		if c := s.cost(a, now, p) * s.cfg.AffinityGain; c < cost {
+		if c := s.holderCost(a, now, p, r); c < cost {
 			best, cost = i, c
 		}
+		found++
+		if found == maxHolders {
+			break
+		}
 	}
 	return best
 }
 
+// holderCost is the cost of an agent that has the prefix; without bound when it
+// is too loaded or was tried.
+func (s *Snapshot) holderCost(a *Agent, now time.Time, p *pool, r Request) float64 {
+	if s.load(a, now, p) > s.cfg.AffinityMaxLoad || slices.Contains(r.Tried, a.VM) {
+		return math.Inf(1)
+	}
+	return s.cost(a, now, p) * s.cfg.AffinityGain
+}
+
 // usable tells whether a candidate is expected to have a free place and is not
 // suspected.
 func (s *Snapshot) usable(i int32, now time.Time, p *pool) bool {
--- a/daemon/balance/snapshot.go
+++ b/daemon/balance/snapshot.go
@@ -74,8 +74,6 @@
 	// near are the candidates of the region, far those of other regions.
 	near []int32
 	far  []int32
-	// prefixes maps a prefix to the near candidates that have it cached.
-	prefixes map[uint64][]int32
 	// meanLoad is the mean reported load of the near candidates.
 	meanLoad float64
 	// typicalMS is the median reported first-token time of the near candidates.
@@ -112,7 +110,7 @@
 	for _, target := range a.Targets {
 		p := s.pools[target]
 		if p == nil {
-			p = &pool{prefixes: make(map[uint64][]int32)}
+			p = &pool{}
 			s.pools[target] = p
 		}
 		if a.Distance >= OtherRegion {
@@ -120,9 +118,6 @@
 			continue
 		}
 		p.near = append(p.near, i)
-		for _, prefix := range a.Prefixes {
-			p.prefixes[prefix] = append(p.prefixes[prefix], i)
-		}
 	}
 }
 
--- a/daemon/bench/queueing/cluster.go
+++ b/daemon/bench/queueing/cluster.go
@@ -137,11 +137,7 @@
 func (s *server) warmAgent() {
 	for s.admission.State().Phase == limit.Cold {
 		var permits []*limit.Permit
-		for {
-			p, refusal := s.admission.Admit(1)
-			if refusal != limit.NotRefused || len(permits) >= warmRequests {
-				break
-			}
+		for p, refusal := s.admission.Admit(1); refusal == limit.NotRefused; p, refusal = s.admission.Admit(1) {
 			permits = append(permits, p)
 		}
 		for _, p := range permits {
--- a/daemon/bench/queueing/router.go
+++ b/daemon/bench/queueing/router.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cactusknot.example/coord/limit"
@@ -73,7 +74,9 @@
 }
 
 func (s *server) report() report {
-	return report{state: s.admission.State(), prefixes: append([]uint64(nil), s.engine.prefixes...)}
+	prefixes := slices.Clone(s.engine.prefixes)
+	slices.Sort(prefixes)
+	return report{state: s.admission.State(), prefixes: prefixes}
 }
 
 func (r *router) update(s *server, rep report) {
