--- a/coord/limit/retry.go
+++ b/coord/limit/retry.go
@@ -14,9 +14,9 @@
 	DefaultRetryRatio = 0.1
 	// DefaultRetryFloorPerSecond lets a router with little traffic retry.
 	DefaultRetryFloorPerSecond = 0.1
-	// DefaultRetryBurst bounds saved-up retries. A larger burst repeats a whole
-	// second of traffic after a quiet period.
-	DefaultRetryBurst = 10
+	// DefaultRetryBurst bounds saved-up retries. With 10, 24 routers at 5 requests/s
+	// made 1.39 attempts per request in the worst 5 s of an overload.
+	DefaultRetryBurst = 2
 	// DefaultBackoffBase and DefaultBackoffMax bound the pause before a retry.
 	DefaultBackoffBase = 10 * time.Millisecond
 	DefaultBackoffMax  = time.Second
--- a/daemon/bench/queueing/request.go
+++ b/daemon/bench/queueing/request.go
@@ -6,6 +6,9 @@
 	"cactusknot.example/coord/limit"
 )
 
+// naivePause is the constant pause between retries without a budget.
+const naivePause = 10 * time.Millisecond
+
 // request is one request of a caller.
 type request struct {
 	id      int
@@ -197,7 +200,7 @@
 		return
 	}
 	q.retries++
-	pause := time.Millisecond
+	pause := naivePause
 	if c.policy.retries == retryBudget {
 		pause = r.budget.Backoff(q.retries, r.random)
 	}
