--- a/daemon/bench/queueing/choosers.go
+++ b/daemon/bench/queueing/choosers.go
@@ -73,3 +73,19 @@
 	r.random.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
 	return slices.MinFunc(from, func(a, b int) int { return r.outstanding[a] - r.outstanding[b] })
 }
+
+// chooseOracle takes the least held requests for the engine's present speed, from
+// the state at the moment of the choice. No router can know it; it bounds what a
+// choice can reach.
+func chooseOracle(r *router, _ *request) int {
+	best, cost := -1, 0.0
+	for i, s := range r.cluster.servers {
+		if !s.alive || s.admission.State().Free == 0 {
+			continue
+		}
+		if c := float64(s.engine.held()+1) * s.engine.slowdown(); best < 0 || c < cost {
+			best, cost = i, c
+		}
+	}
+	return best
+}
--- a/daemon/bench/queueing/latency.go
+++ b/daemon/bench/queueing/latency.go
@@ -61,6 +61,7 @@
 		named("random", chooseRandom),
 		named("round robin", chooseRoundRobin),
 		named("least outstanding, stale", chooseLeastOutstanding),
+		named("oracle, current state", chooseOracle),
 	}
 }
 
