--- /dev/null
+++ b/daemon/bench/bench_test.go
@@ -0,0 +1,87 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"testing"
+
+	"cactusknot.example/daemon/routing"
+)
+
+// Guards against a workload file that no longer decodes or whose shares don't
+// cover all traffic.
+func TestWorkloads(t *testing.T) {
+	workloads, err := loadWorkloads(Options{})
+	if err != nil || len(workloads) != len(deployments) {
+		t.Fatalf("%d workloads, %v", len(workloads), err)
+	}
+	for _, w := range workloads {
+		traffic, kinds := 0.0, 0.0
+		for _, ws := range w.Workspaces {
+			traffic += ws.Share
+		}
+		for _, k := range w.Kinds {
+			kinds += k.Share
+		}
+		if diff := (traffic - 1) * (traffic - 1); diff > 1e-9 || (kinds-1)*(kinds-1) > 1e-9 {
+			t.Errorf("%s: shares add up to %v and %v", w.Name, traffic, kinds)
+		}
+		if len(w.Models) > maxModels || w.modelIndex(w.Rollout.Model) < 0 {
+			t.Errorf("%s: models", w.Name)
+		}
+	}
+}
+
+// Guards the reference: no variant that meets the target may be cheaper than the
+// oracle, and the oracle must meet every target.
+func TestOracleIsCheapest(t *testing.T) {
+	report, err := RunCost(context.Background(), Options{Seeds: []uint64{7}, Scale: 0.02})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range report.Summary() {
+		if s.Variant == "oracle" && s.Name == "workspaces below target" && s.Max > 0 {
+			t.Errorf("seed 7: the oracle misses a target in %s", s.Deployment)
+		}
+		meets := report.worst(s.Deployment, s.Variant, "workspaces below target") == 0
+		if s.Name == "cost / oracle" && meets && s.Min < 0.999 {
+			t.Errorf("seed 7: %s costs %v of the oracle in %s", s.Variant, s.Min, s.Deployment)
+		}
+	}
+	var out bytes.Buffer
+	if err := report.WriteJSON(&out); err != nil || !json.Valid(out.Bytes()) {
+		t.Errorf("JSON: %v", err)
+	}
+}
+
+// Guards against roll-outs that break an invariant or a stop that does not
+// travel: after the first notice the exposure is limited to one interval.
+func TestRolloutStops(t *testing.T) {
+	w, err := loadWorkload("creches")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Rollout.HorizonSeconds = 400
+	run := trial{workload: w, scope: pooledEvidence, failures: 0.9, test: routing.DefaultStopTest()}
+	s := newSimulation(run, 7)
+	out := s.run()
+	if out.err != nil || !out.stopped {
+		t.Fatalf("seed 7: %+v", out)
+	}
+	for i, n := range s.nodes {
+		if len(n.stops) != 1 {
+			t.Errorf("seed 7: router %d holds %d notices", i, len(n.stops))
+		}
+	}
+}
+
+// Guards against sessions that lose a pin between requests of the simulation.
+func TestRememberReplacesPin(t *testing.T) {
+	s := &routing.Session{}
+	remember(s, &routing.Decision{Model: "m", Version: "1", NewPin: true})
+	remember(s, &routing.Decision{Model: "m", Version: "2", NewPin: true, Reason: routing.ReasonMoved})
+	if len(s.Pins) != 1 || s.Pins[0].Version != "2" {
+		t.Fatalf("pins %+v", s.Pins)
+	}
+}
--- a/daemon/bench/workload.go
+++ b/daemon/bench/workload.go
@@ -158,7 +158,7 @@
 
 const (
 	maxModels    = 4
-	exploreShare = 0.03
+	exploreShare = 0.1
 	tokenSpread  = 0.3 // relative standard deviation of token counts
 )
 
--- a/daemon/routing/routing_test.go
+++ b/daemon/routing/routing_test.go
@@ -269,3 +269,26 @@
 		})
 	}
 }
+
+func BenchmarkBuild(b *testing.B) {
+	q := Quality{RatingUp: true, Ratings: map[Key]stats.Counter{}}
+	config := sampleBundle()
+	for i := range 50 {
+		w := config.Workspaces[0]
+		w.Name = fmt.Sprint(i)
+		config.Workspaces = append(config.Workspaces, w)
+		for kind := range 3 {
+			for bin := range ScoreBins {
+				tags := Tags{Kind: fmt.Sprint(kind), Bin: bin}
+				mean := (float64(bin) + 0.5) / ScoreBins
+				c := stats.Counter{Count: 100, Sum: 100 * mean, SumSquares: 100 * mean * mean}
+				q.Ratings[Key{w.Name, "small", "1", tags.Encode()}] = c
+				q.Ratings[Key{w.Name, "large", "1", tags.Encode()}] = c
+			}
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Build(config, 1, nil, q)
+	}
+}
