--- /dev/null
+++ b/daemon/e2e/stop_test.go
@@ -0,0 +1,177 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cactusknot.example/daemon/result"
+)
+
+// metric returns a value of a daemon's metrics, 0 when it is absent.
+func metric(t *testing.T, vm, name string) float64 {
+	t.Helper()
+	a := do(context.Background(), http.MethodGet, deployment.Admin(vm)+"/metrics", nil, nil)
+	for line := range strings.Lines(string(a.body)) {
+		if text, ok := strings.CutPrefix(strings.TrimSpace(line), name+" "); ok {
+			value, _ := strconv.ParseFloat(text, 64)
+			return value
+		}
+	}
+	return 0
+}
+
+// streamLoad streams answers through all ready routers, as the platform's load
+// balancer chooses them, until stop is called.
+type streamLoad struct {
+	ready    [3]atomic.Bool
+	complete atomic.Int64
+	refused  atomic.Int64
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+}
+
+func startLoad(t *testing.T) *streamLoad {
+	const workers, checkInterval = 12, 50 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &streamLoad{cancel: cancel}
+	t.Cleanup(l.stop)
+	check := func() {
+		for i, r := range spec.Routers {
+			l.ready[i].Store(do(ctx, http.MethodGet, deployment.Callers(r.VM)+"/readyz", nil, nil).status == http.StatusOK)
+		}
+	}
+	check()
+	l.done.Go(func() {
+		for ctx.Err() == nil {
+			check()
+			time.Sleep(checkInterval)
+		}
+	})
+	for worker := range workers {
+		l.done.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				l.one(t, fmt.Sprintf("load %d %d", worker, i))
+			}
+		})
+	}
+	eventually(t, "the load runs", func() bool { return l.complete.Load() >= workers })
+	return l
+}
+
+// one sends a request; only a proved "not run" may stand in for its answer.
+func (l *streamLoad) one(t *testing.T, text string) {
+	var ready []string
+	for i, r := range spec.Routers {
+		if l.ready[i].Load() {
+			ready = append(ready, r.VM)
+		}
+	}
+	if len(ready) == 0 {
+		time.Sleep(time.Millisecond)
+		return
+	}
+	router := ready[rand.IntN(len(ready))]
+	a := chat(context.Background(), router, refusing, streamed("small@1", text))
+	r := refusalOf(a.body).Error
+	switch {
+	case a.status == http.StatusOK && strings.HasSuffix(string(a.body), "data: [DONE]\n\n"):
+		l.complete.Add(1)
+	case a.err == nil && a.status != http.StatusOK && r.Run == string(result.NotRun):
+		l.refused.Add(1)
+	default:
+		t.Errorf("request interrupted at %s: %s", router, a)
+	}
+}
+
+// more waits for complete answers of requests sent from now on.
+func (l *streamLoad) more(t *testing.T) {
+	t.Helper()
+	at := l.complete.Load()
+	eventually(t, "answers go on", func() bool { return l.complete.Load() > at+24 })
+}
+
+func (l *streamLoad) stop() {
+	l.cancel()
+	l.done.Wait()
+}
+
+// terminate ends daemons by SIGTERM and waits until they have ended by themselves.
+func terminate(t *testing.T, vms ...string) {
+	t.Helper()
+	for _, vm := range vms {
+		must(t, deployment.Signal(vm, syscall.SIGTERM))
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+	defer cancel()
+	for _, vm := range vms {
+		if err := deployment.Wait(ctx, vm); err != nil {
+			t.Errorf("%s after SIGTERM: %v", vm, err)
+			_ = deployment.Kill(context.Background(), vm)
+		}
+	}
+}
+
+// TestPlannedStops guards against a stop that interrupts a request or never ends.
+func TestPlannedStops(t *testing.T) {
+	l := startLoad(t)
+	terminate(t, "router-b")
+	l.more(t)
+	restart(t, "router-b")
+	terminate(t, "engine-a1")
+	l.more(t)
+	restart(t, "engine-a1")
+	l.more(t)
+	l.stop()
+	t.Logf("%d complete, %d refused as not run", l.complete.Load(), l.refused.Load())
+}
+
+// TestPlannedStopsWithoutStore guards against stops that wait for each other to
+// take over their charges while the store is down, and against daemons that
+// can't start without the store although peers hold the configuration.
+func TestPlannedStopsWithoutStore(t *testing.T) {
+	up := storeDown(t)
+	l := startLoad(t)
+	stopping := append(preferred(2), "engine-b1", "tickets-b")
+	terminate(t, stopping...)
+	l.more(t)
+	for _, vm := range stopping {
+		restart(t, vm)
+	}
+	l.more(t)
+	l.stop()
+	up()
+	for _, r := range spec.Routers {
+		eventually(t, "charges are stored after the outage", func() bool {
+			return metric(t, r.VM, "cactusknot_router_unstored_charges") == 0
+		})
+	}
+	t.Logf("%d complete, %d refused as not run", l.complete.Load(), l.refused.Load())
+}
+
+// preferred returns the n routers that the others hand their charges to first.
+func preferred(n int) []string {
+	var names []string
+	for _, r := range spec.Routers {
+		names = append(names, r.VM)
+	}
+	score := func(vm string) uint64 { return xxhash.Sum64String("0\x00" + vm) }
+	slices.SortFunc(names, func(a, b string) int {
+		if score(a) > score(b) {
+			return -1
+		}
+		return 1
+	})
+	return names[:n]
+}
--- a/daemon/fleet/fleet.go
+++ b/daemon/fleet/fleet.go
@@ -135,6 +135,9 @@
 // Admin returns the base URL of a process for operators.
 func (f *Fleet) Admin(vm string) string { return "http://" + f.addresses[vm+suffixAdmin] }
 
+// Internal returns the base URL of a process for other processes.
+func (f *Fleet) Internal(vm string) string { return "https://" + f.addresses[vm+suffixInternal] }
+
 // Backend returns the base URL of an agent's backend server.
 func (f *Fleet) Backend(vm string) string { return "http://" + f.addresses[vm+suffixBackend] }
 
