Hand charges over to a router that is not stopping

Cause: a router that stops takes no charges and acknowledged an empty list, after which the sender asked no other router. All processes asked in the same order, so two routers that stopped while the store was down waited for each other, and a stopping agent waited for them; TestPlannedStopsWithoutStore saw no end in 30 s. A stopping router also waited for the store's time-outs, shard by shard, before it asked another router. Change: an empty acknowledgement leads to the next router, the order is random, and the hand-over comes before the delivery. Conclusion: the test passes; both routers and both agents end.

--- a/daemon/node/charges.go
+++ b/daemon/node/charges.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -91,6 +92,9 @@
 // delivery. It returns false while lines remain.
 func (n *Node) HandOver(ctx context.Context, queue *ledger.Queue, limit int) bool {
 	lines := queue.Pending(0, limit)
+	if held, _ := queue.Len(); held == 0 {
+		return true
+	}
 	request := &rpc.DeliverRequest{Node: n.Settings.VM, HandOver: true}
 	for _, line := range lines {
 		request.Lines = append(request.Lines, LineToMessage(line))
@@ -100,7 +104,7 @@
 	return held == 0
 }
 
-// deliver tries the routers in order until one acknowledges.
+// deliver tries the routers in order until one acknowledges a line.
 func (n *Node) deliver(ctx context.Context, queue *ledger.Queue, routers []Process, request *rpc.DeliverRequest) {
 	const tries = 3
 	for _, p := range routers[:min(len(routers), tries)] {
@@ -111,8 +115,12 @@
 			n.Log.Debug().Err(err).Str("collector", p.VM).Msg("charges not delivered")
 			continue
 		}
-		queue.Acknowledge(identities(response.GetAcknowledged()))
-		return
+		taken := identities(response.GetAcknowledged())
+		queue.Acknowledge(taken)
+		// A router that is stopping too takes nothing; the next one may.
+		if len(taken) > 0 {
+			return
+		}
 	}
 }
 
@@ -152,7 +160,10 @@
 	return routers
 }
 
-// otherRouters returns the routers other than this process, in no fixed order.
+// otherRouters returns the routers other than this process in random order. In a
+// fixed order, routers that stop at the same time would all ask each other first.
 func (n *Node) otherRouters() []Process {
-	return slices.DeleteFunc(n.collectors(0), func(p Process) bool { return p.VM == n.Settings.VM })
+	others := slices.DeleteFunc(n.collectors(0), func(p Process) bool { return p.VM == n.Settings.VM })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others
 }
--- a/daemon/router/charge.go
+++ b/daemon/router/charge.go
@@ -46,12 +46,14 @@
 }
 
 // handOverCharges blocks until every charge is stored or held by another router.
+// It asks other routers first: while the store is down, a delivery waits for its
+// time-out in each shard.
 func (r *Router) handOverCharges(ctx context.Context) {
 	for {
-		r.DeliverPending(ctx, r.charges, 0, maxDeliverLines)
 		if r.HandOver(ctx, r.charges, maxDeliverLines) {
 			return
 		}
+		r.DeliverPending(ctx, r.charges, 0, maxDeliverLines)
 		if r.Clock.Sleep(ctx, handOverInterval) != nil {
 			return
 		}
