Refuse input that the wire or the limits can't hold

Cause: a kind that is not UTF-8 made every Sync of the router fail in protobuf (TestBinaryKind); the sum of prompt and answer tokens could overflow 32 bits and pass the agent's token limit; a negative max_tokens and an automatic model with a version were served. Change: the kind is made valid UTF-8, max_tokens is bounded, auto takes no version. Conclusion: TestBadInput and TestBinaryKind pass.

--- a/daemon/router/decode.go
+++ b/daemon/router/decode.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
@@ -36,6 +37,9 @@
 	bytesPerToken = 4
 	// defaultMaxTokens is the assumed length of an answer without max_tokens.
 	defaultMaxTokens = 256
+	// maxAnswerTokens is beyond any context window, and the sum with the tokens of
+	// a prompt fits the 32-bit fields of the wire.
+	maxAnswerTokens = 1 << 30
 	// prefixBytes is how much of a prompt decides the affinity to a cached prefix.
 	prefixBytes = 512
 	maxKeyChars = 128
@@ -142,12 +146,15 @@
 	if len(c.chat.Messages) == 0 {
 		return result.BadRequest.With("messages: is required")
 	}
-	if c.chat.answerTokens() < 0 {
-		return result.BadRequest.With("max_tokens: must be positive")
+	if c.chat.MaxTokens < 0 || c.chat.MaxCompletionTokens < 0 {
+		return result.BadRequest.With("max_tokens: must not be negative")
 	}
-	name, version, _ := strings.Cut(c.chat.Model, "@")
-	if name == "" {
-		name = routing.AutoModel
+	if c.chat.MaxTokens > maxAnswerTokens || c.chat.MaxCompletionTokens > maxAnswerTokens {
+		return result.BadRequest.With("max_tokens: must be at most %d", maxAnswerTokens)
+	}
+	name, version, named := strings.Cut(cmp.Or(c.chat.Model, routing.AutoModel), "@")
+	if named && (name == "" || name == routing.AutoModel) {
+		return result.UnknownModel.With("model %q", c.chat.Model)
 	}
 	if err := c.identify(); err != nil {
 		return err
@@ -163,11 +170,12 @@
 }
 
 // kindOf returns the caller's label of the request, shortened to a bound that
-// keeps the number of quality counters small.
+// keeps the number of quality counters small. It must be UTF-8: protobuf refuses
+// other text, so that one caller could stop the exchange of counters.
 func kindOf(request *http.Request) string {
 	const maxKindChars = 32
 	kind := request.Header.Get(headerKind)
-	return kind[:min(len(kind), maxKindChars)]
+	return strings.ToValidUTF8(kind[:min(len(kind), maxKindChars)], "")
 }
 
 // identify sets the request id. With an idempotency key it derives from key and
