Never say not run of a key that may have run

Cause: after an agent was killed or frozen during a booking, a second request with the same key got backend_down or wrong_home, both not_run; at a home that was leaving or behind, a repeated booking that had been made got agent_leaving or agent_behind, not_run. A caller who believes that books twice. An idempotent request was not retried when its stream broke after the admission although the caller had received nothing. Text that is not UTF-8 in path or content type was reported as possibly run. Change: the agent consults the key's record before its gate; the router passes on not_run for a caller's key only when the home itself said so; a retry is allowed until the caller has received something; text is checked before dispatch. Conclusion: TestAgentKilledMidBooking, TestAgentFrozenMidBooking, TestRetryAtLeavingHome and TestEngineBreaksBeforeAnswer cover the cases.

--- a/daemon/agent/execute.go
+++ b/daemon/agent/execute.go
@@ -73,17 +73,15 @@
 	return in, nil
 }
 
-// run decides whether the request runs, and runs it.
+// run decides whether the request runs, and runs it. The record of a
+// non-idempotent request comes first, since a refusal must not say "not run" of a
+// key that has run.
 func (e *execution) run(ctx context.Context) {
-	if refusal := e.gate(); refusal != nil {
-		e.refuse(refusal)
-		return
-	}
 	if e.in.GetService() != "" && !e.in.GetIdempotent() {
 		e.runOnce(ctx)
 		return
 	}
-	if refusal := e.admit(); refusal != nil {
+	if refusal := e.mayRun(); refusal != nil {
 		e.refuse(refusal)
 		return
 	}
@@ -101,12 +99,20 @@
 	return e.view.permit(e.agent.settings.Backend, e.in)
 }
 
+// mayRun passes the gate and takes a place.
+func (e *execution) mayRun() *result.Error {
+	if refusal := e.gate(); refusal != nil {
+		return refusal
+	}
+	return e.admit()
+}
+
 // admit takes a place on the backend server and room for the charge.
 func (e *execution) admit() *result.Error {
 	if !e.agent.charges.Reserve() {
 		return result.LedgerFull.With("")
 	}
-	permit, refusal := e.agent.admission.Admit(int(e.in.GetPromptTokens() + e.in.GetMaxTokens()))
+	permit, refusal := e.agent.admission.Admit(int(e.in.GetPromptTokens()) + int(e.in.GetMaxTokens()))
 	if refusal != limit.NotRefused {
 		e.agent.charges.Release()
 		return refusalCode(refusal).With("%s", refusal)
@@ -174,7 +180,7 @@
 // runFirst runs the request detached from the router's connection, so that the
 // outcome is recorded even when router and caller have left.
 func (e *execution) runFirst(ctx context.Context) {
-	if refusal := e.admit(); refusal != nil {
+	if refusal := e.mayRun(); refusal != nil {
 		e.ticket.Finish(once.Outcome{Kind: once.OutcomeNotRun})
 		e.refuse(refusal)
 		return
--- a/daemon/router/execute.go
+++ b/daemon/router/execute.go
@@ -39,6 +39,8 @@
 	begin(status int, contentType string) error
 	// chunk gets the parts of the answer in order.
 	chunk(data []byte) error
+	// started tells whether the caller has received any part of the answer.
+	started() bool
 }
 
 // errReceiver: the caller does not take the answer any more.
@@ -48,16 +50,19 @@
 type attemptResult struct {
 	// err is nil when the answer is complete.
 	err *result.Error
-	// begun is true when the receiver got any part of the answer.
-	begun  bool
-	charge *rpc.ChargeLine
+	// begun is true when the caller got any part of the answer.
+	begun bool
+	// answered is true when the outcome is what the agent said.
+	answered bool
+	charge   *rpc.ChargeLine
 }
 
 // execute runs one attempt at an agent and passes the answer to out.
 func (r *Router) execute(ctx context.Context, to peer, in *rpc.ExecuteRequest, out receiver) attemptResult {
 	body, err := proto.Marshal(in)
 	if err != nil {
-		return attemptResult{err: result.Internal.With("%v", err)}
+		// Only text that is not UTF-8 fails; the filters refuse it before.
+		return attemptResult{err: result.BadRequest.With("%v", err)}
 	}
 	var connected atomic.Bool
 	tracing := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -136,7 +141,7 @@
 }
 
 func (s *answerStream) broken(ctx context.Context, err error) attemptResult {
-	return attemptResult{err: brokenBy(ctx, err), begun: s.begun}
+	return attemptResult{err: brokenBy(ctx, err), begun: s.out.started()}
 }
 
 // handle processes one event. The result counts when done is true.
@@ -144,7 +149,7 @@
 	switch e := event.GetEvent().(type) {
 	case *rpc.ExecuteEvent_Refused:
 		s.router.report(s.from, e.Refused.GetState())
-		return true, attemptResult{err: result.ByNumber(int(e.Refused.GetCode())).With("%s", e.Refused.GetReason())}
+		return true, attemptResult{err: result.ByNumber(int(e.Refused.GetCode())).With("%s", e.Refused.GetReason()), answered: true}
 	case *rpc.ExecuteEvent_Admitted:
 		s.router.report(s.from, e.Admitted.GetState())
 		s.begun = true
@@ -181,10 +186,10 @@
 		return s.broken(ctx, fmt.Errorf("%d of %d chunks received", s.chunks, end.GetChunks()))
 	}
 	if end.GetCode() == 0 {
-		return attemptResult{begun: s.begun, charge: end.GetCharge()}
+		return attemptResult{charge: end.GetCharge(), answered: true}
 	}
 	code := result.ByNumber(int(end.GetCode()))
 	s.router.Check.Assert(!s.begun || code.Run != result.NotRun, invariantNotRunAfterAnswer,
 		"request %x ended with %s after its answer began", s.in.GetRequestId(), code.Name)
-	return attemptResult{err: code.With("%s", end.GetReason()), begun: s.begun}
+	return attemptResult{err: code.With("%s", end.GetReason()), begun: s.out.started(), answered: true}
 }
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 
@@ -52,6 +53,9 @@
 	if reason != routing.ReasonNone {
 		return reason.Code().With("%s %s %s: %s", c.service, c.request.Method, c.path, reason)
 	}
+	if !utf8.ValidString(c.path) || !utf8.ValidString(c.request.Header.Get("Content-Type")) {
+		return result.BadRequest.With("path or content type is not UTF-8")
+	}
 	c.operation = operation
 	return c.identify()
 }
@@ -166,6 +170,10 @@
 		if out.err == nil {
 			return out
 		}
+		if j.call.callerKey && !homeSpoke(out) {
+			// An earlier request may have run the key at a home that is now gone.
+			return attemptResult{err: result.OutcomeUnknown.With("%s", out.err)}
+		}
 		unknown := out.err.Code.Run == result.Unknown
 		sent = sent || unknown
 		if sent && !unknown && !definiteRefusal(out.err.Code) {
@@ -183,6 +191,15 @@
 	}
 }
 
+// homeSpoke tells whether a "not run" comes from the home itself, which consults
+// the key's record before it refuses. Other outcomes count as spoken.
+func homeSpoke(out attemptResult) bool {
+	if out.err.Code.Run != result.NotRun {
+		return true
+	}
+	return out.answered && out.err.Code != result.WrongHome
+}
+
 // definiteRefusal tells whether a refusal speaks about the key and not only about
 // this attempt.
 func definiteRefusal(code result.Code) bool { return code == result.KeyReused }
@@ -274,6 +291,9 @@
 	return nil
 }
 
+// started is false: the answer is sent as a whole by finish.
+func (a *serviceAnswer) started() bool { return false }
+
 func (a *serviceAnswer) finish() error {
 	header := a.call.writer.Header()
 	if a.contentType != "" {
