Record request starts in the emulators and process exits in the fleet

The soak run compares the starts of requests with the orders of operators and must know of every process that ends.

--- a/daemon/emulate/batch.go
+++ b/daemon/emulate/batch.go
@@ -45,8 +45,9 @@
 	e.waiting = append(e.waiting, s)
 	held := len(e.waiting) + len(e.running)
 	e.totals.MaxHeld = max(e.totals.MaxHeld, held)
-	if held > e.maxHeldLocked() {
+	if limit := e.maxHeldLocked(); held > limit {
 		e.totals.Overloads++
+		e.starts.overload(held, limit)
 		return e.epoch, false
 	}
 	select {
--- a/daemon/emulate/common.go
+++ b/daemon/emulate/common.go
@@ -55,7 +55,7 @@
 func (b *base) Reopen() error { return trace.Wrap(b.host.Reopen()) }
 
 // controlPaths are served also during an outage.
-var controlPaths = []string{"/faults", "/stats", "/effects"}
+var controlPaths = []string{"/faults", "/stats", "/effects", "/starts"}
 
 // disturb is the middleware of outage and delay.
 func (b *base) disturb(next echo.HandlerFunc) echo.HandlerFunc {
--- a/daemon/emulate/engine.go
+++ b/daemon/emulate/engine.go
@@ -40,6 +40,7 @@
 	report    LoadReport
 	totals    EngineTotals
 	cacheLate time.Duration
+	starts    startLog
 }
 
 // EngineTotals counts what an engine did since it was made, across restarts.
--- a/daemon/emulate/engine_http.go
+++ b/daemon/emulate/engine_http.go
@@ -128,6 +128,7 @@
 	r.GET("/load", e.serveLoad)
 	r.GET("/cache_events", e.serveCacheEvents)
 	r.POST("/orders", e.serveOrder)
+	r.GET("/starts", e.starts.serve)
 	r.GET("/stats", func(c echo.Context) error { return c.JSON(http.StatusOK, e.Totals()) })
 	faultRoutes(r, e.Apply)
 	return r
@@ -146,6 +147,7 @@
 	if status != http.StatusOK {
 		return fail(c, status, "engine_error", why)
 	}
+	e.starts.add(Start{UnixMs: time.Now().UnixMilli(), Model: req.Model, Prompt: PromptHash(prompt)})
 	if epoch, ok := e.submit(w.seq); !ok {
 		e.crash(epoch, ms(e.cfg.RestartMs), "more requests than the engine can hold")
 	}
--- a/daemon/emulate/service.go
+++ b/daemon/emulate/service.go
@@ -17,6 +17,9 @@
 // remove duplicates: each call that it handles has an effect.
 const HeaderBookingRef = "X-Booking-Ref"
 
+// enteredKey is the context key of the time at which a call arrived.
+const enteredKey = "entered_unix_ms"
+
 // ServiceConfig holds the settings of the plain service emulator.
 type ServiceConfig struct {
 	// ServiceMs is the time that a call takes.
@@ -65,6 +68,8 @@
 	ByRef map[string]int `json:"by_ref"`
 	// Duplicates lists the references with more than one effect.
 	Duplicates []string `json:"duplicates"`
+	// Times holds the times of the effects of each reference, in ms since 1970.
+	Times map[string][]int64 `json:"times"`
 }
 
 // Service is the emulated plain service of bookings and medicine entries.
@@ -81,6 +86,8 @@
 	completed   uint64
 	bookings    map[string]Booking
 	byRef       map[string]int
+	times       map[string][]int64
+	starts      startLog
 	resetBefore int
 	resetAfter  int
 	errorNext   int
@@ -98,6 +105,7 @@
 		epoch:    1,
 		bookings: map[string]Booking{},
 		byRef:    map[string]int{},
+		times:    map[string][]int64{},
 	}
 	s.log = log
 	s.host = NewHost(s.handler(), log)
@@ -113,6 +121,7 @@
 	r.GET("/bookings/:id", s.hold(s.serveGet))
 	r.GET("/medicine/:id", s.hold(s.serveGet))
 	r.GET("/load", s.serveLoad)
+	r.GET("/starts", s.starts.serve)
 	r.GET("/effects", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Effects()) })
 	faultRoutes(r, s.Apply)
 	return r
@@ -132,9 +141,10 @@
 func (s *Service) Effects() Effects {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := Effects{Total: len(s.bookings), ByRef: map[string]int{}, Duplicates: []string{}}
+	out := Effects{Total: len(s.bookings), ByRef: map[string]int{}, Duplicates: []string{}, Times: map[string][]int64{}}
 	for ref, n := range s.byRef {
 		out.ByRef[ref] = n
+		out.Times[ref] = append([]int64{}, s.times[ref]...)
 		if n > 1 {
 			out.Duplicates = append(out.Duplicates, ref)
 		}
@@ -154,6 +164,7 @@
 // hold bounds the calls that are in the service and waits for a free slot.
 func (s *Service) hold(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		c.Set(enteredKey, time.Now().UnixMilli())
 		if s.enter() {
 			s.log.Warn().Msg("service crashed: more calls than it can hold")
 			s.host.Crash(ms(s.cfg.RestartMs))
@@ -182,6 +193,7 @@
 		return false
 	}
 	s.crashing = true
+	s.starts.overload(s.held, s.cfg.MaxHeld)
 	return true
 }
 
@@ -201,6 +213,8 @@
 	if err != nil {
 		return err
 	}
+	entered, _ := c.Get(enteredKey).(int64)
+	s.starts.add(Start{UnixMs: entered, Ref: ref})
 	// A frozen process performs nothing until it wakes.
 	if !s.host.frozen.pass(c.Request().Context().Done()) {
 		return c.Request().Context().Err()
@@ -253,6 +267,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.byRef[ref]++
+	s.times[ref] = append(s.times[ref], time.Now().UnixMilli())
 	b := Booking{
 		ID:        fmt.Sprintf("b%d", len(s.bookings)+1),
 		Ref:       ref,
--- a/daemon/fleet/fleet.go
+++ b/daemon/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -40,6 +41,9 @@
 	DrainDelay time.Duration
 	// Fatal ends a process on a violated invariant.
 	Fatal bool
+	// OnExit, when set, is called with the exit code of each process that ends; a
+	// process ended by a signal has code -1.
+	OnExit func(name string, code int)
 }
 
 // RouterSpec is a router with its data centre.
@@ -66,6 +70,8 @@
 	secrets   []string
 	rootKey   bundle.OperatorKey
 	addresses map[string]string
+
+	mu        sync.Mutex
 	processes map[string]*Process
 }
 
--- a/daemon/fleet/process.go
+++ b/daemon/fleet/process.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"syscall"
 	"time"
 
@@ -19,7 +21,9 @@
 	Name string
 	cmd  *exec.Cmd
 	log  *os.File
-	done chan error
+	// done is closed after err is set.
+	done chan struct{}
+	err  error
 }
 
 // Tool runs cactusctl and returns its standard output. The error holds what the
@@ -162,15 +166,34 @@
 		_ = log.Close()
 		return trace.Wrap(err)
 	}
-	p := &Process{Name: name, cmd: cmd, log: log, done: make(chan error, 1)}
-	go func() {
-		p.done <- cmd.Wait()
-		_ = log.Close()
-	}()
+	p := &Process{Name: name, cmd: cmd, log: log, done: make(chan struct{})}
+	f.mu.Lock()
 	f.processes[name] = p
+	f.mu.Unlock()
+	go f.await(p)
 	return nil
 }
 
+// await records the end of a process.
+func (f *Fleet) await(p *Process) {
+	p.err = p.cmd.Wait()
+	_ = p.log.Close()
+	if f.spec.OnExit != nil {
+		f.spec.OnExit(p.Name, p.cmd.ProcessState.ExitCode())
+	}
+	close(p.done)
+}
+
+func (f *Fleet) process(name string) (*Process, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.processes[name]
+	if !ok {
+		return nil, trace.NotFound("process %s", name)
+	}
+	return p, nil
+}
+
 // LogFile returns the path of a process's log.
 func (f *Fleet) LogFile(name string) string { return f.path(fileName(name) + ".log") }
 
@@ -180,23 +203,23 @@
 
 // Signal sends a signal to one process.
 func (f *Fleet) Signal(name string, signal syscall.Signal) error {
-	p, ok := f.processes[name]
-	if !ok {
-		return trace.NotFound("process %s", name)
+	p, err := f.process(name)
+	if err != nil {
+		return err
 	}
 	return trace.ConvertSystemError(p.cmd.Process.Signal(signal))
 }
 
 // Wait blocks until a process has ended or ctx ends, and returns its exit error.
 func (f *Fleet) Wait(ctx context.Context, name string) error {
-	p, ok := f.processes[name]
-	if !ok {
-		return trace.NotFound("process %s", name)
+	p, err := f.process(name)
+	if err != nil {
+		return err
 	}
 	select {
-	case err := <-p.done:
-		delete(f.processes, name)
-		return err
+	case <-p.done:
+		f.forget(p)
+		return p.err
 	case <-ctx.Done():
 		return trace.Wrap(ctx.Err())
 	}
@@ -260,14 +283,26 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// forget removes an ended process, unless its successor runs already.
+func (f *Fleet) forget(p *Process) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.processes[p.Name] == p {
+		delete(f.processes, p.Name)
+	}
+}
+
 // Close ends all processes that still run.
 func (f *Fleet) Close() {
-	for _, p := range f.processes {
+	f.mu.Lock()
+	all := slices.Collect(maps.Values(f.processes))
+	f.mu.Unlock()
+	for _, p := range all {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
 	}
-	for name, p := range f.processes {
+	for _, p := range all {
 		<-p.done
-		delete(f.processes, name)
+		f.forget(p)
 	}
 }
