--- a/daemon/ctl/command.go
+++ b/daemon/ctl/command.go
@@ -56,6 +56,7 @@
 	benchCommands,
 	bundleCommands, operateCommands, explainCommands,
 	loadCommands,
+	soakCommands,
 }
 
 // Main runs the subcommand that args name and returns the exit code.
--- /dev/null
+++ b/daemon/ctl/soak.go
@@ -0,0 +1,80 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"cactusknot.example/daemon/soak"
+)
+
+func soakCommands() []Command {
+	return []Command{{Name: "soak", Summary: "run a deployment under load and faults and check the guarantees", Run: runSoak}}
+}
+
+// runSoak expects the daemon's binary beside the one of cactusctl. It returns
+// ExitFailed when a guarantee was violated.
+func runSoak(ctx context.Context, env Env, args []string) int {
+	fs := flag.NewFlagSet("cactusctl soak", flag.ContinueOnError)
+	fs.SetOutput(env.Stderr)
+	seed := fs.Uint64("seed", 1, "seed of the faults, the operators' actions and the load")
+	duration := fs.Duration("duration", 30*time.Second, "time during which faults begin")
+	asJSON := fs.Bool("json", false, "print the report as JSON")
+	keep := fs.Bool("keep", false, "keep settings and logs")
+	schedule := fs.Bool("schedule", false, "print the schedule of the seed and exit")
+	if err := fs.Parse(args); err != nil {
+		return usageCode(err)
+	}
+	if fs.NArg() > 0 || *duration < soak.MinDuration {
+		fmt.Fprintf(env.Stderr, "cactusctl soak: want no operands and a duration of at least %s\n", soak.MinDuration)
+		return ExitUsage
+	}
+	if *schedule {
+		soak.WriteSchedule(env.Stdout, soak.Schedule(*seed, *duration))
+		return ExitOK
+	}
+	dir, err := os.MkdirTemp("", fmt.Sprintf("cactusknot-soak-%d-", *seed))
+	if err != nil {
+		fmt.Fprintln(env.Stderr, err)
+		return ExitFailed
+	}
+	report, err := soakIn(ctx, env, dir, *seed, *duration)
+	if *keep || err != nil {
+		fmt.Fprintln(env.Stderr, "settings and logs:", dir)
+	} else {
+		_ = os.RemoveAll(dir)
+	}
+	if err != nil {
+		fmt.Fprintln(env.Stderr, err)
+		return ExitFailed
+	}
+	return printSoak(env, report, *asJSON)
+}
+
+func soakIn(ctx context.Context, env Env, dir string, seed uint64, duration time.Duration) (*soak.Report, error) {
+	tool, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	return soak.Run(ctx, soak.Options{
+		Tool: tool, Daemon: filepath.Join(filepath.Dir(tool), "cactusknot"), Dir: dir,
+		Seed: seed, Duration: duration, Progress: env.Stderr,
+	})
+}
+
+func printSoak(env Env, report *soak.Report, asJSON bool) int {
+	if asJSON {
+		if code := printJSON(env, report); code != ExitOK {
+			return code
+		}
+	} else {
+		report.Print(env.Stdout)
+	}
+	if len(report.Violations) > 0 {
+		return ExitFailed
+	}
+	return ExitOK
+}
--- a/daemon/fleet/fleet.go
+++ b/daemon/fleet/fleet.go
@@ -290,3 +290,13 @@
 	const fileMode = 0o600
 	return trace.ConvertSystemError(os.WriteFile(file, data, fileMode))
 }
+
+// VM returns the entry of a VM in the VM list.
+func (f *Fleet) VM(name string) (platform.VM, error) {
+	for _, vm := range f.vmList().VMs {
+		if vm.VM == name {
+			return vm, nil
+		}
+	}
+	return platform.VM{}, trace.NotFound("VM %s", name)
+}
--- /dev/null
+++ b/daemon/soak/gather.go
@@ -0,0 +1,141 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cactusknot.example/coord/ledger"
+	"cactusknot.example/daemon/emulate"
+	"cactusknot.example/daemon/fleet"
+	"cactusknot.example/daemon/platform"
+)
+
+// Messages of log lines that the checks read.
+const (
+	messageAttempt = "backend server chosen"
+	messageStopped = "version stopped"
+	maxLogLine     = 1 << 20
+)
+
+// gather reads the records of emulators, logs and ledger.
+func (r *run) gather(ctx context.Context) error {
+	starts := make(map[string]emulate.Starts)
+	effects := make(map[string]emulate.Effects)
+	for _, vm := range agentVMs {
+		var s emulate.Starts
+		if err := getJSON(ctx, r.fleet.Backend(vm)+"/starts", &s); err != nil {
+			return trace.Wrap(err)
+		}
+		starts[vm] = s
+	}
+	for _, vm := range serviceVMs {
+		var e emulate.Effects
+		if err := getJSON(ctx, r.fleet.Backend(vm)+"/effects", &e); err != nil {
+			return trace.Wrap(err)
+		}
+		effects[vm] = e
+	}
+	report, err := ledger.Audit(ctx, platform.NewStore(r.fleet.Platform(fleet.Store)))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := &r.evidence
+	e.Starts, e.Effects, e.Ledger, e.Ended = starts, effects, report, time.Now()
+	e.Calls = r.traffic.all()
+	e.Attempts, e.Stopped = nil, nil
+	for _, router := range e.Routers {
+		if err := e.readLog(router, r.fleet.LogFile(router)); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+func getJSON(ctx context.Context, url string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return json.NewDecoder(response.Body).Decode(into)
+}
+
+// logLine holds the fields of a router's log line that the checks use.
+type logLine struct {
+	Time    time.Time `json:"time"`
+	Message string    `json:"message"`
+	Request string    `json:"request"`
+	Step    uint32    `json:"step"`
+	VM      string    `json:"chosen_vm"`
+	Target  string    `json:"target"`
+	Code    int       `json:"code"`
+	Result  string    `json:"result"`
+	Model   string    `json:"model"`
+	Version string    `json:"version"`
+}
+
+// readLog takes attempts and stopped versions from a router's log.
+func (e *Evidence) readLog(router, file string) error {
+	f, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, maxLogLine)
+	for lines.Scan() {
+		text := lines.Text()
+		if !strings.Contains(text, messageAttempt) && !strings.Contains(text, messageStopped) {
+			continue
+		}
+		var l logLine
+		// A killed process may leave half a line.
+		if json.Unmarshal([]byte(text), &l) != nil {
+			continue
+		}
+		e.addLine(router, l)
+	}
+	return lines.Err()
+}
+
+func (e *Evidence) addLine(router string, l logLine) {
+	switch l.Message {
+	case messageAttempt:
+		e.Attempts = append(e.Attempts, Attempt{
+			Router: router, At: l.Time, RequestID: l.Request, Step: l.Step, VM: l.VM, Target: l.Target, Code: l.Code, Result: l.Result,
+		})
+	case messageStopped:
+		e.Stopped = append(e.Stopped, StoppedVersion{Model: l.Model, Version: l.Version})
+	}
+}
+
+// logLines returns the lines of all logs that contain the text.
+func (r *run) logLines(text string) []string {
+	const most = 12
+	var found []string
+	for _, vm := range allVMs {
+		data, err := os.ReadFile(r.fleet.LogFile(vm))
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(data)) {
+			if strings.Contains(line, text) && len(found) < most {
+				found = append(found, strings.TrimSpace(line))
+			}
+		}
+	}
+	return found
+}
