Store charges of all shards within seconds

Cause: deliveries to the 32 shards went one after the other, each waiting for the batch interval of its collector, and the collectors of a router together spent more than its budget of 5 store calls a second, so that flushes failed and delivery moved on to another router, which had to load the log first. The exhausted budget also refused caller-made keys long after an outage. Ruled out: the store itself (no fault in the last 20 s) and lost lines (they were still held). Change: deliveries run at the same time, one shard of a router flushes at a time, a delivery may take as long as all flushes, and a router that stops hands its lines to another router before it tries the store.

--- a/coord/ledger/collector.go
+++ b/coord/ledger/collector.go
@@ -169,6 +169,14 @@
 
 // Flush stores all waiting lines. Run calls it; it is exported for planned stops.
 func (c *Collector) Flush(ctx context.Context) error {
+	if c.cfg.Flushes != nil {
+		select {
+		case c.cfg.Flushes <- struct{}{}:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		defer func() { <-c.cfg.Flushes }()
+	}
 	if err := c.lock(ctx); err != nil {
 		return err
 	}
--- a/daemon/node/charges.go
+++ b/daemon/node/charges.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,8 +21,10 @@
 // request must have the same shard for the life of the ledger.
 const LedgerShards = 32
 
-// deliverTimeout bounds one delivery; it covers a flush of the collector.
-const deliverTimeout = 5 * time.Second
+// deliverTimeout bounds one delivery. It covers the flushes of all shards at one
+// router, one after the other: 32 shards with two store calls each at
+// storeCallsPerSecond, and the collector's batch interval.
+const deliverTimeout = 15 * time.Second
 
 // LineToMessage converts a charge line for the wire.
 func LineToMessage(l ledger.Line) *rpc.ChargeLine {
@@ -82,9 +85,15 @@
 		shard := ledger.Shard(line.RequestID, LedgerShards)
 		byShard[shard] = append(byShard[shard], LineToMessage(line))
 	}
+	// Each delivery waits for a flush, so that deliveries one after the other would
+	// take a batch interval for each shard.
+	var all sync.WaitGroup
 	for shard, lines := range byShard {
-		n.deliver(ctx, queue, n.collectors(shard), &rpc.DeliverRequest{Node: n.Settings.VM, Lines: lines})
+		all.Go(func() {
+			n.deliver(ctx, queue, n.collectors(shard), &rpc.DeliverRequest{Node: n.Settings.VM, Lines: lines})
+		})
 	}
+	all.Wait()
 }
 
 // HandOver gives all lines to another router, which holds them for later
--- a/daemon/router/charge.go
+++ b/daemon/router/charge.go
@@ -46,12 +46,13 @@
 }
 
 // handOverCharges blocks until every charge is stored or held by another router.
+// Another router takes the lines at once, while the store may be down.
 func (r *Router) handOverCharges(ctx context.Context) {
 	for {
-		r.DeliverPending(ctx, r.charges, 0, maxDeliverLines)
 		if r.HandOver(ctx, r.charges, maxDeliverLines) {
 			return
 		}
+		r.DeliverPending(ctx, r.charges, 0, maxDeliverLines)
 		if r.Clock.Sleep(ctx, handOverInterval) != nil {
 			return
 		}
@@ -63,12 +64,15 @@
 	router *Router
 	ctx    context.Context
 
+	// flushes lets one shard flush at a time.
+	flushes chan struct{}
+
 	mu     sync.Mutex
 	shards map[uint32]*ledger.Collector
 }
 
 func newCollectorSet(ctx context.Context, r *Router) *collectorSet {
-	return &collectorSet{router: r, ctx: ctx, shards: make(map[uint32]*ledger.Collector)}
+	return &collectorSet{router: r, ctx: ctx, flushes: make(chan struct{}, 1), shards: make(map[uint32]*ledger.Collector)}
 }
 
 func (s *collectorSet) collector(shard uint32) *ledger.Collector {
@@ -82,6 +86,7 @@
 		Clock:   s.router.Clock,
 		Checker: s.router.Check,
 		Shard:   shard,
+		Flushes: s.flushes,
 	})
 	s.shards[shard] = c
 	go func() {
