Let a router become ready when it knows its agents

Cause: a router was ready as soon as it held a configuration and refused requests with no_backend until its first exchange with an agent. Change: readiness waits until each agent of the subset has answered or failed, at most 5 s.

--- a/daemon/router/control.go
+++ b/daemon/router/control.go
@@ -31,6 +31,9 @@
 	exchangeTimeout  = 2 * time.Second
 	// subsetSize bounds the agents that one router uses.
 	subsetSize = 64
+	// readyGrace is how long a router that starts waits for the first state of its
+	// agents before it takes requests all the same.
+	readyGrace = 5 * time.Second
 	// suspectMin and suspectMax bound the adaptive timeout of suspicion.
 	suspectMin = 3 * time.Second
 	suspectMax = 15 * time.Second
@@ -102,6 +105,7 @@
 	staleRoutes bool
 	staleView   bool
 	evaluated   time.Time
+	started     time.Time
 	// changedKeys are own ratings not yet handed to the keeper; spread is the
 	// table version up to which they were.
 	changedKeys map[routing.Key]bool
@@ -122,6 +126,7 @@
 		suspicion:   detector,
 		table:       stats.NewTable[routing.Key](stats.Node{Name: r.settings.VM, Incarnation: uint64(r.Clock.Now().UnixNano())}),
 		staleRoutes: true,
+		started:     r.Clock.Now(),
 		changedKeys: make(map[routing.Key]bool),
 	}
 	ticker := time.NewTicker(tickInterval)
@@ -274,12 +279,29 @@
 	next.servers = c.servers(next)
 	previous := c.router.view.Swap(next)
 	c.staleRoutes, c.staleView = false, false
-	c.router.SetConfigured()
+	if c.knowsAgents() {
+		c.router.SetConfigured()
+	}
 	if previous.version() != next.version() {
 		c.router.Log.Info().Uint64("bundle_version", next.version()).Int("agents", len(c.agents)).Msg("configuration in force")
 	}
 }
 
+// knowsAgents tells whether every agent of the subset has answered or failed to.
+// A router that took requests before would refuse them for want of a backend
+// server.
+func (c *controller) knowsAgents() bool {
+	if c.router.Clock.Now().Sub(c.started) > readyGrace {
+		return true
+	}
+	for _, record := range c.agents {
+		if record.state == nil && !record.unreachable {
+			return false
+		}
+	}
+	return len(c.agents) > 0
+}
+
 // servers builds the snapshot for the choice of backend servers.
 func (c *controller) servers(v *view) *balance.Snapshot {
 	now := c.router.Clock.Now()
