Report a failed dial as not run

Cause: an agent that ends its planned stop closes its connection; the transport dials again, fails, and the router called the outcome unknown because an earlier connection had existed. Ruled out: a request that was cut (the transport dials again only when the agent has not processed the request). Change: an error of dialling means that the request was not run.

--- a/daemon/router/execute.go
+++ b/daemon/router/execute.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -84,7 +85,7 @@
 
 // classify tells what a failure of the connection to an agent says of the request.
 func classify(ctx context.Context, err error, connected bool) *result.Error {
-	if !connected {
+	if !connected || isDial(err) {
 		if ctx.Err() != nil {
 			return result.DeadlineTooSoon.With("no connection to the agent in time")
 		}
@@ -96,6 +97,14 @@
 // brokenBy classifies a failure after the agent may have seen the request.
 func brokenBy(ctx context.Context, err error) *result.Error {
 	switch {
+// isDial tells whether the last try failed while dialling. The transport dials
+// again after it had a connection only when the agent closed that one without
+// having processed the request, as an agent does at the end of a planned stop.
+func isDial(err error) bool {
+	var failure *net.OpError
+	return errors.As(err, &failure) && failure.Op == "dial"
+}
+
 	case errors.Is(err, errReceiver):
 		return result.CallerGone.With("")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
