Answer keyed calls from their record and keep their charge at two holders

Cause 1: an agent checked whether it takes new work before it looked for the record of an idempotency key, so that the repetition of a booking that had run was refused as not run (agent_behind, agent_leaving). A router said the same of a home that it could not reach. A caller that is told "not run" books again. Cause 2: the answer to a non-idempotent call carried no charge, so that the agent alone held the line until its own delivery after 15 s. Ruled out: two runs under one key (each booking had one effect). Change: a key that has run is answered from its record; a router that does not reach the home of a caller's key reports the outcome as unknown; an agent that started anew gets another key when the caller sent none; the record keeps the charge, under the identity of the run, for every router that asks.

--- a/coord/once/records.go
+++ b/coord/once/records.go
@@ -55,13 +55,15 @@
 )
 
 // Outcome is the result of a run. Status, ContentType and Body are the answer
-// of the backend server when Kind is OutcomeDone. The body must not be changed
-// after it was passed to Finish.
+// of the backend server when Kind is OutcomeDone. Charge is the encoded charge of
+// the run, empty for none. Body and Charge must not be changed after they were
+// passed to Finish.
 type Outcome struct {
 	Kind        OutcomeKind
 	Status      int
 	ContentType string
 	Body        []byte
+	Charge      []byte
 }
 
 // Decision says what to do with a request.
@@ -172,6 +174,21 @@
 	return r.grant(key, hash)
 }
 
+// Known decides about a request whose key must not begin a run here. ok is false
+// when the key has never run here and BeginBound may grant it.
+func (r *Records) Known(key Key, home uint64, hash BodyHash) (d Decision, t *Ticket, ok bool) {
+	if named, generated := Home(key); generated && named != home || home != r.cfg.Home {
+		return Unknown, nil, true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec := r.records[key]; rec != nil {
+		d, t = r.known(rec, hash)
+		return d, t, true
+	}
+	return Unknown, nil, key.Millis() <= r.floor
+}
+
 // known decides about a key that has a record.
 func (r *Records) known(rec *record, hash BodyHash) (Decision, *Ticket) {
 	switch {
@@ -248,7 +265,7 @@
 
 // keep makes a finished record available for replay within the bounds.
 func (r *Records) keep(rec *record) {
-	extra := len(rec.outcome.Body) + len(rec.outcome.ContentType)
+	extra := len(rec.outcome.Body) + len(rec.outcome.ContentType) + len(rec.outcome.Charge)
 	if rec.outcome.Kind == OutcomeDone && extra <= r.cfg.MaxBytes-recordBytes {
 		rec.replay = true
 		rec.size += extra
--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -43,6 +43,14 @@
 	status    int
 	tokensIn  uint64
 	tokensOut uint64
+	// charge is that of a recorded run.
+	charge *rpc.ChargeLine
+}
+
+// billable tells whether the answer is complete and not an error of the backend
+// server.
+func (r reply) billable() bool {
+	return r.err == nil && r.status > 0 && r.status < http.StatusBadRequest
 }
 
 // probeReport is the condition of a backend server.
--- a/daemon/agent/execute.go
+++ b/daemon/agent/execute.go
@@ -75,14 +75,14 @@
 
 // run decides whether the request runs, and runs it.
 func (e *execution) run(ctx context.Context) {
-	if refusal := e.gate(); refusal != nil {
-		e.refuse(refusal)
-		return
-	}
 	if e.in.GetService() != "" && !e.in.GetIdempotent() {
 		e.runOnce(ctx)
 		return
 	}
+	if refusal := e.gate(); refusal != nil {
+		e.refuse(refusal)
+		return
+	}
 	if refusal := e.admit(); refusal != nil {
 		e.refuse(refusal)
 		return
@@ -142,7 +142,9 @@
 	e.end(reply)
 }
 
-// runOnce runs a non-idempotent request under its idempotency key.
+// runOnce runs a non-idempotent request under its idempotency key. A key that has
+// a record is answered from it, also by an agent that takes no new work: a
+// refusal as "not run" would be false.
 func (e *execution) runOnce(ctx context.Context) {
 	key, err := once.ParseKey(e.in.GetIdempotencyKey())
 	if err != nil {
@@ -153,7 +155,14 @@
 		e.refuse(result.WrongHome.With("this is incarnation %x", e.agent.incarnation))
 		return
 	}
-	decision, ticket := e.agent.records.BeginBound(key, e.in.GetHome(), bodyHash(e.in))
+	decision, ticket, known := e.agent.records.Known(key, e.in.GetHome(), bodyHash(e.in))
+	if !known {
+		if refusal := e.gate(); refusal != nil {
+			e.refuse(refusal)
+			return
+		}
+		decision, ticket = e.agent.records.BeginBound(key, e.in.GetHome(), bodyHash(e.in))
+	}
 	e.ticket = ticket
 	switch decision {
 	case once.Run:
@@ -206,6 +215,7 @@
 	switch {
 	case reply.err == nil:
 		outcome.Kind = once.OutcomeDone
+		outcome.Charge = e.encodedCharge(reply)
 	case reply.err.Code.Run == result.NotRun:
 		outcome = once.Outcome{Kind: once.OutcomeNotRun}
 	default:
@@ -215,6 +225,29 @@
 	return outcome
 }
 
+// encodedCharge returns the charge for the record, which passes it on to the router
+// of each call under the key: two processes then hold the line. All calls carry
+// the identity of the run, so that it is billed once.
+func (e *execution) encodedCharge(r reply) []byte {
+	if !r.billable() {
+		return nil
+	}
+	data, err := proto.Marshal(toMessage(e.line(r)))
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// decodedCharge returns the charge of a record, or nil when there is none.
+func decodedCharge(data []byte) *rpc.ChargeLine {
+	line := &rpc.ChargeLine{}
+	if len(data) == 0 || proto.Unmarshal(data, line) != nil {
+		return nil
+	}
+	return line
+}
+
 // replay answers with the recorded outcome, waiting for it if necessary.
 func (e *execution) replay(ctx context.Context) {
 	outcome, err := e.ticket.Wait(ctx)
@@ -230,7 +263,7 @@
 		if len(outcome.Body) > 0 {
 			_ = e.chunk(outcome.Body)
 		}
-		e.end(reply{})
+		e.end(reply{charge: decodedCharge(outcome.Charge)})
 	default:
 		e.end(reply{err: result.OutcomeUnknown.With("the connection to the backend server broke")})
 	}
@@ -247,7 +280,7 @@
 	default:
 		e.permit.Fail()
 	}
-	if r.err == nil && r.status < http.StatusBadRequest {
+	if r.billable() {
 		e.agent.charges.Commit(e.line(r))
 		return
 	}
@@ -309,7 +342,8 @@
 		end.Reason = r.err.Detail
 		end.Outcome = outcomeOf(r.err.Code.Run)
 	}
-	if r.err == nil && r.status > 0 && r.status < http.StatusBadRequest {
+	end.Charge = r.charge
+	if end.Charge == nil && r.billable() {
 		end.Charge = toMessage(e.line(r))
 	}
 	if e.ticket == nil {
--- a/daemon/router/execute.go
+++ b/daemon/router/execute.go
@@ -50,8 +50,11 @@
 	// err is nil when the answer is complete.
 	err *result.Error
 	// begun is true when the receiver got any part of the answer.
-	begun  bool
-	charge *rpc.ChargeLine
+	begun bool
+	// refused is true when the agent itself said so, as opposed to a connection
+	// that failed.
+	refused bool
+	charge  *rpc.ChargeLine
 }
 
 // execute runs one attempt at an agent and passes the answer to out.
@@ -94,9 +97,6 @@
 	return brokenBy(ctx, err)
 }
 
-// brokenBy classifies a failure after the agent may have seen the request.
-func brokenBy(ctx context.Context, err error) *result.Error {
-	switch {
 // isDial tells whether the last try failed while dialling. The transport dials
 // again after it had a connection only when the agent closed that one without
 // having processed the request, as an agent does at the end of a planned stop.
@@ -105,6 +105,9 @@
 	return errors.As(err, &failure) && failure.Op == "dial"
 }
 
+// brokenBy classifies a failure after the agent may have seen the request.
+func brokenBy(ctx context.Context, err error) *result.Error {
+	switch {
 	case errors.Is(err, errReceiver):
 		return result.CallerGone.With("")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -153,7 +156,7 @@
 	switch e := event.GetEvent().(type) {
 	case *rpc.ExecuteEvent_Refused:
 		s.router.report(s.from, e.Refused.GetState())
-		return true, attemptResult{err: result.ByNumber(int(e.Refused.GetCode())).With("%s", e.Refused.GetReason())}
+		return true, attemptResult{err: result.ByNumber(int(e.Refused.GetCode())).With("%s", e.Refused.GetReason()), refused: true}
 	case *rpc.ExecuteEvent_Admitted:
 		s.router.report(s.from, e.Admitted.GetState())
 		s.begun = true
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -146,7 +146,7 @@
 		j.call.key = key
 		j.call.writer.Header().Set(headerIdempotencyKey, key.String())
 		out := r.runAtHome(ctx, j, to)
-		if out.err == nil || out.err.Code.Run != result.NotRun || !r.mayRetry(ctx, j, out) {
+		if out.err == nil || out.err.Code.Run != result.NotRun || !r.mayRetryElsewhere(ctx, j, out) {
 			return out
 		}
 		if refused := r.pause(ctx, random, j, out); refused != nil {
@@ -155,6 +155,13 @@
 	}
 }
 
+// mayRetryElsewhere also allows another attempt after an agent that started anew
+// refused the key of its predecessor.
+func (r *Router) mayRetryElsewhere(ctx context.Context, j *job, out attemptResult) bool {
+	restarted := out.err.Code == result.WrongHome && ctx.Err() == nil && j.attempts < maxAttempts
+	return restarted || r.mayRetry(ctx, j, out)
+}
+
 // runAtHome runs the call at its home. After a broken connection it asks the same
 // home again, which joins the running call or returns its recorded outcome.
 func (r *Router) runAtHome(ctx context.Context, j *job, home peer) attemptResult {
@@ -166,6 +173,9 @@
 		if out.err == nil {
 			return out
 		}
+		if j.call.callerKey && homeLost(out) {
+			out.err = result.OutcomeUnknown.With("%s", out.err)
+		}
 		unknown := out.err.Code.Run == result.Unknown
 		sent = sent || unknown
 		if sent && !unknown && !definiteRefusal(out.err.Code) {
@@ -183,6 +193,12 @@
 	}
 }
 
+// homeLost tells whether the attempt did not reach the incarnation that the key
+// names. An earlier call under the key may have run there.
+func homeLost(out attemptResult) bool {
+	return out.err.Code.Run == result.NotRun && (!out.refused || out.err.Code == result.WrongHome)
+}
+
 // definiteRefusal tells whether a refusal speaks about the key and not only about
 // this attempt.
 func definiteRefusal(code result.Code) bool { return code == result.KeyReused }
