--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -159,7 +159,12 @@
 		next.routes = routing.Build(next.current.Bundle, next.current.Version, node.Stops(a.Keeper), routing.Quality{})
 		a.SetConfigured()
 	}
-	previous := a.view.Swap(next)
+	previous := a.view.Load()
+	next.since = previous.since
+	if previous.leaving != next.leaving {
+		next.since = a.Clock.Now()
+	}
+	a.view.Store(next)
 	a.admission.SetLeaving(next.leaving != "")
 	if previous.leaving != next.leaving || previous.version() != next.version() {
 		a.Log.Info().Uint64("bundle_version", next.version()).Str("leaving", next.leaving).Strs("loaded", next.names).Msg("state changed")
@@ -185,19 +190,18 @@
 	v := a.view.Load()
 	now := a.admission.State()
 	return &rpc.AgentState{
-		Vm:             a.settings.VM,
-		DataCentre:     a.settings.DataCentre,
-		Incarnation:    a.incarnation,
-		Sequence:       a.sequence.Add(1),
-		BundleVersion:  v.version(),
-		Phase:          phase(now.Phase),
-		FreePermits:    uint32(now.Free),
-		PermitLimit:    uint32(now.Limit),
-		QueuedTokens:   uint32(now.Tokens),
-		FirstTokenMs:   uint32(now.FirstToken / time.Millisecond),
-		Loaded:         v.names,
-		Service:        a.settings.Backend.Service,
-		CachedPrefixes: a.backend.prefixes(),
+		Vm:            a.settings.VM,
+		DataCentre:    a.settings.DataCentre,
+		Incarnation:   a.incarnation,
+		Sequence:      a.sequence.Add(1),
+		BundleVersion: v.version(),
+		Phase:         phase(now.Phase),
+		FreePermits:   uint32(now.Free),
+		PermitLimit:   uint32(now.Limit),
+		QueuedTokens:  uint32(now.Tokens),
+		FirstTokenMs:  uint32(now.FirstToken / time.Millisecond),
+		Loaded:        v.names,
+		Service:       a.settings.Backend.Service,
 	}
 }
 
--- a/daemon/agent/engine.go
+++ b/daemon/agent/engine.go
@@ -26,7 +26,7 @@
 	settings config.Backend
 	client   *http.Client
 	versions atomic.Pointer[[]string]
-	cached   atomic.Pointer[[]uint64]
+	cached   prefixCache
 }
 
 func newEngine(settings config.Backend) *engine {
@@ -40,12 +40,9 @@
 	return nil
 }
 
-func (g *engine) prefixes() []uint64 {
-	if hashes := g.cached.Load(); hashes != nil {
-		return *hashes
-	}
-	return nil
-}
+func (g *engine) prefixes() []uint64 { return g.cached.list() }
+
+func (g *engine) forget() { g.cached.clear() }
 
 // loadReport holds the used fields of an engine's GET /load.
 type loadReport struct {
@@ -81,6 +78,7 @@
 	if response.StatusCode != http.StatusOK {
 		return reply{err: engineError(response)}
 	}
+	g.cached.used(in.GetPrefixHash())
 	if in.GetStream() {
 		return g.relayStream(ctx, response, out)
 	}
@@ -202,3 +200,33 @@
 	}
 	return reply{status: response.StatusCode, tokensIn: parsed.Usage.PromptTokens, tokensOut: parsed.Usage.CompletionTokens}
 }
+
+// Kinds of orders.
+const (
+	orderLoad   = "load"
+	orderUnload = "unload"
+)
+
+// engineOrder is the body of an engine's POST /orders.
+type engineOrder struct {
+	Fence uint64 `json:"fence"`
+	Kind  string `json:"kind"`
+	Model string `json:"model"`
+}
+
+// order implements orderer. The engine carries out an accepted order later.
+func (g *engine) order(ctx context.Context, kind, version string, fence uint64) error {
+	body, err := json.Marshal(engineOrder{Fence: fence, Kind: kind, Model: version})
+	if err != nil {
+		return err
+	}
+	response, refusal := call(ctx, g.client, http.MethodPost, g.settings.URL+"/orders", "application/json", body)
+	if refusal != nil {
+		return refusal
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		return engineError(response)
+	}
+	return nil
+}
--- a/daemon/agent/service.go
+++ b/daemon/agent/service.go
@@ -14,7 +14,7 @@
 
 // maxAnswerBytes bounds the answer of a plain service and of an engine that does
 // not stream.
-const maxAnswerBytes = 8 << 20
+const maxAnswerBytes = 1 << 20
 
 // service is a plain service behind an agent.
 type service struct {
@@ -33,6 +33,8 @@
 
 func (s *service) prefixes() []uint64 { return nil }
 
+func (s *service) forget() {}
+
 // probe checks that the service accepts connections.
 func (s *service) probe(ctx context.Context) (probeReport, error) {
 	response, refusal := call(ctx, s.idempotent, http.MethodGet, s.settings.URL+"/", "", nil)
