--- a/coord/ledger/collector_test.go
+++ b/coord/ledger/collector_test.go
@@ -404,3 +404,38 @@
 		t.Fatal(report, err, chk.Counts())
 	}
 }
+
+// Guards against collectors of one process that flush at the same time and
+// together exhaust the call budget.
+func TestSharedFlushes(t *testing.T) {
+	store := newStore(1)
+	var mu sync.Mutex
+	shards := map[string]bool{}
+	inside, most := 0, 0
+	count := func(by int) func(string) error {
+		return func(key string) error {
+			mu.Lock()
+			defer mu.Unlock()
+			inside += by
+			most = max(most, inside)
+			shards[key] = true
+			return nil
+		}
+	}
+	g := &gate{Store: store, before: count(1), after: count(-1)}
+	flushes := make(chan struct{}, 1)
+	var all sync.WaitGroup
+	for shard := range uint32(8) {
+		c := collector(g, nil, uint64(shard))
+		c.cfg.Shard, c.cfg.Flushes = shard, flushes
+		all.Go(func() {
+			if _, err := send(c, Line{RequestID: [16]byte{byte(shard)}, Workspace: "w"}); err != nil {
+				t.Errorf("shard %d: %v", shard, err)
+			}
+		})
+	}
+	all.Wait()
+	if most != 1 || len(shards) < 8 {
+		t.Errorf("%d calls at one time, keys %v", most, shards)
+	}
+}
--- a/coord/once/once_test.go
+++ b/coord/once/once_test.go
@@ -232,3 +232,31 @@
 		}
 	})
 }
+
+// Guards against a refusal as "not run" of a key that ran, and against a key of
+// another home or below the floor that passes for a new one.
+func TestKnown(t *testing.T) {
+	r := New(Config{Home: home, Clock: clock.NewManual(epoch), MaxEntries: 1})
+	first, second := at(0, 1), at(1, 2)
+	known := func(k Key, h uint64, want Decision, wantOK bool) {
+		t.Helper()
+		if d, _, ok := r.Known(k, h, BodyHash{}); d != want || ok != wantOK {
+			t.Errorf("%v %v, want %v %v", d, ok, want, wantOK)
+		}
+	}
+	known(first, home, Unknown, false)
+	_, ticket := r.Begin(first, BodyHash{})
+	known(first, home, Join, true)
+	ticket.Finish(Outcome{Kind: OutcomeDone, Charge: []byte("line")})
+	known(first, home, Replay, true)
+	if _, again, _ := r.Known(first, home, BodyHash{}); string(again.record.outcome.Charge) != "line" {
+		t.Error("the charge is not replayed")
+	}
+	known(second, home+1, Unknown, true)
+	known(second, home, Unknown, false)
+	// The second record evicts the first one, whose key is then below the floor.
+	if d, _ := r.Begin(second, BodyHash{}); d != Run {
+		t.Fatalf("second key: %v", d)
+	}
+	known(first, home, Unknown, true)
+}
