Log times in milliseconds

Change: log lines have milliseconds; the check of planned stops allows 100 ms instead of 1 s around a stop, which is stricter.

--- a/daemon/cmd/cactusknot/main.go
+++ b/daemon/cmd/cactusknot/main.go
@@ -74,7 +74,11 @@
 	return agent.New(settings, logger(settings.LogLevel))
 }
 
+// logTime has the resolution that is needed to order the lines of several processes.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 func logger(level string) zerolog.Logger {
+	zerolog.TimeFieldFormat = logTime
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil || level == "" {
 		parsed = zerolog.InfoLevel
--- a/daemon/soak/bounds.go
+++ b/daemon/soak/bounds.go
@@ -28,8 +28,9 @@
 	// freezeFlush is the time after the end of a freeze in which an engine reads
 	// requests that were sent to it before.
 	freezeFlush = 300 * time.Millisecond
-	// logResolution is the resolution of the times in logs.
-	logResolution = time.Second
+	// logResolution is the resolution of the times in logs, with the time that a
+	// router takes to log the end of an attempt.
+	logResolution = 100 * time.Millisecond
 	// faultEcho is the time after a fault of a backend server or process in which
 	// broken requests still count as caused by it: detection of a dead connection
 	// takes up to 4 s (ping and its timeout).
--- a/daemon/soak/evidence.go
+++ b/daemon/soak/evidence.go
@@ -133,8 +133,7 @@
 	Killed bool
 }
 
-// Attempt is a router's log line of an attempt at an agent. The times in logs
-// have a resolution of one second.
+// Attempt is a router's log line of an attempt at an agent, written at its end.
 type Attempt struct {
 	Router    string
 	At        time.Time
