Do not ask a home again that answered unknown

Cause: after the first unknown outcome the router asked the home again up to five times, also when the home itself had answered that the record is gone. Ruled out: a broken connection, after which asking again can join the call. Change: an unknown outcome from the home ends the call.

--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -163,7 +163,8 @@
 }
 
 // runAtHome runs the call at its home. After a broken connection it asks the same
-// home again, which joins the running call or returns its recorded outcome.
+// home again, which joins the running call or returns its recorded outcome. A
+// home that answers "unknown" has said its last word.
 func (r *Router) runAtHome(ctx context.Context, j *job, home peer) attemptResult {
 	j.in.IdempotencyKey = j.call.key.String()
 	j.in.Home = home.incarnation
@@ -173,6 +174,7 @@
 		if out.err == nil {
 			return out
 		}
+		final := out.err.Code == result.OutcomeUnknown
 		if j.call.callerKey && homeLost(out) {
 			out.err = result.OutcomeUnknown.With("%s", out.err)
 		}
@@ -184,7 +186,7 @@
 			out.err = result.OutcomeUnknown.With("%s", out.err)
 			unknown = true
 		}
-		if !unknown || out.err.Code == result.OutcomeUnknown && !sent || j.attempts >= maxAttempts {
+		if !unknown || final || out.err.Code == result.OutcomeUnknown && !sent || j.attempts >= maxAttempts {
 			return asOutcomeUnknown(out)
 		}
 		if r.Clock.Sleep(ctx, rejoinInterval) != nil {
