--- a/daemon/fleet/fleet.go
+++ b/daemon/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -40,6 +41,9 @@
 	DrainDelay time.Duration
 	// Fatal ends a process on a violated invariant.
 	Fatal bool
+	// OnExit, when set, is called with the exit code of each process that ends; a
+	// process ended by a signal has code -1.
+	OnExit func(name string, code int)
 }
 
 // RouterSpec is a router with its data centre.
@@ -66,6 +70,8 @@
 	secrets   []string
 	rootKey   bundle.OperatorKey
 	addresses map[string]string
+
+	mu        sync.Mutex
 	processes map[string]*Process
 }
 
@@ -287,3 +293,13 @@
 	const fileMode = 0o600
 	return trace.ConvertSystemError(os.WriteFile(file, data, fileMode))
 }
+
+// VM returns the entry of a VM in the VM list.
+func (f *Fleet) VM(name string) (platform.VM, error) {
+	for _, vm := range f.vmList().VMs {
+		if vm.VM == name {
+			return vm, nil
+		}
+	}
+	return platform.VM{}, trace.NotFound("VM %s", name)
+}
--- a/daemon/router/execute.go
+++ b/daemon/router/execute.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -52,9 +53,10 @@
 	err *result.Error
 	// begun is true when the caller got any part of the answer.
 	begun bool
-	// answered is true when the outcome is what the agent said.
-	answered bool
-	charge   *rpc.ChargeLine
+	// refused is true when the agent itself said so, as opposed to a connection
+	// that failed.
+	refused bool
+	charge  *rpc.ChargeLine
 }
 
 // execute runs one attempt at an agent and passes the answer to out.
@@ -89,7 +91,7 @@
 
 // classify tells what a failure of the connection to an agent says of the request.
 func classify(ctx context.Context, err error, connected bool) *result.Error {
-	if !connected {
+	if !connected || isDial(err) {
 		if ctx.Err() != nil {
 			return result.DeadlineTooSoon.With("no connection to the agent in time")
 		}
@@ -98,6 +100,14 @@
 	return brokenBy(ctx, err)
 }
 
+// isDial tells whether the last try failed while dialling. The transport dials
+// again after it had a connection only when the agent closed that one without
+// having processed the request, as an agent does at the end of a planned stop.
+func isDial(err error) bool {
+	var failure *net.OpError
+	return errors.As(err, &failure) && failure.Op == "dial"
+}
+
 // brokenBy classifies a failure after the agent may have seen the request.
 func brokenBy(ctx context.Context, err error) *result.Error {
 	switch {
@@ -149,7 +159,7 @@
 	switch e := event.GetEvent().(type) {
 	case *rpc.ExecuteEvent_Refused:
 		s.router.report(s.from, e.Refused.GetState())
-		return true, attemptResult{err: result.ByNumber(int(e.Refused.GetCode())).With("%s", e.Refused.GetReason()), answered: true}
+		return true, attemptResult{err: result.ByNumber(int(e.Refused.GetCode())).With("%s", e.Refused.GetReason()), refused: true}
 	case *rpc.ExecuteEvent_Admitted:
 		s.router.report(s.from, e.Admitted.GetState())
 		s.begun = true
@@ -186,10 +196,10 @@
 		return s.broken(ctx, fmt.Errorf("%d of %d chunks received", s.chunks, end.GetChunks()))
 	}
 	if end.GetCode() == 0 {
-		return attemptResult{charge: end.GetCharge(), answered: true}
+		return attemptResult{charge: end.GetCharge()}
 	}
 	code := result.ByNumber(int(end.GetCode()))
 	s.router.Check.Assert(!s.begun || code.Run != result.NotRun, invariantNotRunAfterAnswer,
 		"request %x ended with %s after its answer began", s.in.GetRequestId(), code.Name)
-	return attemptResult{err: code.With("%s", end.GetReason()), begun: s.out.started(), answered: true}
+	return attemptResult{err: code.With("%s", end.GetReason()), begun: s.out.started()}
 }
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -150,7 +150,7 @@
 		j.call.key = key
 		j.call.writer.Header().Set(headerIdempotencyKey, key.String())
 		out := r.runAtHome(ctx, j, to)
-		if out.err == nil || out.err.Code.Run != result.NotRun || !r.mayRetry(ctx, j, out) {
+		if out.err == nil || out.err.Code.Run != result.NotRun || !r.mayRetryElsewhere(ctx, j, out) {
 			return out
 		}
 		if refused := r.pause(ctx, random, j, out); refused != nil {
@@ -159,8 +159,16 @@
 	}
 }
 
+// mayRetryElsewhere also allows another attempt after an agent that started anew
+// refused the key of its predecessor.
+func (r *Router) mayRetryElsewhere(ctx context.Context, j *job, out attemptResult) bool {
+	restarted := out.err.Code == result.WrongHome && ctx.Err() == nil && j.attempts < maxAttempts
+	return restarted || r.mayRetry(ctx, j, out)
+}
+
 // runAtHome runs the call at its home. After a broken connection it asks the same
-// home again, which joins the running call or returns its recorded outcome.
+// home again, which joins the running call or returns its recorded outcome. A
+// home that answers "unknown" has said its last word.
 func (r *Router) runAtHome(ctx context.Context, j *job, home peer) attemptResult {
 	j.in.IdempotencyKey = j.call.key.String()
 	j.in.Home = home.incarnation
@@ -170,9 +178,9 @@
 		if out.err == nil {
 			return out
 		}
-		if j.call.callerKey && !homeSpoke(out) {
-			// An earlier request may have run the key at a home that is now gone.
-			return attemptResult{err: result.OutcomeUnknown.With("%s", out.err)}
+		final := out.err.Code == result.OutcomeUnknown
+		if j.call.callerKey && homeLost(out) {
+			out.err = result.OutcomeUnknown.With("%s", out.err)
 		}
 		unknown := out.err.Code.Run == result.Unknown
 		sent = sent || unknown
@@ -182,7 +190,7 @@
 			out.err = result.OutcomeUnknown.With("%s", out.err)
 			unknown = true
 		}
-		if !unknown || out.err.Code == result.OutcomeUnknown && !sent || j.attempts >= maxAttempts {
+		if !unknown || final || out.err.Code == result.OutcomeUnknown && !sent || j.attempts >= maxAttempts {
 			return asOutcomeUnknown(out)
 		}
 		if r.Clock.Sleep(ctx, rejoinInterval) != nil {
@@ -191,13 +199,10 @@
 	}
 }
 
-// homeSpoke tells whether a "not run" comes from the home itself, which consults
-// the key's record before it refuses. Other outcomes count as spoken.
-func homeSpoke(out attemptResult) bool {
-	if out.err.Code.Run != result.NotRun {
-		return true
-	}
-	return out.answered && out.err.Code != result.WrongHome
+// homeLost tells whether the attempt did not reach the incarnation that the key
+// names. An earlier call under the key may have run there.
+func homeLost(out attemptResult) bool {
+	return out.err.Code.Run == result.NotRun && (!out.refused || out.err.Code == result.WrongHome)
 }
 
 // definiteRefusal tells whether a refusal speaks about the key and not only about
