Move the certificate authority to package secure

Cause: tests of the router, the agent and the node need certificates, and package ctl can't be imported there. Change: the code of ctl/certs.go is exported from secure; ctl calls it. Conclusion: no change of behaviour.

--- a/daemon/ctl/keygen.go
+++ b/daemon/ctl/keygen.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"os"
 	"regexp"
+
+	"cactusknot.example/daemon/secure"
 )
 
 // vmForm keeps VM names usable as file names and URI paths.
@@ -57,7 +60,7 @@
 		if err := os.MkdirAll(*out, dirMode); err != nil {
 			return err
 		}
-		return newAuthority(*out, *name)
+		return secure.NewAuthority(*out, *name)
 	})
 }
 
@@ -82,14 +85,17 @@
 		if err != nil {
 			return err
 		}
-		a, err := readAuthority(*ca)
+		a, err := secure.ReadAuthority(*ca)
+		if errors.Is(err, secure.ErrKeyFile) {
+			return fmt.Errorf("%w: %v", errUsage, err)
+		}
 		if err != nil {
 			return err
 		}
 		if err := os.MkdirAll(*out, dirMode); err != nil {
 			return err
 		}
-		return a.issueNode(*out, *role, s.args[0], parsed)
+		return a.IssueNode(*out, secure.Role(*role), s.args[0], parsed)
 	})
 }
 
--- a/daemon/ctl/certs.go
+++ b/daemon/secure/authority.go
@@ -1,4 +1,4 @@
-package ctl
+package secure
 
 import (
 	"crypto"
@@ -8,6 +8,7 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"errors"
 	"fmt"
 	"math/big"
 	"net"
@@ -31,14 +32,23 @@
 	caKeyFile  = "ca-key.pem"
 )
 
-// authority is the deployment's certificate authority.
-type authority struct {
+// ErrKeyFile: a file of the CA does not hold what its name says.
+var ErrKeyFile = errors.New("secure: bad key file")
+
+// File modes: private keys are readable by their owner only.
+const (
+	keyMode  = 0o600
+	certMode = 0o644
+)
+
+// Authority is the deployment's certificate authority.
+type Authority struct {
 	cert *x509.Certificate
 	key  crypto.Signer
 }
 
-// newAuthority creates a CA and writes ca.pem and ca-key.pem into dir.
-func newAuthority(dir, name string) error {
+// NewAuthority creates a CA and writes ca.pem and ca-key.pem into dir.
+func NewAuthority(dir, name string) error {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return err
@@ -68,33 +78,33 @@
 	}, nil
 }
 
-// readAuthority reads the CA from dir.
-func readAuthority(dir string) (authority, error) {
+// ReadAuthority reads the CA from dir. Errors are those of the files and ErrKeyFile.
+func ReadAuthority(dir string) (Authority, error) {
 	certDER, err := readPEM(filepath.Join(dir, caCertFile))
 	if err != nil {
-		return authority{}, err
+		return Authority{}, err
 	}
 	cert, err := x509.ParseCertificate(certDER)
 	if err != nil {
-		return authority{}, err
+		return Authority{}, err
 	}
 	keyDER, err := readPEM(filepath.Join(dir, caKeyFile))
 	if err != nil {
-		return authority{}, err
+		return Authority{}, err
 	}
 	key, err := x509.ParsePKCS8PrivateKey(keyDER)
 	if err != nil {
-		return authority{}, err
+		return Authority{}, err
 	}
 	signer, ok := key.(crypto.Signer)
 	if !ok {
-		return authority{}, fmt.Errorf("%w: %s can't sign", errUsage, caKeyFile)
+		return Authority{}, fmt.Errorf("%w: %s can't sign", ErrKeyFile, caKeyFile)
 	}
-	return authority{cert: cert, key: signer}, nil
+	return Authority{cert: cert, key: signer}, nil
 }
 
-// issueNode writes <vm>.pem and <vm>-key.pem for a process of the role.
-func (a authority) issueNode(dir, role, vm string, ips []net.IP) error {
+// IssueNode writes <vm>.pem and <vm>-key.pem for a process of the role.
+func (a Authority) IssueNode(dir string, role Role, vm string, ips []net.IP) error {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return err
@@ -105,7 +115,7 @@
 	}
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
-	template.URIs = []*url.URL{{Scheme: "cactusknot", Host: role, Path: "/" + vm}}
+	template.URIs = []*url.URL{{Scheme: uriScheme, Host: string(role), Path: "/" + vm}}
 	template.IPAddresses = ips
 	return issue(template, a.cert, key, a.key, filepath.Join(dir, vm+".pem"), filepath.Join(dir, vm+"-key.pem"))
 }
@@ -122,7 +132,7 @@
 	if err := createFile(keyPath, encodePEM("PRIVATE KEY", keyDER), keyMode); err != nil {
 		return err
 	}
-	return createFile(certPath, encodePEM("CERTIFICATE", der), 0o644)
+	return createFile(certPath, encodePEM("CERTIFICATE", der), certMode)
 }
 
 func encodePEM(kind string, der []byte) []byte {
@@ -136,7 +146,17 @@
 	}
 	block, _ := pem.Decode(data)
 	if block == nil {
-		return nil, fmt.Errorf("%w: %s is not a PEM file", errUsage, path)
+		return nil, fmt.Errorf("%w: %s is not a PEM file", ErrKeyFile, path)
 	}
 	return block.Bytes, nil
 }
+
+// createFile writes a file that must not exist.
+func createFile(path string, data []byte, mode os.FileMode) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	return errors.Join(err, f.Close())
+}
