Assert dispatch rules for plain services too, on the view in force

Cause: leaving_dispatched and forbidden_version_dispatched were asserted for model engines only, and not at all within 2 s of a new bundle, so a missing check went unseen there. A stop notice that arrived between gate and dispatch violated the assertion although this is allowed. Change: both kinds of backend server are asserted. The view of the gate counts for 2 s after it was replaced, whatever replaced it.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -160,11 +160,9 @@
 		a.SetConfigured()
 	}
 	previous := a.view.Load()
-	next.since = previous.since
-	if previous.leaving != next.leaving {
-		next.since = a.Clock.Now()
-	}
 	a.view.Store(next)
+	now := a.Clock.Now()
+	previous.replaced.Store(&now)
 	a.admission.SetLeaving(next.leaving != "")
 	if previous.leaving != next.leaving || previous.version() != next.version() {
 		a.Log.Info().Uint64("bundle_version", next.version()).Str("leaving", next.leaving).Strs("loaded", next.names).Msg("state changed")
--- a/daemon/agent/execute.go
+++ b/daemon/agent/execute.go
@@ -13,7 +13,6 @@
 
 	"cactusknot.example/coord/limit"
 	"cactusknot.example/coord/once"
-	"cactusknot.example/daemon/config"
 	"cactusknot.example/daemon/result"
 	"cactusknot.example/daemon/rpc"
 )
@@ -352,15 +351,3 @@
 	o.chunks++
 	return nil
 }
-
-// assertMayRun checks the guarantees at the last point before the backend server
-// sees the request, on the newest view.
-func (e *execution) assertMayRun() {
-	v := e.agent.view.Load()
-	if e.agent.settings.Backend.Kind == config.BackendEngine {
-		e.agent.assertVersion(v, e.in)
-	}
-	if e.in.GetService() != "" && !e.in.GetIdempotent() {
-		e.agent.Check.Assert(e.ticket != nil, invariantNoRecord, "request %x has no at-most-once record", e.in.GetRequestId())
-	}
-}
--- a/daemon/agent/invariants.go
+++ b/daemon/agent/invariants.go
@@ -18,20 +18,31 @@
 	invariantLeaving invariant.Name = "leaving_dispatched"
 )
 
-// assertVersion allows for one change of view since the gate: a configuration
-// that arrives between the check and this point takes effect with the next request.
-func (a *Agent) assertVersion(v *view, in *rpc.ExecuteRequest) {
-	if v.current == nil {
-		a.Check.Assert(false, invariantDispatch, "no configuration")
+// assertMayRun checks the guarantees at the last point before the backend server
+// sees the request, on the view in force.
+func (e *execution) assertMayRun() {
+	check := e.agent.Check
+	v := e.inForce()
+	if !check.Assert(v.current != nil, invariantDispatch, "no configuration") {
 		return
 	}
-	if v.version() > in.GetBundleVersion() && v.current.Since.After(a.Clock.Now().Add(-viewGrace)) {
-		return
+	check.Assert(v.leaving == "", invariantLeaving, "%s", v.leaving)
+	idempotent, reason := v.authorise(e.in)
+	permitted := check.Assert(reason == routing.ReasonNone, invariantDispatch, "%s for %s in version %d: %s",
+		logTarget(e.in), e.in.GetWorkspace(), v.version(), reason)
+	check.Assert(!permitted || idempotent || e.ticket != nil, invariantNoRecord, "request %x has no at-most-once record", e.in.GetRequestId())
+}
+
+// inForce returns the newest view. A view that is replaced while a request is
+// between gate and backend server counts for viewGrace more: the new one takes
+// effect with the next request.
+func (e *execution) inForce() *view {
+	newest := e.agent.view.Load()
+	replaced := e.view.replaced.Load()
+	if newest == e.view || replaced == nil || e.agent.Clock.Now().Sub(*replaced) < viewGrace {
+		return e.view
 	}
-	a.Check.Assert(v.leaving == "" || a.Clock.Now().Sub(v.since) < viewGrace, invariantLeaving, "%s", v.leaving)
-	reason := v.routes.Authorise(in.GetWorkspace(), in.GetModel(), in.GetVersion())
-	a.Check.Assert(reason == routing.ReasonNone, invariantDispatch, "%s for %s in version %d: %s",
-		target(in), in.GetWorkspace(), v.version(), reason)
+	return newest
 }
 
 func (a *Agent) logRefusal(e *execution, err *result.Error) {
--- a/daemon/agent/view.go
+++ b/daemon/agent/view.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"sync/atomic"
 	"time"
 
 	"cactusknot.example/daemon/bundle"
@@ -18,8 +19,8 @@
 	routes  *routing.Snapshot
 	// leaving names the reason why no new work is taken; empty while serving.
 	leaving string
-	// since is when leaving took its present value.
-	since time.Time
+	// replaced is when a newer view was published; nil before.
+	replaced atomic.Pointer[time.Time]
 	// loaded holds the model@version names the engine serves.
 	loaded map[string]bool
 	names  []string
@@ -73,6 +74,16 @@
 	return nil
 }
 
+// authorise tells whether the workspace may make the request and whether the
+// request may run without an at-most-once record.
+func (v *view) authorise(in *rpc.ExecuteRequest) (idempotent bool, reason routing.Reason) {
+	if in.GetService() == "" {
+		return true, v.routes.Authorise(in.GetWorkspace(), in.GetModel(), in.GetVersion())
+	}
+	operation, reason := v.routes.AuthoriseService(in.GetWorkspace(), in.GetService(), in.GetMethod(), in.GetPath())
+	return reason == routing.ReasonNone && operation.Idempotent && in.GetIdempotent(), reason
+}
+
 // price returns the charge of a finished step in millionths of the billing currency.
 func (v *view) price(in *rpc.ExecuteRequest, tokensIn, tokensOut uint64) uint64 {
 	const tokensPerPriceUnit = 1_000_000
