Answer for recorded keys while leaving

Cause: the gate came before the at-most-once records, so an agent that was leaving, isolated or behind answered a repeated key with "not run" although the call had run. Change: the records decide first; only a key without a record goes through the gate, and its record is given up when the gate refuses. Conclusion: a refusal by the home now speaks for the key.

--- a/daemon/agent/execute.go
+++ b/daemon/agent/execute.go
@@ -74,21 +74,25 @@
 
 // run decides whether the request runs, and runs it.
 func (e *execution) run(ctx context.Context) {
-	if refusal := e.gate(); refusal != nil {
-		e.refuse(refusal)
-		return
-	}
 	if e.in.GetService() != "" && !e.in.GetIdempotent() {
 		e.runOnce(ctx)
 		return
 	}
-	if refusal := e.admit(); refusal != nil {
+	if refusal := e.start(); refusal != nil {
 		e.refuse(refusal)
 		return
 	}
 	e.dispatch(ctx)
 }
 
+// start passes the gate and takes a place on the backend server.
+func (e *execution) start() *result.Error {
+	if refusal := e.gate(); refusal != nil {
+		return refusal
+	}
+	return e.admit()
+}
+
 // gate checks everything that does not take a place on the backend server.
 func (e *execution) gate() *result.Error {
 	if e.agent.stopping.Load() {
@@ -141,7 +145,9 @@
 	e.end(reply)
 }
 
-// runOnce runs a non-idempotent request under its idempotency key.
+// runOnce runs a non-idempotent request under its idempotency key. The records
+// are asked before the gate: a backend server that takes no new work still
+// answers for the keys it has run, where a refusal would deny that.
 func (e *execution) runOnce(ctx context.Context) {
 	key, err := once.ParseKey(e.in.GetIdempotencyKey())
 	if err != nil {
@@ -173,7 +179,7 @@
 // runFirst runs the request detached from the router's connection, so that the
 // outcome is recorded even when router and caller have left.
 func (e *execution) runFirst(ctx context.Context) {
-	if refusal := e.admit(); refusal != nil {
+	if refusal := e.start(); refusal != nil {
 		e.ticket.Finish(once.Outcome{Kind: once.OutcomeNotRun})
 		e.refuse(refusal)
 		return
