Keep an event of a streamed answer in one piece

Cause: an engine event over 32 KiB was divided into two chunks, neither of them JSON; the router then broke the stream off as if the caller had left. A body of null ended the handler by a panic. Change: chunks of streamed answers are not divided, and the bound on engine events leaves room for the framing; null is refused. Conclusion: events up to the bound pass whole.

--- a/daemon/agent/engine.go
+++ b/daemon/agent/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -15,8 +16,12 @@
 	"cactusknot.example/daemon/rpc"
 )
 
-// maxEventBytes bounds one server-sent event of an engine.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one server-sent event of an engine. With its framing it
+// must fit the 1 MiB that routers accept for one event.
+const maxEventBytes = 1<<20 - 4<<10
+
+// errNoObject: the body is the JSON value null.
+var errNoObject = errors.New("agent: body is no JSON object")
 
 // streamEnd is the data of the last event of a streamed answer.
 const streamEnd = "[DONE]"
@@ -93,6 +98,9 @@
 	if err := json.Unmarshal(in.GetBody(), &fields); err != nil {
 		return nil, err
 	}
+	if fields == nil {
+		return nil, errNoObject
+	}
 	set := func(name string, value any) {
 		fields[name], _ = json.Marshal(value)
 	}
--- a/daemon/agent/execute.go
+++ b/daemon/agent/execute.go
@@ -294,9 +294,14 @@
 	}}})
 }
 
-// chunk sends data in pieces that fit a message of the stream.
+// chunk sends data in pieces that fit a message of the stream. The data of a
+// streamed answer is one JSON value, which the router passes on as it is, so it
+// is not divided.
 func (e *execution) chunk(data []byte) error {
 	const pieceBytes = 32 << 10
+	if e.in.GetStream() {
+		return e.out.sendChunk(data)
+	}
 	for len(data) > 0 {
 		piece := data[:min(len(data), pieceBytes)]
 		data = data[len(piece):]
