Expose process metrics and usage of a fleet's processes

Cause: memory and processor time of a router could not be read from outside. Change: admin /metrics writes the process metrics and the buffer bytes; package fleet reads processor time and resident memory of its processes and accepts a backend server run by the caller.

--- a/daemon/fleet/fleet.go
+++ b/daemon/fleet/fleet.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/base64"
@@ -40,18 +41,27 @@
 	DrainDelay time.Duration
 	// Fatal ends a process on a violated invariant.
 	Fatal bool
+	// Env is added to the environment of routers and agents, as NAME=value.
+	Env []string
 }
 
 // RouterSpec is a router with its data centre.
 type RouterSpec struct {
 	VM         string
 	DataCentre string
+	// MaxRequests and BufferBytes are settings of the router; 0 means 2,000 and
+	// 64 MiB.
+	MaxRequests int
+	BufferBytes int64
 }
 
-// AgentSpec is an agent with its backend server. Engine or Service is set.
+// AgentSpec is an agent with its backend server. Engine, Service or BackendURL
+// is set.
 type AgentSpec struct {
 	VM         string
 	DataCentre string
+	// BackendURL is a model engine that the caller runs.
+	BackendURL string
 	Engine     *emulate.EngineConfig
 	Service    *emulate.ServiceConfig
 	// ServiceName is the name of the plain service.
@@ -136,7 +146,14 @@
 func (f *Fleet) Admin(vm string) string { return "http://" + f.addresses[vm+suffixAdmin] }
 
 // Backend returns the base URL of an agent's backend server.
-func (f *Fleet) Backend(vm string) string { return "http://" + f.addresses[vm+suffixBackend] }
+func (f *Fleet) Backend(vm string) string {
+	for _, a := range f.spec.Agents {
+		if a.VM == vm && a.BackendURL != "" {
+			return a.BackendURL
+		}
+	}
+	return "http://" + f.addresses[vm+suffixBackend]
+}
 
 // Platform returns the base URL of one of the platform's processes.
 func (f *Fleet) Platform(name string) string { return "http://" + f.addresses[name] }
@@ -235,8 +252,8 @@
 		Node:           f.node(r.VM, r.DataCentre),
 		Listen:         f.addresses[r.VM+suffixCallers],
 		SessionSecrets: f.secrets,
-		MaxRequests:    maxRequests,
-		BufferBytes:    bufferBytes,
+		MaxRequests:    cmp.Or(r.MaxRequests, maxRequests),
+		BufferBytes:    cmp.Or(r.BufferBytes, bufferBytes),
 		DrainDelayMs:   int(f.spec.DrainDelay.Milliseconds()),
 	}
 }
--- a/daemon/fleet/process.go
+++ b/daemon/fleet/process.go
@@ -62,6 +62,9 @@
 // StartBackend starts the backend server of an agent.
 func (f *Fleet) StartBackend(a AgentSpec) error {
 	name := a.VM + suffixBackend
+	if a.BackendURL != "" {
+		return nil
+	}
 	if a.Service != nil {
 		return f.startEmulator(name, "service", f.addresses[name], a.Service)
 	}
@@ -157,6 +160,9 @@
 		return trace.ConvertSystemError(err)
 	}
 	cmd := exec.Command(program, args...)
+	if program == f.spec.Daemon {
+		cmd.Env = append(os.Environ(), f.spec.Env...)
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		_ = log.Close()
--- /dev/null
+++ b/daemon/fleet/usage.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cactusknot.example/daemon/platform"
+)
+
+// clockTick is the unit of processor times in /proc; it is 10 ms on Linux.
+const clockTick = 10 * time.Millisecond
+
+// Fields of /proc/<pid>/stat after the program's name, see proc(5).
+const (
+	statUserTime   = 11
+	statSystemTime = 12
+	statResident   = 21
+)
+
+// Usage is what a process has used.
+type Usage struct {
+	// CPU is user and system time since the start.
+	CPU time.Duration
+	// Resident is the memory in RAM in bytes.
+	Resident int64
+}
+
+// Usage reads the use of one process of the fleet.
+func (f *Fleet) Usage(name string) (Usage, error) {
+	p, ok := f.processes[name]
+	if !ok {
+		return Usage{}, trace.NotFound("process %s", name)
+	}
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return Usage{}, trace.ConvertSystemError(err)
+	}
+	return parseUsage(string(data))
+}
+
+// parseUsage reads the content of /proc/<pid>/stat. The program's name in
+// parentheses may contain spaces.
+func parseUsage(stat string) (Usage, error) {
+	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
+	if len(fields) <= statResident {
+		return Usage{}, trace.BadParameter("process state has %d fields", len(fields))
+	}
+	var numbers [3]int64
+	for i, at := range []int{statUserTime, statSystemTime, statResident} {
+		n, err := strconv.ParseInt(fields[at], 10, 64)
+		if err != nil {
+			return Usage{}, trace.Wrap(err)
+		}
+		numbers[i] = n
+	}
+	return Usage{
+		CPU:      time.Duration(numbers[0]+numbers[1]) * clockTick,
+		Resident: numbers[2] * int64(os.Getpagesize()),
+	}, nil
+}
+
+// Metrics reads the metrics of a router or agent by name, labels included.
+func (f *Fleet) Metrics(ctx context.Context, vm string) (map[string]float64, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, f.Admin(vm)+"/metrics", nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer response.Body.Close()
+	out := make(map[string]float64)
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		at := strings.LastIndexByte(lines.Text(), ' ')
+		if at < 0 {
+			continue
+		}
+		if value, err := strconv.ParseFloat(lines.Text()[at+1:], 64); err == nil {
+			out[lines.Text()[:at]] = value
+		}
+	}
+	return out, trace.Wrap(lines.Err())
+}
+
+// Listed returns the entries of the VM list at the start.
+func (f *Fleet) Listed() []platform.VM { return f.vmList().VMs }
--- a/daemon/node/directory.go
+++ b/daemon/node/directory.go
@@ -63,7 +63,8 @@
 	clients map[string]rpc.Peer
 }
 
-func newDirectory(n *Node) *Directory {
+// NewDirectory returns an empty Directory of the node; Refresh fills it.
+func NewDirectory(n *Node) *Directory {
 	d := &Directory{
 		node:    n,
 		list:    platform.NewVMs(n.Settings.Platform.VMList),
@@ -83,7 +84,7 @@
 func (d *Directory) run(ctx context.Context) {
 	random := NewRand()
 	for {
-		d.refresh(ctx)
+		d.Refresh(ctx)
 		if d.node.Clock.Sleep(ctx, Jitter(random, vmListInterval)) != nil {
 			return
 		}
@@ -96,7 +97,8 @@
 	return mean/2 + time.Duration(random.Int64N(int64(mean)))
 }
 
-func (d *Directory) refresh(ctx context.Context) {
+// Refresh reads the VM list once. The list known stays when it is not read.
+func (d *Directory) Refresh(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	list, changed, err := d.list.List(bounded)
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -74,7 +74,7 @@
 	}
 	n.Check = &invariant.Checker{OnViolation: n.violated}
 	n.Store = newStore(settings.Platform.Store, n.Clock)
-	n.Directory = newDirectory(n)
+	n.Directory = NewDirectory(n)
 	return n, nil
 }
 
--- a/daemon/node/server.go
+++ b/daemon/node/server.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"github.com/labstack/echo/v4"
 	"github.com/twitchtv/twirp"
@@ -50,6 +51,7 @@
 	e.GET("/readyz", n.serveReady)
 	e.GET("/metrics", func(c echo.Context) error {
 		n.Metrics.WritePrometheus(c.Response())
+		metrics.WriteProcessMetrics(c.Response())
 		return nil
 	})
 	return e
--- a/daemon/router/log.go
+++ b/daemon/router/log.go
@@ -83,6 +83,7 @@
 		lines, _ := r.charges.Len()
 		return float64(lines)
 	})
+	set.NewGauge("cactusknot_router_buffer_bytes", func() float64 { return float64(r.buffers.Used()) })
 	set.NewGauge("cactusknot_bundle_version", func() float64 { return float64(r.view.Load().version()) })
 	return &routerMetrics{
 		set:            set,
