Choose the subset of agents only when the VM list has changed

Cause: each tick of the router's control goroutine, four a second, hashed every agent with every router: 12% of a core with 2,050 processes against a budget of 1.6% for all control work. Change: the subset is kept until the directory publishes another list.

--- a/daemon/router/control.go
+++ b/daemon/router/control.go
@@ -98,6 +98,8 @@
 	table     *stats.Table[routing.Key]
 	routes    *routing.Snapshot
 	keys      map[string]*bundle.Workspace
+	// processes is the list from which agents was made.
+	processes *node.Processes
 	// stale marks what the next view must renew.
 	staleRoutes bool
 	staleView   bool
@@ -192,9 +194,14 @@
 	c.staleView = true
 }
 
-// refreshAgents takes over the subset of agents of the VM list.
+// refreshAgents takes over the subset of agents of the VM list when the list has
+// changed. The subset costs O(agents x routers): 30 ms for 2,050 processes.
 func (c *controller) refreshAgents() {
 	processes := c.router.Directory.Processes()
+	if processes == c.processes {
+		return
+	}
+	c.processes = processes
 	var routers, names []string
 	for _, p := range processes.All {
 		if p.Role == secure.RoleRouter {
--- a/daemon/router/control_bench_test.go
+++ b/daemon/router/control_bench_test.go
@@ -56,16 +56,23 @@
 	}
 }
 
-// BenchmarkRefreshAgents is the work of each tick of the control goroutine by
-// entries of the VM list; a tick takes place four times a second.
+// BenchmarkRefreshAgents is the part of the VM list in the work of the control
+// goroutine, by entries: on each tick, four times a second, and on a change.
 func BenchmarkRefreshAgents(b *testing.B) {
 	for _, size := range []int{100, 500, 2050} {
-		b.Run(fmt.Sprint(size), func(b *testing.B) {
-			c := benchController(b, size)
+		c := benchController(b, size)
+		b.Run(fmt.Sprintf("tick/%d", size), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
 				c.refreshAgents()
 			}
 		})
+		b.Run(fmt.Sprintf("change/%d", size), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				c.processes = nil
+				c.refreshAgents()
+			}
+		})
 	}
 }
