--- /dev/null
+++ b/daemon/node/charges_bench_test.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"cactusknot.example/daemon/config"
+	"cactusknot.example/daemon/secure"
+)
+
+// BenchmarkCollectors measures the choice of the collector of one shard by number
+// of routers. A router at 22 requests/s delivers to some 16 shards each second.
+func BenchmarkCollectors(b *testing.B) {
+	for _, routers := range []int{20, 100, 350} {
+		b.Run(fmt.Sprint(routers), func(b *testing.B) {
+			n := &Node{Settings: config.Node{VM: "vm-agent"}, Role: secure.RoleAgent, Log: zerolog.Nop()}
+			n.Directory = NewDirectory(n)
+			list := &Processes{}
+			for i := range routers * 6 {
+				p := Process{VM: fmt.Sprintf("vm-%05d", i), Role: secure.RoleAgent}
+				if i%6 == 0 {
+					p.Role = secure.RoleRouter
+				}
+				list.All = append(list.All, p)
+			}
+			n.Directory.current.Store(list)
+			shard := uint32(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				shard++
+				n.collectors(shard % LedgerShards)
+			}
+		})
+	}
+}
