--- a/daemon/node/charges.go
+++ b/daemon/node/charges.go
@@ -138,25 +138,18 @@
 // rendezvous hash. All processes prefer the same one, so that it stores most
 // lines of the shard in few segments; another one is as safe.
 func (n *Node) collectors(shard uint32) []Process {
-	type candidate struct {
-		process Process
-		score   uint64
-	}
-	var routers []candidate
+	var routers []Process
 	for _, p := range n.Directory.Processes().All {
 		mine := p.VM == n.Settings.VM
 		if p.Role == secure.RoleRouter && !p.Leaving && (!mine || n.LocalLedger != nil) {
-			routers = append(routers, candidate{p, xxhash.Sum64String(strconv.Itoa(int(shard)) + "\x00" + p.VM)})
+			routers = append(routers, p)
 		}
 	}
-	slices.SortFunc(routers, func(a, b candidate) int {
-		return cmp.Compare(b.score, a.score)
+	score := func(p Process) uint64 { return xxhash.Sum64String(strconv.Itoa(int(shard)) + "\x00" + p.VM) }
+	slices.SortFunc(routers, func(a, b Process) int {
+		return cmp.Compare(score(b), score(a))
 	})
-	out := make([]Process, 0, len(routers))
-	for _, r := range routers {
-		out = append(out, r.process)
-	}
-	return out
+	return routers
 }
 
 // otherRouters returns the routers other than this process, in no fixed order.
