Keep only the best routers when choosing a collector

Cause: the choice of a collector sorted all routers for each shard; 16 shards a second took 0.9% of a core with 350 routers. Change: one pass keeps the best three, which is all that a delivery tries. A hand-over begins with a random shard instead of always with shard 0.

--- a/daemon/node/charges.go
+++ b/daemon/node/charges.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"iter"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -102,8 +104,7 @@
 
 // deliver tries the routers in order until one acknowledges.
 func (n *Node) deliver(ctx context.Context, queue *ledger.Queue, routers []Process, request *rpc.DeliverRequest) {
-	const tries = 3
-	for _, p := range routers[:min(len(routers), tries)] {
+	for _, p := range routers[:min(len(routers), maxTries)] {
 		bounded, cancel := context.WithTimeout(ctx, deliverTimeout)
 		response, err := n.ledger(p).Deliver(bounded, request)
 		cancel()
@@ -134,25 +135,51 @@
 	return rpc.NewLedgerProtobufClient("https://"+p.Address, n.Client)
 }
 
-// collectors returns the routers in order of preference for a shard, by
+// maxTries bounds the routers that one delivery tries.
+const maxTries = 3
+
+// collectors returns the first few routers in order of preference for a shard, by
 // rendezvous hash. All processes prefer the same one, so that it stores most
-// lines of the shard in few segments; another one is as safe.
+// lines of the shard in few segments; another one is as safe. Sorting all routers
+// took 0.5 ms with 350 of them.
 func (n *Node) collectors(shard uint32) []Process {
-	var routers []Process
-	for _, p := range n.Directory.Processes().All {
-		mine := p.VM == n.Settings.VM
-		if p.Role == secure.RoleRouter && !p.Leaving && (!mine || n.LocalLedger != nil) {
-			routers = append(routers, p)
+	type candidate struct {
+		process *Process
+		score   uint64
+	}
+	prefix := strconv.Itoa(int(shard)) + "\x00"
+	best := make([]candidate, 0, maxTries+1)
+	for p := range n.routers() {
+		best = append(best, candidate{p, xxhash.Sum64String(prefix + p.VM)})
+		slices.SortStableFunc(best, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
+		best = best[:min(len(best), maxTries)]
+	}
+	out := make([]Process, 0, maxTries)
+	for _, c := range best {
+		out = append(out, *c.process)
+	}
+	return out
+}
+
+// routers yields the routers in service; this process is one of them when it
+// serves the ledger.
+func (n *Node) routers() iter.Seq[*Process] {
+	return func(yield func(*Process) bool) {
+		all := n.Directory.Processes().All
+		for i := range all {
+			p := &all[i]
+			mine := p.VM == n.Settings.VM
+			if p.Role == secure.RoleRouter && !p.Leaving && (!mine || n.LocalLedger != nil) && !yield(p) {
+				return
+			}
 		}
 	}
-	score := func(p Process) uint64 { return xxhash.Sum64String(strconv.Itoa(int(shard)) + "\x00" + p.VM) }
-	slices.SortFunc(routers, func(a, b Process) int {
-		return cmp.Compare(score(b), score(a))
-	})
-	return routers
 }
 
-// otherRouters returns the routers other than this process, in no fixed order.
+// otherRouters returns the routers other than this process that collectors names
+// for any shard. Each call begins with another shard, so that processes which
+// stop at the same time do not hand over to the same router.
 func (n *Node) otherRouters() []Process {
-	return slices.DeleteFunc(n.collectors(0), func(p Process) bool { return p.VM == n.Settings.VM })
+	list := n.collectors(rand.Uint32())
+	return slices.DeleteFunc(list, func(p Process) bool { return p.VM == n.Settings.VM })
 }
