Add the scenario path: cost of the request path

Change: the same load goes to the engine emulator directly and through router and agent as processes; processor time per request from /proc; allocations of routing.Place and balance.Choose.

--- /dev/null
+++ b/daemon/bench/environment.go
@@ -0,0 +1,98 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cactusknot.example/daemon/fleet"
+)
+
+// ErrNoDaemon: scenarios that start processes need both binaries in one directory.
+var ErrNoDaemon = errors.New("bench: the daemon's binary is not beside this program; run make build and bin/cactusctl")
+
+// startFleet starts a deployment in a temporary directory. The returned function
+// ends its processes and removes the directory.
+func startFleet(ctx context.Context, spec fleet.Spec) (*fleet.Fleet, func(), error) {
+	tool, err := os.Executable()
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	spec.Tool, spec.Daemon = tool, filepath.Join(filepath.Dir(tool), "cactusknot")
+	if _, err := os.Stat(spec.Daemon); err != nil {
+		return nil, nil, ErrNoDaemon
+	}
+	if spec.Dir, err = os.MkdirTemp("", "cactusknot-bench-"); err != nil {
+		return nil, nil, trace.ConvertSystemError(err)
+	}
+	f, err := fleet.New(ctx, spec)
+	if err != nil {
+		_ = os.RemoveAll(spec.Dir)
+		return nil, nil, trace.Wrap(err)
+	}
+	stop := func() {
+		f.Close()
+		_ = os.RemoveAll(spec.Dir)
+	}
+	if err := f.Start(ctx); err != nil {
+		stop()
+		return nil, nil, trace.Wrap(err)
+	}
+	return f, stop, nil
+}
+
+// loadAverage returns the machine's load of the last minute; 0 when unknown.
+func loadAverage() float64 {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	first, _, _ := strings.Cut(string(data), " ")
+	load, _ := strconv.ParseFloat(first, 64)
+	return load
+}
+
+// pause sleeps for d unless ctx ends first.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// heapInUse returns the live heap of this process after a collection.
+func heapInUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// microseconds converts d for a row.
+func microseconds(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1000 }
+
+// timed returns the time of one call of f, the mean of as many calls as fit into
+// about 50 ms, at least 3.
+func timed(f func()) time.Duration {
+	const (
+		target   = 50 * time.Millisecond
+		minCalls = 3
+	)
+	started := time.Now()
+	calls := 0
+	for calls < minCalls || time.Since(started) < target {
+		f()
+		calls++
+	}
+	return time.Since(started) / time.Duration(calls)
+}
--- a/daemon/bench/scenario.go
+++ b/daemon/bench/scenario.go
@@ -31,5 +31,6 @@
 		{Name: "sequential", Summary: "sequential tests: false stops and ratings until a stop", Run: RunSequential},
 		{Name: "cost", Summary: "cost at the quality target against fixed choices and an oracle", Run: RunCost},
 		{Name: "exposure", Summary: "requests answered by a bad version before it is stopped", Run: RunExposure},
+		{Name: "path", Summary: "added time, processor time and allocations of the request path", Run: RunPath},
 	}
 }
