Add the scenario readers: memory for slow readers

Change: a router process with 100, 1,000 and 4,000 callers that read a byte a second from a streamed answer of 384 KiB; live heap and stacks from its metrics after a collection; the same callers at a relay with unbounded buffers. The bound is the stream window of 64 KiB, the 16 KiB of text kept for the rating service and 64 KiB for connection, stacks and request. A first derivation left out the text, which a heap profile showed.

--- /dev/null
+++ b/daemon/bench/readers_support.go
@@ -0,0 +1,289 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	// floodEventBytes and floodEvents give an answer of 384 KiB, several times the
+	// bound of a reader with the buffers of its sockets.
+	floodEventBytes = 4 << 10
+	floodEvents     = 96
+	// socketBytes keeps the operating system from buffering the answers.
+	socketBytes = 8 << 10
+	// segmentBytes is the segment size of an Ethernet; the loopback's 64 KiB make
+	// the system reserve megabytes for each connection.
+	segmentBytes = 1400
+)
+
+// floodListener limits the send buffers of its connections.
+type floodListener struct{ net.Listener }
+
+func (l floodListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(socketBytes)
+	}
+	return conn, nil
+}
+
+// flood is a model engine that streams a long answer as fast as it is read.
+type flood struct {
+	server   *http.Server
+	listener net.Listener
+	event    []byte
+}
+
+func startFlood() (*flood, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	f := &flood{listener: listener}
+	f.event = fmt.Appendf(nil, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", strings.Repeat("x", floodEventBytes))
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(map[string]any{"epoch": 1, "loaded": []string{"small@1"}})
+	})
+	mux.HandleFunc("POST /v1/chat/completions", f.serveChat)
+	f.server = &http.Server{Handler: mux}
+	go func() { _ = f.server.Serve(floodListener{listener}) }()
+	return f, nil
+}
+
+func (f *flood) url() string { return "http://" + f.listener.Addr().String() }
+
+func (f *flood) close() { _ = f.server.Close() }
+
+func (f *flood) serveChat(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for range floodEvents {
+		if _, err := w.Write(f.event); err != nil {
+			return
+		}
+	}
+	// The answer stays open, so that a fast reader does not count as gone.
+	_ = http.NewResponseController(w).Flush()
+	<-r.Context().Done()
+}
+
+// readers are callers that read a byte a second.
+type readers struct {
+	address string
+	key     string
+	conns   []net.Conn
+	stop    chan struct{}
+	once    sync.Once
+	wait    sync.WaitGroup
+}
+
+func newReaders(url, key string) *readers {
+	return &readers{address: strings.TrimPrefix(url, "http://"), key: key, stop: make(chan struct{})}
+}
+
+// open adds readers until there are count.
+func (g *readers) open(ctx context.Context, count int) error {
+	const parallel = 32
+	missing := count - len(g.conns)
+	conns := make([]net.Conn, missing)
+	errs := make([]error, missing)
+	slots := make(chan struct{}, parallel)
+	var wg sync.WaitGroup
+	for i := range missing {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			conns[i], errs[i] = g.dial(ctx)
+		})
+	}
+	wg.Wait()
+	for _, conn := range conns {
+		if conn != nil {
+			g.conns = append(g.conns, conn)
+			g.wait.Go(func() { g.read(conn) })
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// dial sends a request and reads the first byte of its answer.
+func (g *readers) dial(ctx context.Context) (net.Conn, error) {
+	dialer := net.Dialer{Control: smallBuffers, Timeout: 10 * time.Second}
+	conn, err := dialer.DialContext(ctx, "tcp", g.address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	body := `{"model":"small@1","stream":true,"max_tokens":16,"messages":[{"role":"user","content":"hello"}]}`
+	request := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: bench\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", g.key, len(body), body)
+	if _, err := conn.Write([]byte(request)); err != nil {
+		return conn, trace.Wrap(err)
+	}
+	const firstLine = len("HTTP/1.1 200")
+	line := make([]byte, firstLine)
+	if _, err := io.ReadFull(conn, line); err != nil {
+		return conn, trace.Wrap(err)
+	}
+	if !bytes.HasSuffix(line, []byte(" 200")) {
+		return conn, trace.Errorf("bench: reader refused: %s", line)
+	}
+	return conn, nil
+}
+
+// smallBuffers asks for a small receive buffer and the segments of a network.
+func smallBuffers(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBytes)
+		if failed == nil {
+			failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// read takes a byte a second until the group is closed.
+func (g *readers) read(conn net.Conn) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	one := make([]byte, 1)
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-ticker.C:
+			if _, err := conn.Read(one); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (g *readers) close() {
+	g.once.Do(func() {
+		close(g.stop)
+		for _, conn := range g.conns {
+			_ = conn.Close()
+		}
+		g.wait.Wait()
+	})
+}
+
+// relay is the baseline: it reads answers as fast as the engine sends them and
+// keeps what the caller has not taken, without a bound.
+type relay struct {
+	server   *http.Server
+	listener net.Listener
+	client   *http.Client
+	target   string
+	// held are the bytes that wait for callers.
+	held atomic.Int64
+}
+
+func startRelay(target string) (*relay, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	r := &relay{listener: listener, target: target, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	r.server = &http.Server{Handler: r}
+	go func() { _ = r.server.Serve(listener) }()
+	return r, nil
+}
+
+func (r *relay) url() string { return "http://" + r.listener.Addr().String() }
+
+func (r *relay) close() { _ = r.server.Close() }
+
+// ServeHTTP buffers the engine's answer in one goroutine and writes it in another.
+func (r *relay) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	out, err := http.NewRequestWithContext(in.Context(), http.MethodPost, r.target+in.URL.Path, in.Body)
+	if err != nil {
+		return
+	}
+	response, err := r.client.Do(out)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	b := &unbounded{relay: r, news: make(chan struct{}, 1)}
+	go b.fill(response.Body)
+	for {
+		data, more := b.take()
+		if len(data) > 0 {
+			_, err := w.Write(data)
+			r.held.Add(-int64(len(data)))
+			if err != nil || http.NewResponseController(w).Flush() != nil {
+				return
+			}
+			continue
+		}
+		if !more {
+			return
+		}
+		<-b.news
+	}
+}
+
+// unbounded is a buffer without a bound.
+type unbounded struct {
+	relay *relay
+	news  chan struct{}
+
+	mu    sync.Mutex
+	parts [][]byte
+	ended bool
+}
+
+func (b *unbounded) fill(from io.Reader) {
+	for {
+		part := make([]byte, floodEventBytes)
+		n, err := from.Read(part)
+		b.mu.Lock()
+		if n > 0 {
+			b.parts = append(b.parts, part[:n])
+			b.relay.held.Add(int64(n))
+		}
+		b.ended = err != nil
+		b.mu.Unlock()
+		select {
+		case b.news <- struct{}{}:
+		default:
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// take returns the oldest part and whether more may come.
+func (b *unbounded) take() ([]byte, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.parts) == 0 {
+		return nil, !b.ended
+	}
+	part := b.parts[0]
+	b.parts = b.parts[1:]
+	return part, true
+}
--- a/daemon/bench/scenario.go
+++ b/daemon/bench/scenario.go
@@ -32,5 +32,6 @@
 		{Name: "cost", Summary: "cost at the quality target against fixed choices and an oracle", Run: RunCost},
 		{Name: "exposure", Summary: "requests answered by a bad version before it is stopped", Run: RunExposure},
 		{Name: "path", Summary: "added time, processor time and allocations of the request path", Run: RunPath},
+		{Name: "readers", Summary: "memory for slow readers of streamed answers", Run: RunReaders},
 	}
 }
