Cut the text kept for the rating service at its bound

Cause: an event was added whole when the text was still below 16 KiB, so that a reader held up to an event more and the buffer grew to the next size.

--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -77,15 +77,20 @@
 }
 
 func (a *modelAnswer) collect(choices []byte) {
-	if a.content.Len() > maxRatedBytes || !a.router.ratings() {
+	if a.content.Len() >= maxRatedBytes || !a.router.ratings() {
 		return
 	}
 	var parsed []delta
 	if json.Unmarshal(choices, &parsed) != nil || len(parsed) == 0 {
 		return
 	}
-	a.content.WriteString(parsed[0].Delta.Content)
-	a.content.WriteString(parsed[0].Message.Content)
+	a.keep(parsed[0].Delta.Content)
+	a.keep(parsed[0].Message.Content)
+}
+
+// keep adds text up to the bound, which one large event must not exceed.
+func (a *modelAnswer) keep(text string) {
+	a.content.WriteString(text[:min(len(text), maxRatedBytes-a.content.Len())])
 }
 
 // streamChunk is one event of a streamed answer.
