Compare the memory left by a second group of readers

Cause: the check of the memory kept after 4,000 readers left (9.8 MB against 2.6 MB) counted 5.5 MB of goroutine descriptors, which the Go runtime never frees but uses again; a heap profile shows them under runtime.malg. Change: a second group of 1,000 readers comes and leaves, and must leave less than 1 KiB a reader behind, below the smallest object that lives as long as a reader; buffers count as full when the memory no longer grows.

--- a/daemon/bench/readers.go
+++ b/daemon/bench/readers.go
@@ -25,13 +25,24 @@
 	// headers and messages in work.
 	readerConstant = 64 << 10
 	readerBound    = readerWindow + readerRated + readerConstant
+	// readerSecondWave is the size of the group that comes after all have left. The
+	// Go runtime keeps the descriptors of the goroutines of the first group, some
+	// 450 bytes each, for new ones; anything that belongs to a reader would be
+	// left behind by each group.
+	readerSecondWave = 1000
+	// readerLeftover is the noise of the measurement per reader; the smallest
+	// object that lives as long as a reader is a 4 KiB buffer.
+	readerLeftover = 1 << 10
 	// readerGOGC makes the measured router collect its garbage after little
 	// allocation, so that the live heap can be read.
 	readerGOGC = 10
 	// readerMaxRequests is above the largest number of readers.
 	readerMaxRequests = 5000
-	// readerSettle is the time for buffers to fill after the last reader came.
-	readerSettle = 1500 * time.Millisecond
+	// Buffers count as full when the memory grows by less than readerGrowth between
+	// two looks; at most readerLooks are taken.
+	readerSettle = 700 * time.Millisecond
+	readerGrowth = 0.01
+	readerLooks  = 8
 	// readerLeave bounds the wait until the router has let go of all readers.
 	readerLeave = 10 * time.Second
 	readersVM   = "engine-a1"
@@ -89,9 +100,19 @@
 	r.Rows = append(r.Rows, readersRow("router, all readers gone", 0, before, after))
 	r.atMost("", "router: requests in progress after the readers left", 0, after.running)
 	r.atMost("", "router: reserved buffer bytes after the readers left", 0, after.reserved)
-	// Idle connections to agents and the memory of the runtime remain; the bound
-	// is the constant of the last 1% of the readers.
-	r.atMost("", "router: heap and stacks kept after the readers left [B]", readerConstant*40, after.held-before.held)
+	again := newReaders(f.Callers(readersName), fleet.SampleKey("aquarium"))
+	defer again.close()
+	if err := again.open(ctx, readerSecondWave); err != nil {
+		return err
+	}
+	again.close()
+	second, err := left(ctx, f)
+	if err != nil {
+		return err
+	}
+	r.Rows = append(r.Rows, readersRow("router, second group of readers gone", 0, before, second))
+	r.atMost("", "router: requests in progress after a second group left", 0, second.running)
+	r.atMost("", "router: heap and stacks that a second group left behind, per reader [B]", readerLeftover, (second.held-after.held)/readerSecondWave)
 	return nil
 }
 
@@ -116,11 +137,22 @@
 	}, nil
 }
 
-// settled returns the memory after the buffers had time to fill and the garbage
-// was collected.
+// settled returns the memory after the buffers have filled and the garbage was
+// collected.
 func settled(ctx context.Context, f *fleet.Fleet) (memory, error) {
-	if err := pause(ctx, readerSettle); err != nil {
-		return memory{}, err
+	last := memory{}
+	for range readerLooks {
+		if err := pause(ctx, readerSettle); err != nil {
+			return memory{}, err
+		}
+		now, err := routerMemory(ctx, f)
+		if err != nil {
+			return now, err
+		}
+		if now.held < last.held*(1+readerGrowth) {
+			break
+		}
+		last = now
 	}
 	return collected(ctx, f, 1)
 }
@@ -230,7 +262,7 @@
 		if err := group.open(ctx, count); err != nil {
 			return err
 		}
-		if err := pause(ctx, readerSettle); err != nil {
+		if err := pause(ctx, 2*readerSettle); err != nil {
 			return err
 		}
 		r.Rows = append(r.Rows, Row{Measure: "readers", Variant: fmt.Sprintf("unbounded relay, %d readers", count), Values: []Value{
--- a/daemon/bench/readers_support.go
+++ b/daemon/bench/readers_support.go
@@ -101,7 +101,7 @@
 
 // open adds readers until there are count.
 func (g *readers) open(ctx context.Context, count int) error {
-	const parallel = 32
+	const parallel = 128
 	missing := count - len(g.conns)
 	conns := make([]net.Conn, missing)
 	errs := make([]error, missing)
