--- a/daemon/bench/scenario.go
+++ b/daemon/bench/scenario.go
@@ -34,5 +34,7 @@
 		{Name: "latency", Summary: "latency against other choices of backend servers", Run: RunLatency},
 		{Name: "datacentre", Summary: "service while a data centre leaves and returns", Run: RunDataCentre},
 		{Name: "recovery", Summary: "recovery from crashes with and without retries", Run: RunRecovery},
+		{Name: "path", Summary: "added time, processor time and allocations of the request path", Run: RunPath},
+		{Name: "readers", Summary: "memory for slow readers of streamed answers", Run: RunReaders},
 	}
 }
