--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -222,6 +222,5 @@
 	a.Metrics.NewGauge("cactusknot_agent_running_requests", func() float64 { return float64(a.admission.State().Running) })
 	a.Metrics.NewGauge("cactusknot_agent_permit_limit", func() float64 { return float64(a.admission.State().Limit) })
 	a.Metrics.NewGauge("cactusknot_agent_cold_starts", func() float64 { return float64(a.admission.State().Colds) })
-	a.Metrics.NewGauge("cactusknot_bundle_version", func() float64 { return float64(a.view.Load().version()) })
 	a.Metrics.NewGauge("cactusknot_agent_idempotency_records", func() float64 { return float64(a.records.Stats().Entries) })
 }
