Explain past requests; write bench reports as JSON and plots

Cause: cactusctl explain could not tell why a past request went where it did, and bench printed tables only.

--- a/Makefile
+++ b/Makefile
@@ -33,4 +33,4 @@
 	bin/cactusctl soak -seed $(SEED) -duration $(DURATION)
 
 bench: build
-	bin/cactusctl bench
+	bin/cactusctl bench -out out
--- a/daemon/ctl/bench.go
+++ b/daemon/ctl/bench.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
+	"os"
+	"path/filepath"
 
 	benchmark "cactusknot.example/daemon/bench"
 )
@@ -19,7 +22,8 @@
 	deployment := flags.String("deployment", "", "coop or creches; empty means both")
 	seeds := flags.Int("seeds", 5, "number of seeds, counted from 1")
 	scale := flags.Float64("scale", 1, "factor on the number of requests")
-	asJSON := flags.Bool("json", false, "write JSON instead of a table")
+	asJSON := flags.Bool("json", false, "print JSON instead of a table")
+	out := flags.String("out", "", "`DIR` for a JSON file and plots of each scenario; empty writes none")
 	if err := flags.Parse(args); err != nil {
 		return ExitUsage
 	}
@@ -33,7 +37,7 @@
 			continue
 		}
 		found = true
-		if !runScenario(ctx, env, s, o, *asJSON) {
+		if !runScenario(ctx, env, s, o, *asJSON, *out) {
 			code = ExitFailed
 		}
 	}
@@ -45,7 +49,7 @@
 }
 
 // runScenario reports whether the scenario ran and met its targets.
-func runScenario(ctx context.Context, env Env, s benchmark.Scenario, o benchmark.Options, asJSON bool) bool {
+func runScenario(ctx context.Context, env Env, s benchmark.Scenario, o benchmark.Options, asJSON bool, dir string) bool {
 	report, err := s.Run(ctx, o)
 	if err != nil {
 		fmt.Fprintf(env.Stderr, "bench %s: %v\n", s.Name, err)
@@ -56,9 +60,30 @@
 	} else {
 		err = report.WriteTable(env.Stdout)
 	}
+	if err == nil && dir != "" {
+		err = writeReport(&report, dir)
+	}
+	if err != nil {
+		fmt.Fprintf(env.Stderr, "bench %s: %v\n", s.Name, err)
+	}
 	ok := err == nil
 	for _, c := range report.Checks {
 		ok = ok && c.Met
 	}
 	return ok
 }
+
+// writeReport writes the report as JSON and its plots.
+func writeReport(report *benchmark.Report, dir string) error {
+	if err := report.WritePlots(dir); err != nil {
+		return err
+	}
+	file, err := os.Create(filepath.Join(dir, report.Scenario+".json"))
+	if err != nil {
+		return err
+	}
+	if err := report.WriteJSON(file); err != nil {
+		return errors.Join(err, file.Close())
+	}
+	return file.Close()
+}
--- a/daemon/router/log.go
+++ b/daemon/router/log.go
@@ -20,6 +20,10 @@
 		event.Bool("cascade", d.Policy.Plan != nil).Float64("lower_bound", d.Policy.Lower).Bool("explored", d.Explored)
 	}
 	event.Msg("model chosen")
+	r.history.add(c.id, pastDecision{
+		Time: r.Clock.Now(), Step: stepModel, Workspace: c.workspace.Name, Target: d.Model + "@" + d.Version,
+		Reason: d.Reason.String(), BundleVersion: v.version(),
+	})
 }
 
 // logAttempt writes the decision log line of the choice of a backend server.
@@ -31,11 +35,20 @@
 		event.Interface("candidates", r.candidates(j))
 	}
 	if out.err != nil {
-		event.Int("code", out.err.Code.Number).Str("result", out.err.Error())
-	} else {
-		event.Str("result", "done")
+		event.Int("code", out.err.Code.Number)
+	}
+	event.Str("result", outcomeText(out)).Msg("backend server chosen")
+	r.history.add(j.call.id, pastDecision{
+		Time: r.Clock.Now(), Step: stepServer, Workspace: j.call.workspace.Name, Target: j.target, VM: to.vm,
+		DataCentre: to.dataCentre, Reason: outcomeText(out), BundleVersion: version,
+	})
+}
+
+func outcomeText(out attemptResult) string {
+	if out.err == nil {
+		return "done"
 	}
-	event.Msg("backend server chosen")
+	return out.err.Error()
 }
 
 func (r *Router) candidates(j *job) []balance.Candidate {
@@ -45,6 +58,10 @@
 func (r *Router) logEscalation(c *call, score float64, rated bool, d *routing.Decision, escalate bool) {
 	r.Log.Info().Hex("request", c.id[:]).Str("workspace", c.workspace.Name).Float64("score", score).Bool("rated", rated).
 		Bool("escalated", escalate).Str("model", d.Model).Str("version", d.Version).Stringer("reason", d.Reason).Msg("cascade decided")
+	r.history.add(c.id, pastDecision{
+		Time: r.Clock.Now(), Step: stepCascade, Workspace: c.workspace.Name, Target: d.Model + "@" + d.Version,
+		Reason: d.Reason.String(), BundleVersion: r.view.Load().version(),
+	})
 }
 
 func (r *Router) logError(c *call, err *result.Error) {
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -45,6 +45,7 @@
 	charges  *ledger.Queue
 	rating   *platform.Rating
 	metrics  *routerMetrics
+	history  history
 	view     atomic.Pointer[view]
 	events   chan event
 	chat     pipe
--- a/daemon/router/server.go
+++ b/daemon/router/server.go
@@ -9,7 +9,6 @@
 
 	"cactusknot.example/daemon/node"
 	"cactusknot.example/daemon/result"
-	"cactusknot.example/daemon/routing"
 	"cactusknot.example/daemon/rpc"
 	"cactusknot.example/daemon/secure"
 )
@@ -92,64 +91,3 @@
 	}
 	return nil
 }
-
-// explanation is the answer of GET /admin/explain.
-type explanation struct {
-	BundleVersion uint64            `json:"bundle_version"`
-	Model         string            `json:"model"`
-	Version       string            `json:"version"`
-	Reason        string            `json:"reason"`
-	Refused       bool              `json:"refused"`
-	Models        []explainedModel  `json:"models"`
-	Servers       []explainedServer `json:"servers"`
-}
-
-type explainedModel struct {
-	Model   string `json:"model"`
-	Version string `json:"version"`
-	Chosen  bool   `json:"chosen"`
-	Reason  string `json:"reason"`
-}
-
-type explainedServer struct {
-	VM         string  `json:"vm"`
-	DataCentre string  `json:"data_centre"`
-	Reason     string  `json:"reason"`
-	Load       float64 `json:"load"`
-	CostMs     float64 `json:"cost_ms"`
-	AgeMs      int64   `json:"age_ms"`
-}
-
-// serveExplain tells why a request with the given workspace, model, version, kind
-// and session would go where it goes now.
-func (r *Router) serveExplain(c echo.Context) error {
-	v := r.view.Load()
-	if v.current == nil {
-		return c.String(http.StatusServiceUnavailable, "no configuration\n")
-	}
-	request := routing.Request{
-		ID:        c.QueryParam("request"),
-		Workspace: c.QueryParam("workspace"),
-		Model:     c.QueryParam("model"),
-		Version:   c.QueryParam("version"),
-		Kind:      c.QueryParam("kind"),
-	}
-	if id := c.QueryParam("session"); id != "" {
-		request.Session = &routing.Session{ID: id, Workspace: request.Workspace}
-	}
-	why := v.routes.Explain(&request)
-	out := explanation{
-		BundleVersion: v.version(),
-		Model:         why.Decision.Model,
-		Version:       why.Decision.Version,
-		Reason:        why.Decision.Reason.String(),
-		Refused:       why.Decision.Refused,
-	}
-	for _, candidate := range why.Candidates {
-		out.Models = append(out.Models, explainedModel{candidate.Model, candidate.Version, candidate.Chosen, candidate.Reason.String()})
-	}
-	for _, s := range r.candidates(&job{target: why.Decision.Model + "@" + why.Decision.Version}) {
-		out.Servers = append(out.Servers, explainedServer{s.VM, s.DataCentre, s.Reason, s.Load, s.CostMS, s.Age.Milliseconds()})
-	}
-	return c.JSON(http.StatusOK, out)
-}
