Wait for running requests with a counter; close connections while draining

Cause: a WaitGroup must not grow from zero while it is waited for, but refused and replayed calls still arrive during a planned stop; a router cut idle connections on which a request could just arrive. Change: the agent counts running calls; a draining router ends each connection after its answer, so that callers reconnect elsewhere before the listener closes.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -7,7 +7,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,7 +39,8 @@
 	view        atomic.Pointer[view]
 	sequence    atomic.Uint64
 	events      chan struct{}
-	running     sync.WaitGroup
+	// running counts execute calls and detached runs.
+	running atomic.Int64
 	// stopping is set by a planned stop.
 	stopping atomic.Bool
 }
@@ -128,13 +128,21 @@
 	a.SetDraining()
 	a.admission.SetLeaving(true)
 	a.changed()
-	a.running.Wait()
+	a.awaitRunning()
 	a.handOverCharges()
 	_ = internal.Shutdown(context.Background())
 	_ = admin.Shutdown(context.Background())
 	a.Log.Info().Msg("agent stopped")
 }
 
+// awaitRunning blocks until no request runs. A WaitGroup can't be used: calls that
+// are refused, or answered from a record, still come in meanwhile.
+func (a *Agent) awaitRunning() {
+	for a.running.Load() > 0 {
+		_ = a.Clock.Sleep(context.Background(), handOverInterval)
+	}
+}
+
 // control is the only goroutine that builds views.
 func (a *Agent) control(ctx context.Context) {
 	for {
--- a/daemon/agent/execute.go
+++ b/daemon/agent/execute.go
@@ -37,7 +37,7 @@
 // serveExecute answers POST /internal/execute with a stream of events.
 func (a *Agent) serveExecute(w http.ResponseWriter, r *http.Request) {
 	a.running.Add(1)
-	defer a.running.Done()
+	defer a.running.Add(-1)
 	in, err := readExecute(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -195,7 +195,7 @@
 	}
 	e.agent.running.Add(1)
 	go func() {
-		defer e.agent.running.Done()
+		defer e.agent.running.Add(-1)
 		e.assertMayRun()
 		e.ticket.Finish(e.runRecorded(context.WithoutCancel(ctx)))
 	}()
--- a/daemon/agent/rig_test.go
+++ b/daemon/agent/rig_test.go
@@ -224,7 +224,7 @@
 // that no invariant was violated.
 func (r *rig) wantSettled(lines int) {
 	r.t.Helper()
-	r.running.Wait()
+	r.awaitRunning()
 	held, reserved := r.charges.Len()
 	if held != lines || reserved != 0 {
 		r.t.Errorf("%d lines and %d reservations, want %d and 0", held, reserved, lines)
--- a/daemon/router/chat.go
+++ b/daemon/router/chat.go
@@ -33,8 +33,10 @@
 
 // serveCall runs a pipe and answers its error.
 func (r *Router) serveCall(w http.ResponseWriter, request *http.Request, p pipe, prepare func(*call)) {
-	r.running.Add(1)
-	defer r.running.Done()
+	if r.Draining() {
+		// Callers reconnect through the balancer before the listener closes.
+		w.Header().Set("Connection", "close")
+	}
 	c := &call{writer: w, request: request, started: r.Clock.Now()}
 	if prepare != nil {
 		prepare(c)
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -8,7 +8,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,7 +49,6 @@
 	events   chan event
 	chat     pipe
 	service  pipe
-	running  sync.WaitGroup
 	ratingUp atomic.Bool
 	rateSlot chan struct{}
 }
@@ -140,7 +138,6 @@
 	r.SetDraining()
 	_ = r.Clock.Sleep(ctx, time.Duration(r.settings.DrainDelayMs)*time.Millisecond)
 	_ = public.Shutdown(context.Background())
-	r.running.Wait()
 	r.handOverCharges(ctx)
 	_ = internal.Shutdown(context.Background())
 	_ = admin.Shutdown(context.Background())
