--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -188,12 +188,24 @@
 func fieldError(problem validator.FieldError) error {
 	_, path, _ := strings.Cut(problem.Namespace(), ".")
 	path = strings.TrimPrefix(path, "Node.")
-	reason := "must be " + problem.Tag()
-	if problem.Param() != "" {
-		reason += " " + problem.Param()
+	reason, known := reasons[problem.Tag()]
+	if !known {
+		reason = "must be " + problem.Tag()
 	}
-	if problem.Tag() == "required" || problem.Tag() == "required_if" {
-		reason = "is required"
+	if param := problem.Param(); param != "" && problem.Tag() != "required_if" {
+		reason += " " + param
 	}
 	return &strict.FieldError{Path: path, Reason: reason}
 }
+
+// reasons says what the tags of the validator mean; a parameter follows the text.
+var reasons = map[string]string{
+	"required":      "is required",
+	"required_if":   "is required",
+	"min":           "must have a value or length of at least",
+	"max":           "must have a value or length of at most",
+	"oneof":         "must be one of",
+	"ltefield":      "must be at most the value of",
+	"url":           "must be a URL",
+	"hostname_port": "must be host:port",
+}
--- a/daemon/strict/strict.go
+++ b/daemon/strict/strict.go
@@ -58,7 +58,7 @@
 	err := d.Decode(v)
 	var typeErr *json.UnmarshalTypeError
 	if errors.As(err, &typeErr) {
-		return &FieldError{Path: typeErr.Field, Reason: fmt.Sprintf("%s where %s is expected", typeErr.Value, typeErr.Type)}
+		return &FieldError{Path: visible(typeErr.Field, reflect.TypeOf(v).Elem()), Reason: fmt.Sprintf("%s where %s is expected", typeErr.Value, typeErr.Type)}
 	}
 	if err != nil {
 		return &FieldError{Reason: err.Error()}
@@ -66,6 +66,30 @@
 	return nil
 }
 
+// visible removes the names of embedded structs, which encoding/json puts into
+// paths although they are no part of the JSON.
+func visible(path string, t reflect.Type) string {
+	var kept []string
+	for name := range strings.SplitSeq(path, ".") {
+		for t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice || t.Kind() == reflect.Map {
+			t = t.Elem()
+		}
+		if t.Kind() != reflect.Struct {
+			kept = append(kept, name)
+			continue
+		}
+		if f, ok := t.FieldByName(name); ok && f.Anonymous && f.Tag.Get("json") == "" {
+			t = f.Type
+			continue
+		}
+		kept = append(kept, name)
+		if inner, ok := fieldTypes(t)[name]; ok {
+			t = inner
+		}
+	}
+	return strings.Join(kept, ".")
+}
+
 // unknown walks raw along t and reports the first key without a field.
 func unknown(path string, raw any, t reflect.Type) error {
 	for t.Kind() == reflect.Pointer {
