Deliver charges of several shards at the same time

Cause: a delivery waits for the collector's next batch, about 1 s, and 32 shards went one after the other, later than the 15 s after which agents deliver the same lines again. TestPlannedStopsWithoutStore waited 30 s in vain for the charges. Change: up to 8 shards at the same time.

--- a/daemon/node/charges.go
+++ b/daemon/node/charges.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +22,11 @@
 // request must have the same shard for the life of the ledger.
 const LedgerShards = 32
 
+// parallelShards bounds the shards delivered at the same time. A delivery waits
+// for the collector's next batch, about 1 s; one after the other, all shards
+// would take longer than the 15 s after which agents deliver the same lines.
+const parallelShards = 8
+
 // deliverTimeout bounds one delivery; it covers a flush of the collector.
 const deliverTimeout = 5 * time.Second
 
@@ -83,9 +89,16 @@
 		shard := ledger.Shard(line.RequestID, LedgerShards)
 		byShard[shard] = append(byShard[shard], LineToMessage(line))
 	}
+	var group sync.WaitGroup
+	slots := make(chan struct{}, parallelShards)
 	for shard, lines := range byShard {
-		n.deliver(ctx, queue, n.collectors(shard), &rpc.DeliverRequest{Node: n.Settings.VM, Lines: lines})
+		slots <- struct{}{}
+		group.Go(func() {
+			n.deliver(ctx, queue, n.collectors(shard), &rpc.DeliverRequest{Node: n.Settings.VM, Lines: lines})
+			<-slots
+		})
 	}
+	group.Wait()
 }
 
 // HandOver gives all lines to another router, which holds them for later
