Stay with a slow collector of charges

Ruled out: lost lines (routers and agents still held them), a store fault (none after 24 s), a frozen collector (woken at 17 s). Change: a delivery that times out, or that the collector answers with an error of the store, is repeated at the same collector; lines older than a minute may go to another one, in case only this collector does not reach the store.

--- a/daemon/node/charges.go
+++ b/daemon/node/charges.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/twitchtv/twirp"
 
 	"cactusknot.example/coord/ledger"
 	"cactusknot.example/daemon/distribute"
@@ -26,6 +28,10 @@
 // storeCallsPerSecond, and the collector's batch interval.
 const deliverTimeout = 15 * time.Second
 
+// failOverAfter is the age of a line from which a collector that answers but
+// can't store it is passed over, in case it alone does not reach the store.
+const failOverAfter = time.Minute
+
 // LineToMessage converts a charge line for the wire.
 func LineToMessage(l ledger.Line) *rpc.ChargeLine {
 	return &rpc.ChargeLine{
@@ -109,15 +115,21 @@
 	return held == 0
 }
 
-// deliver tries the routers in order until one acknowledges.
+// deliver tries the routers in order until one acknowledges. It stays with a
+// router that is slow: a second collector of the shard would have to load the log
+// and both would spend their store calls on conflicts, which makes both slower.
 func (n *Node) deliver(ctx context.Context, queue *ledger.Queue, routers []Process, request *rpc.DeliverRequest) {
 	const tries = 3
 	for _, p := range routers[:min(len(routers), tries)] {
 		bounded, cancel := context.WithTimeout(ctx, deliverTimeout)
 		response, err := n.ledger(p).Deliver(bounded, request)
+		slow := bounded.Err() != nil
 		cancel()
 		if err != nil {
 			n.Log.Debug().Err(err).Str("collector", p.VM).Msg("charges not delivered")
+			if slow || n.waits(err, request) {
+				return
+			}
 			continue
 		}
 		queue.Acknowledge(identities(response.GetAcknowledged()))
@@ -125,6 +137,17 @@
 	}
 }
 
+// waits tells whether the lines stay with a collector that answered with an error
+// of the store.
+func (n *Node) waits(err error, request *rpc.DeliverRequest) bool {
+	var answered twirp.Error
+	if !errors.As(err, &answered) || answered.Code() != twirp.Unavailable {
+		return false
+	}
+	limit := n.Clock.Now().Add(-failOverAfter).UnixMilli()
+	return !slices.ContainsFunc(request.GetLines(), func(l *rpc.ChargeLine) bool { return l.GetCompletedMs() < limit })
+}
+
 func identities(list []*rpc.ChargeID) []ledger.ID {
 	out := make([]ledger.ID, 0, len(list))
 	for _, id := range list {
