--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -160,11 +160,9 @@
 		a.SetConfigured()
 	}
 	previous := a.view.Load()
-	next.since = previous.since
-	if previous.leaving != next.leaving {
-		next.since = a.Clock.Now()
-	}
 	a.view.Store(next)
+	now := a.Clock.Now()
+	previous.replaced.Store(&now)
 	a.admission.SetLeaving(next.leaving != "")
 	if previous.leaving != next.leaving || previous.version() != next.version() {
 		a.Log.Info().Uint64("bundle_version", next.version()).Str("leaving", next.leaving).Strs("loaded", next.names).Msg("state changed")
@@ -224,5 +222,6 @@
 	a.Metrics.NewGauge("cactusknot_agent_running_requests", func() float64 { return float64(a.admission.State().Running) })
 	a.Metrics.NewGauge("cactusknot_agent_permit_limit", func() float64 { return float64(a.admission.State().Limit) })
 	a.Metrics.NewGauge("cactusknot_agent_cold_starts", func() float64 { return float64(a.admission.State().Colds) })
+	a.Metrics.NewGauge("cactusknot_bundle_version", func() float64 { return float64(a.view.Load().version()) })
 	a.Metrics.NewGauge("cactusknot_agent_idempotency_records", func() float64 { return float64(a.records.Stats().Entries) })
 }
--- a/daemon/router/charge.go
+++ b/daemon/router/charge.go
@@ -46,7 +46,8 @@
 }
 
 // handOverCharges blocks until every charge is stored or held by another router.
-// Another router takes the lines at once, while the store may be down.
+// It asks other routers first: while the store is down, a delivery waits for its
+// time-out in each shard.
 func (r *Router) handOverCharges(ctx context.Context) {
 	for {
 		if r.HandOver(ctx, r.charges, maxDeliverLines) {
--- a/daemon/router/execute.go
+++ b/daemon/router/execute.go
@@ -40,6 +40,8 @@
 	begin(status int, contentType string) error
 	// chunk gets the parts of the answer in order.
 	chunk(data []byte) error
+	// started tells whether the caller has received any part of the answer.
+	started() bool
 }
 
 // errReceiver: the caller does not take the answer any more.
@@ -49,7 +51,7 @@
 type attemptResult struct {
 	// err is nil when the answer is complete.
 	err *result.Error
-	// begun is true when the receiver got any part of the answer.
+	// begun is true when the caller got any part of the answer.
 	begun bool
 	// refused is true when the agent itself said so, as opposed to a connection
 	// that failed.
@@ -61,7 +63,8 @@
 func (r *Router) execute(ctx context.Context, to peer, in *rpc.ExecuteRequest, out receiver) attemptResult {
 	body, err := proto.Marshal(in)
 	if err != nil {
-		return attemptResult{err: result.Internal.With("%v", err)}
+		// Only text that is not UTF-8 fails; the filters refuse it before.
+		return attemptResult{err: result.BadRequest.With("%v", err)}
 	}
 	var connected atomic.Bool
 	tracing := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -148,7 +151,7 @@
 }
 
 func (s *answerStream) broken(ctx context.Context, err error) attemptResult {
-	return attemptResult{err: brokenBy(ctx, err), begun: s.begun}
+	return attemptResult{err: brokenBy(ctx, err), begun: s.out.started()}
 }
 
 // handle processes one event. The result counts when done is true.
@@ -193,10 +196,10 @@
 		return s.broken(ctx, fmt.Errorf("%d of %d chunks received", s.chunks, end.GetChunks()))
 	}
 	if end.GetCode() == 0 {
-		return attemptResult{begun: s.begun, charge: end.GetCharge()}
+		return attemptResult{charge: end.GetCharge()}
 	}
 	code := result.ByNumber(int(end.GetCode()))
 	s.router.Check.Assert(!s.begun || code.Run != result.NotRun, invariantNotRunAfterAnswer,
 		"request %x ended with %s after its answer began", s.in.GetRequestId(), code.Name)
-	return attemptResult{err: code.With("%s", end.GetReason()), begun: s.begun}
+	return attemptResult{err: code.With("%s", end.GetReason()), begun: s.out.started()}
 }
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 
@@ -52,6 +53,9 @@
 	if reason != routing.ReasonNone {
 		return reason.Code().With("%s %s %s: %s", c.service, c.request.Method, c.path, reason)
 	}
+	if !utf8.ValidString(c.path) || !utf8.ValidString(c.request.Header.Get("Content-Type")) {
+		return result.BadRequest.With("path or content type is not UTF-8")
+	}
 	c.operation = operation
 	return c.identify()
 }
@@ -292,6 +296,9 @@
 	return nil
 }
 
+// started is false: the answer is sent as a whole by finish.
+func (a *serviceAnswer) started() bool { return false }
+
 func (a *serviceAnswer) finish() error {
 	header := a.call.writer.Header()
 	if a.contentType != "" {
