Refuse execute events out of order

Cause: a refusal or a "not run" end after the answer began was passed on and retried, so a caller could get two beginnings; a chunk or an end before Admitted led to an HTTP status of 0, which panics. A stream cut between Admitted and the first chunk was not retried although the caller had seen nothing. Change: the order is checked, not_run_after_answer is asserted for refusals as well and ends as a broken stream; an answer counts as begun with its first chunk.

--- a/daemon/router/execute.go
+++ b/daemon/router/execute.go
@@ -44,12 +44,17 @@
 // errReceiver: the caller does not take the answer any more.
 var errReceiver = errors.New("router: the caller has left")
 
+// errOrder: the agent sent events out of order.
+var errOrder = errors.New("router: events out of order")
+
 // attemptResult is what one attempt at one agent came to.
 type attemptResult struct {
 	// err is nil when the answer is complete.
 	err *result.Error
 	// begun is true when the receiver got any part of the answer.
-	begun  bool
+	begun bool
+	// refused is true when the agent itself refused the request.
+	refused bool
 	charge *rpc.ChargeLine
 }
 
@@ -115,7 +120,8 @@
 	out    receiver
 	reader *bufio.Reader
 	chunks uint64
-	begun  bool
+	// admitted is true after the event that precedes all chunks.
+	admitted bool
 }
 
 func (s *answerStream) read(ctx context.Context) attemptResult {
@@ -135,8 +141,11 @@
 	}
 }
 
+// begun tells whether the receiver got any part of the answer.
+func (s *answerStream) begun() bool { return s.chunks > 0 }
+
 func (s *answerStream) broken(ctx context.Context, err error) attemptResult {
-	return attemptResult{err: brokenBy(ctx, err), begun: s.begun}
+	return attemptResult{err: brokenBy(ctx, err), begun: s.begun()}
 }
 
 // handle processes one event. The result counts when done is true.
@@ -144,23 +153,48 @@
 	switch e := event.GetEvent().(type) {
 	case *rpc.ExecuteEvent_Refused:
 		s.router.report(s.from, e.Refused.GetState())
-		return true, attemptResult{err: result.ByNumber(int(e.Refused.GetCode())).With("%s", e.Refused.GetReason())}
+		return true, s.refused(ctx, e.Refused)
 	case *rpc.ExecuteEvent_Admitted:
 		s.router.report(s.from, e.Admitted.GetState())
-		s.begun = true
-		if err := s.out.begin(int(e.Admitted.GetStatus()), e.Admitted.GetContentType()); err != nil {
-			return true, s.broken(ctx, errReceiver)
-		}
+		return s.begin(ctx, e.Admitted)
 	case *rpc.ExecuteEvent_Chunk:
 		return s.handleChunk(ctx, e.Chunk)
 	case *rpc.ExecuteEvent_End:
 		s.router.report(s.from, e.End.GetState())
 		return true, s.finish(ctx, e.End)
 	}
+	return true, s.broken(ctx, errOrder)
+}
+
+func (s *answerStream) refused(ctx context.Context, refusal *rpc.Refused) attemptResult {
+	code := result.ByNumber(int(refusal.GetCode()))
+	if !s.mayBe(code) {
+		return s.broken(ctx, errOrder)
+	}
+	return attemptResult{err: code.With("%s", refusal.GetReason()), refused: true}
+}
+
+// mayBe asserts that an answer that began does not end as "not run".
+func (s *answerStream) mayBe(code result.Code) bool {
+	return s.router.Check.Assert(!s.admitted || code.Run != result.NotRun, invariantNotRunAfterAnswer,
+		"request %x ended with %s after its answer began", s.in.GetRequestId(), code.Name)
+}
+
+func (s *answerStream) begin(ctx context.Context, admitted *rpc.Admitted) (bool, attemptResult) {
+	if s.admitted {
+		return true, s.broken(ctx, errOrder)
+	}
+	s.admitted = true
+	if err := s.out.begin(int(admitted.GetStatus()), admitted.GetContentType()); err != nil {
+		return true, s.broken(ctx, errReceiver)
+	}
 	return false, attemptResult{}
 }
 
 func (s *answerStream) handleChunk(ctx context.Context, chunk *rpc.Chunk) (bool, attemptResult) {
+	if !s.admitted {
+		return true, s.broken(ctx, errOrder)
+	}
 	if chunk.GetSeq() != s.chunks {
 		return true, s.broken(ctx, fmt.Errorf("chunk %d where %d is expected", chunk.GetSeq(), s.chunks))
 	}
@@ -180,11 +214,20 @@
 	if end.GetChunks() != s.chunks {
 		return s.broken(ctx, fmt.Errorf("%d of %d chunks received", s.chunks, end.GetChunks()))
 	}
-	if end.GetCode() == 0 {
-		return attemptResult{begun: s.begun, charge: end.GetCharge()}
+	if end.GetCode() != 0 {
+		return s.ended(ctx, end)
 	}
+	if !s.admitted {
+		return s.broken(ctx, errOrder)
+	}
+	return attemptResult{begun: s.begun(), charge: end.GetCharge()}
+}
+
+// ended returns the outcome of a stream that ended with an error.
+func (s *answerStream) ended(ctx context.Context, end *rpc.End) attemptResult {
 	code := result.ByNumber(int(end.GetCode()))
-	s.router.Check.Assert(!s.begun || code.Run != result.NotRun, invariantNotRunAfterAnswer,
-		"request %x ended with %s after its answer began", s.in.GetRequestId(), code.Name)
-	return attemptResult{err: code.With("%s", end.GetReason()), begun: s.begun}
+	if !s.mayBe(code) {
+		return s.broken(ctx, errOrder)
+	}
+	return attemptResult{err: code.With("%s", end.GetReason()), begun: s.begun()}
 }
