Keep "not run" true over several attempts and calls

Cause: a retry that found no capacity, or was refused, answered "not run" although an earlier attempt of the request may have run. A caller's key whose home refused the connection, or was replaced by a new incarnation, got "not run" although an earlier call may have run it. Waiting for capacity until the deadline ended as caller_gone. A version withdrawn between two attempts was dispatched once more, and no attempt was repeated later than 10 s after the first choice of a server. Change: the error of an attempt that may have run is kept; for a caller's key only a refusal by its home is "not run"; a key made for a replaced incarnation is replaced; each attempt checks its version on the newest view; the time of a failed attempt does not count as waiting for capacity.

--- a/daemon/router/dispatch.go
+++ b/daemon/router/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -62,15 +63,28 @@
 func (r *Router) tryAgents(ctx context.Context, j *job) attemptResult {
 	random := newRandom()
 	r.retries.Attempt()
+	var unknown *result.Error
 	for {
 		out := r.tryOnce(ctx, random, j)
-		if out.err == nil || !r.mayRetry(ctx, j, out) {
+		if out.err == nil {
 			return out
 		}
-		if stop := r.pause(ctx, random, j, out); stop != nil {
-			return attemptResult{err: stop, begun: out.begun}
+		if out.err.Code.Run == result.Unknown {
+			unknown = out.err
 		}
+		if !r.mayRetry(ctx, j, out) || r.pause(ctx, random, j, out) != nil {
+			return out.afterUnknown(unknown)
+		}
+	}
+}
+
+// afterUnknown keeps the error of an earlier attempt that may have run: a later
+// attempt that was not run proves nothing about it.
+func (o attemptResult) afterUnknown(earlier *result.Error) attemptResult {
+	if earlier != nil && o.err.Code.Run == result.NotRun {
+		o.err = earlier
 	}
+	return o
 }
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
@@ -97,20 +111,32 @@
 		}
 		if !r.Clock.Now().Add(pause).Before(j.waitUntil) {
 			if err == nil {
-				err = result.Overloaded.With("no capacity for %s in time", j.target)
+				err = noCapacity(ctx, j.target)
 			}
 			return peer{}, err
 		}
 		if r.Clock.Sleep(ctx, node.Jitter(random, pause)) != nil {
-			return peer{}, result.CallerGone.With("while waiting for capacity")
+			return peer{}, noCapacity(ctx, j.target)
 		}
 		pause = min(2*pause, capacityPollMax)
 	}
 }
 
-// attempt runs the job at one agent.
+// noCapacity is the end of a wait for capacity. The deadline may end it first.
+func noCapacity(ctx context.Context, target string) *result.Error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return result.CallerGone.With("while waiting for capacity")
+	}
+	return result.Overloaded.With("no capacity for %s in time", target)
+}
+
+// attempt runs the job at one agent. The version is checked again, because it may
+// have been withdrawn or stopped since it was chosen.
 func (r *Router) attempt(ctx context.Context, j *job, to peer) attemptResult {
 	v := r.view.Load()
+	if refusal := j.withdrawn(v); refusal != nil {
+		return attemptResult{err: refusal}
+	}
 	j.in.Attempt = j.attempts
 	j.in.BundleVersion = v.version()
 	j.in.DeadlineMs = uint32(max(j.call.remaining(r.Clock.Now()).Milliseconds(), 1))
@@ -122,6 +148,18 @@
 	return out
 }
 
+// withdrawn returns the refusal of a version that takes no new work, else nil.
+func (j *job) withdrawn(v *view) *result.Error {
+	if j.in.GetModel() == "" {
+		return nil
+	}
+	reason := v.routes.Authorise(j.in.GetWorkspace(), j.in.GetModel(), j.in.GetVersion())
+	if reason == routing.ReasonNone {
+		return nil
+	}
+	return reason.Code().With("%s %s", j.target, reason)
+}
+
 // mayRetry tells whether another attempt is allowed: after a proved "not run" of
 // a code that allows it, and after an unknown outcome only when the job is
 // idempotent and the caller has seen nothing.
@@ -139,6 +177,7 @@
 // Refusals cost no engine work and only wait; a retry of work that a backend
 // server may have seen takes from the budget.
 func (r *Router) pause(ctx context.Context, random *rand.Rand, j *job, out attemptResult) *result.Error {
+	until := j.waitUntil
 	if out.err.Code.Run == result.NotRun {
 		j.refusals++
 		r.metrics.refusals.Inc()
@@ -147,9 +186,11 @@
 		return out.err
 	} else {
 		r.metrics.retries.Inc()
+		// The time of the failed attempt does not count as waiting for capacity.
+		until, j.waitUntil = j.call.deadline, time.Time{}
 	}
 	wait := r.retries.Backoff(int(min(j.attempts, maxAttempts)), random)
-	if wait >= j.waitUntil.Sub(r.Clock.Now()) || r.Clock.Sleep(ctx, wait) != nil {
+	if wait >= until.Sub(r.Clock.Now()) || r.Clock.Sleep(ctx, wait) != nil {
 		return out.err
 	}
 	return nil
--- a/daemon/router/execute.go
+++ b/daemon/router/execute.go
@@ -55,7 +55,7 @@
 	begun bool
 	// refused is true when the agent itself refused the request.
 	refused bool
-	charge *rpc.ChargeLine
+	charge  *rpc.ChargeLine
 }
 
 // execute runs one attempt at an agent and passes the answer to out.
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -146,7 +146,12 @@
 		j.call.key = key
 		j.call.writer.Header().Set(headerIdempotencyKey, key.String())
 		out := r.runAtHome(ctx, j, to)
-		if out.err == nil || out.err.Code.Run != result.NotRun || !r.mayRetry(ctx, j, out) {
+		if out.err == nil || out.err.Code.Run != result.NotRun {
+			return out
+		}
+		// A restarted agent refuses a key of its earlier incarnation, which no other
+		// attempt has used: another home may run the call.
+		if out.err.Code != result.WrongHome && !r.mayRetry(ctx, j, out) {
 			return out
 		}
 		if refused := r.pause(ctx, random, j, out); refused != nil {
@@ -168,7 +173,7 @@
 		}
 		unknown := out.err.Code.Run == result.Unknown
 		sent = sent || unknown
-		if sent && !unknown && !definiteRefusal(out.err.Code) {
+		if !unknown && !j.call.provesNotRun(out) || sent && !unknown && !definiteRefusal(out.err.Code) {
 			// An earlier attempt may have reached the home; a refusal of this one
 			// proves nothing about it.
 			out.err = result.OutcomeUnknown.With("%s", out.err)
@@ -183,6 +188,13 @@
 	}
 }
 
+// provesNotRun tells whether a "not run" of this attempt holds for the key. The
+// caller may have used its key before, so only the home's records prove that the
+// key has not run: not a home that can't be reached or that was replaced.
+func (c *call) provesNotRun(out attemptResult) bool {
+	return !c.callerKey || out.refused && out.err.Code != result.WrongHome
+}
+
 // definiteRefusal tells whether a refusal speaks about the key and not only about
 // this attempt.
 func definiteRefusal(code result.Code) bool { return code == result.KeyReused }
