--- /dev/null
+++ b/daemon/router/rig_test.go
@@ -0,0 +1,343 @@
+package router
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"cactusknot.example/coord/limit"
+	"cactusknot.example/daemon/balance"
+	"cactusknot.example/daemon/bundle"
+	"cactusknot.example/daemon/config"
+	"cactusknot.example/daemon/result"
+	"cactusknot.example/daemon/routing"
+	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/secure"
+)
+
+const apiKey = "aqua-key"
+
+// rig is a router in front of fake agents, with a view that the test sets.
+type rig struct {
+	*Router
+	t      *testing.T
+	agents []*fakeAgent
+	bundle *bundle.Bundle
+	stops  []routing.Stop
+}
+
+// newRig returns a router whose agents act in the given ways.
+func newRig(t *testing.T, acts ...act) *rig {
+	t.Helper()
+	dir := t.TempDir()
+	file := func(name string) string { return filepath.Join(dir, name) }
+	if err := secure.NewAuthority(dir, "test"); err != nil {
+		t.Fatal(err)
+	}
+	ca, err := secure.ReadAuthority(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, role := range map[string]secure.Role{"r1": secure.RoleRouter, "a1": secure.RoleAgent} {
+		if err := ca.IssueNode(dir, role, name, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	settings := &config.Router{
+		Node: config.Node{
+			VM: "r1", DataCentre: "dc1", Region: "r",
+			TLS:      config.TLS{CA: file("ca.pem"), Cert: file("r1.pem"), Key: file("r1-key.pem")},
+			Platform: config.Platform{Store: "http://127.0.0.1:1", VMList: "http://127.0.0.1:1"},
+			RootKeys: []config.RootKey{{Name: "root", PublicKey: publicKey(9)}},
+		},
+		SessionSecrets: []string{base64.StdEncoding.EncodeToString(make([]byte, 32))},
+		MaxRequests:    10, BufferBytes: 1 << 20, DefaultDeadlineMs: 10_000, LedgerLines: 100,
+	}
+	r, err := New(settings, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Client.CloseIdleConnections)
+	agentFiles := config.TLS{CA: file("ca.pem"), Cert: file("a1.pem"), Key: file("a1-key.pem")}
+	g := &rig{Router: r, t: t, bundle: testBundle()}
+	for i, a := range acts {
+		g.agents = append(g.agents, newFakeAgent(t, agentFiles, uint64(i+1), a))
+	}
+	g.putInForce(1)
+	return g
+}
+
+func testKey(seed byte) ed25519.PrivateKey {
+	return ed25519.NewKeyFromSeed(append(make([]byte, 31), seed))
+}
+
+func publicKey(seed byte) string {
+	return base64.StdEncoding.EncodeToString(testKey(seed).Public().(ed25519.PublicKey))
+}
+
+func testBundle() *bundle.Bundle {
+	serving := func(name string) bundle.Version { return bundle.Version{Name: name, State: bundle.VersionServing} }
+	return &bundle.Bundle{
+		Models: []bundle.Model{{Name: "diary", Current: "1", Versions: []bundle.Version{serving("1"), serving("2")}}},
+		Services: []bundle.Service{{Name: "tickets", Operations: []bundle.Operation{
+			{Method: "POST", Path: "/book", Price: 700},
+			{Method: "GET", Path: "/events", Idempotent: true, Price: 5},
+		}}},
+		DataCentres: []bundle.DataCentre{{Name: "dc1", Region: "r", State: bundle.DataCentreServing}},
+		Workspaces: []bundle.Workspace{
+			{Name: "aqua", KeyHashes: []string{secure.KeyHash(apiKey)}, Allowed: []string{"diary", "service:tickets"}},
+		},
+		Keys: bundle.SignKeys(bundle.Keys{
+			Operators: []bundle.OperatorKey{{Name: "ana", PublicKey: publicKey(1)}}, SignOffs: 1, Serial: 1,
+		}, testKey(9)),
+	}
+}
+
+// putInForce accepts the rig's bundle as the given version and publishes a view.
+func (g *rig) putInForce(version uint64) {
+	g.t.Helper()
+	parts, names, err := bundle.Split(g.bundle)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	s, err := bundle.NewSigned(bundle.Manifest{Version: version, Parent: version - 1, Parts: names, Author: "ana"})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	if err := g.Keeper.Accept(bundle.Sign(s, testKey(1)), parts); err != nil {
+		g.t.Fatal(err)
+	}
+	g.Keeper.Contact("dc1", g.Clock.Now())
+	g.publish()
+}
+
+// publish sets the view that a control goroutine would make of the agents.
+func (g *rig) publish() {
+	current := g.Keeper.Current()
+	next := &view{
+		current: current, peers: make(map[string]peer), homes: make(map[uint64]string), keys: indexKeys(current.Bundle),
+		routes: routing.Build(current.Bundle, current.Version, g.stops, routing.Quality{}),
+	}
+	var servers []balance.Agent
+	for i, a := range g.agents {
+		vm := "a" + string(rune('1'+i))
+		next.peers[vm] = peer{vm: vm, address: a.address, incarnation: a.incarnation, flight: &balance.Flight{}}
+		next.homes[a.incarnation] = vm
+		servers = append(servers, balance.Agent{
+			VM: vm, Phase: limit.Warm, Free: a.free, Limit: 100, At: g.Clock.Now(), Targets: []string{"diary@1", "diary@2", "tickets"},
+		})
+	}
+	next.servers = balance.NewSnapshot(balance.Config{Check: g.Check}, servers, balance.Exclusion{})
+	g.view.Store(next)
+}
+
+// act answers one request at a fake agent.
+type act func(s *stream, in *rpc.ExecuteRequest)
+
+// fakeAgent follows a script instead of the rules of an agent, and counts effects.
+type fakeAgent struct {
+	address     string
+	incarnation uint64
+	free        int
+	server      *httptest.Server
+	calls       atomic.Int64
+	effects     atomic.Int64
+	mu          sync.Mutex
+	seen        []*rpc.ExecuteRequest
+}
+
+func newFakeAgent(t *testing.T, files config.TLS, incarnation uint64, a act) *fakeAgent {
+	t.Helper()
+	credentials, err := secure.LoadCredentials(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fakeAgent{incarnation: incarnation, free: 100}
+	f.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.calls.Add(1)
+		data, _ := io.ReadAll(r.Body)
+		in := &rpc.ExecuteRequest{}
+		if proto.Unmarshal(data, in) != nil {
+			return
+		}
+		f.mu.Lock()
+		f.seen = append(f.seen, in)
+		f.mu.Unlock()
+		a(&stream{agent: f, w: w, r: r}, in)
+	}))
+	f.server.TLS = credentials.Server()
+	f.server.EnableHTTP2 = true
+	f.server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	f.server.StartTLS()
+	f.address = f.server.Listener.Addr().String()
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+// versions returns the versions of the requests seen.
+func (f *fakeAgent) versions() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []string
+	for _, in := range f.seen {
+		all = append(all, in.GetVersion())
+	}
+	return strings.Join(all, " ")
+}
+
+// stream sends the events of one answer.
+type stream struct {
+	agent *fakeAgent
+	w     http.ResponseWriter
+	r     *http.Request
+}
+
+// run counts the effect of the request.
+func (s *stream) run() { s.agent.effects.Add(1) }
+
+func (s *stream) send(event *rpc.ExecuteEvent) {
+	_, _ = protodelim.MarshalTo(s.w, event)
+	_ = http.NewResponseController(s.w).Flush()
+}
+
+func (s *stream) refuse(code result.Code) {
+	s.send(&rpc.ExecuteEvent{Event: &rpc.ExecuteEvent_Refused{Refused: &rpc.Refused{Code: uint32(code.Number)}}})
+}
+
+func (s *stream) admit() {
+	s.send(&rpc.ExecuteEvent{Event: &rpc.ExecuteEvent_Admitted{Admitted: &rpc.Admitted{Status: http.StatusOK}}})
+}
+
+func (s *stream) chunk(seq uint64, data string) {
+	s.send(&rpc.ExecuteEvent{Event: &rpc.ExecuteEvent_Chunk{Chunk: &rpc.Chunk{Seq: seq, Data: []byte(data)}}})
+}
+
+func (s *stream) end(in *rpc.ExecuteRequest, chunks uint64, code result.Code) {
+	end := &rpc.End{RequestId: in.GetRequestId(), Chunks: chunks, Code: uint32(code.Number)}
+	if code.Number == 0 {
+		end.Charge = &rpc.ChargeLine{RequestId: in.GetRequestId(), Step: in.GetStep(), Attempt: in.GetAttempt(), Workspace: in.GetWorkspace()}
+	}
+	s.send(&rpc.ExecuteEvent{Event: &rpc.ExecuteEvent_End{End: end}})
+}
+
+// cut ends the connection without an end of the answer.
+func (s *stream) cut() { panic(http.ErrAbortHandler) }
+
+// work answers completely.
+func work(s *stream, in *rpc.ExecuteRequest) {
+	s.run()
+	s.admit()
+	s.chunk(0, `{"choices":[]}`)
+	s.end(in, 1, result.Code{})
+}
+
+func refuseWith(code result.Code) act {
+	return func(s *stream, _ *rpc.ExecuteRequest) { s.refuse(code) }
+}
+
+// answer is what the caller received.
+type answer struct {
+	status int
+	number int
+	run    string
+	body   string
+	header http.Header
+}
+
+func (g *rig) call(method, path, body string, header map[string]string) answer {
+	g.t.Helper()
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+apiKey)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	recorder := httptest.NewRecorder()
+	g.publicHandler().ServeHTTP(recorder, request)
+	a := answer{status: recorder.Code, body: recorder.Body.String(), header: recorder.Header()}
+	var failure errorBody
+	last := a.body[strings.LastIndex(a.body, "data: ")+1:]
+	if json.Unmarshal([]byte(strings.TrimPrefix(last, "ata: ")), &failure) == nil {
+		a.number, a.run = failure.Error.Number, failure.Error.Run
+	}
+	return a
+}
+
+func (g *rig) chat(header map[string]string) answer {
+	g.t.Helper()
+	return g.call("POST", "/v1/chat/completions", `{"model":"diary","messages":[{"role":"user","content":"x"}]}`, header)
+}
+
+func (g *rig) streamed(header map[string]string) answer {
+	g.t.Helper()
+	return g.call("POST", "/v1/chat/completions", `{"model":"diary","stream":true,"messages":[{"role":"user","content":"x"}]}`, header)
+}
+
+func (g *rig) book(key string) answer {
+	g.t.Helper()
+	header := map[string]string{}
+	if key != "" {
+		header[headerIdempotencyKey] = key
+	}
+	return g.call("POST", "/v1/services/tickets/book", `{}`, header)
+}
+
+func (g *rig) effects() int64 {
+	var n int64
+	for _, a := range g.agents {
+		n += a.effects.Load()
+	}
+	return n
+}
+
+func (g *rig) calls() int64 {
+	var n int64
+	for _, a := range g.agents {
+		n += a.calls.Load()
+	}
+	return n
+}
+
+// wantSettled checks that no reservation is left and the number of charges.
+func (g *rig) wantSettled(lines int) {
+	g.t.Helper()
+	held, reserved := g.charges.Len()
+	if held != lines || reserved != 0 {
+		g.t.Errorf("%d charges and %d reservations, want %d and 0", held, reserved, lines)
+	}
+	if running, queued := g.fair.Usage(); running != 0 || queued != 0 {
+		g.t.Errorf("%d running, %d queued", running, queued)
+	}
+}
+
+func (g *rig) keyAt(incarnation uint64) string {
+	g.t.Helper()
+	key, err := g.keys.New(incarnation)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return key.String()
+}
+
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/daemon/router/stream_test.go
@@ -0,0 +1,188 @@
+package router
+
+import (
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"cactusknot.example/coord/invariant"
+	"cactusknot.example/daemon/result"
+	"cactusknot.example/daemon/rpc"
+)
+
+// TestFailurePoints guards against a wrong statement, a second effect of a booking
+// or a doubled answer when the stream from an agent fails at any point.
+func TestFailurePoints(t *testing.T) {
+	const part = `[{"index":0}]`
+	broken, unknown := result.StreamBroken.Number, result.OutcomeUnknown.Number
+	points := []struct {
+		name string
+		act  act
+		// chat and book are the expected codes; 0: answered.
+		chat, book int
+		// tries is how often an idempotent request is sent.
+		tries    int64
+		violated invariant.Name
+	}{
+		{"cut after the request", func(s *stream, _ *rpc.ExecuteRequest) { s.run(); s.cut() }, broken, unknown, 2, ""},
+		{"cut after Admitted", func(s *stream, _ *rpc.ExecuteRequest) { s.run(); s.admit(); s.cut() }, broken, unknown, 2, ""},
+		{"cut after a chunk", func(s *stream, _ *rpc.ExecuteRequest) { s.run(); s.admit(); s.chunk(0, part); s.cut() }, broken, unknown, 1, ""},
+		{"stream ends before End", func(s *stream, _ *rpc.ExecuteRequest) { s.run(); s.admit(); s.chunk(0, part) }, broken, unknown, 1, ""},
+		{"End with too many chunks", func(s *stream, in *rpc.ExecuteRequest) {
+			s.run()
+			s.admit()
+			s.chunk(0, part)
+			s.end(in, 2, result.Code{})
+		}, broken, unknown, 1, ""},
+		{"chunk repeated", func(s *stream, in *rpc.ExecuteRequest) {
+			s.run()
+			s.admit()
+			s.chunk(0, part)
+			s.chunk(0, part)
+			s.end(in, 2, result.Code{})
+		}, broken, unknown, 1, ""},
+		{"chunk skipped", func(s *stream, in *rpc.ExecuteRequest) {
+			s.run()
+			s.admit()
+			s.chunk(0, part)
+			s.chunk(2, part)
+			s.end(in, 3, result.Code{})
+		}, broken, unknown, 1, ""},
+		{"chunks out of order", func(s *stream, in *rpc.ExecuteRequest) {
+			s.run()
+			s.admit()
+			s.chunk(1, part)
+			s.chunk(0, part)
+			s.end(in, 2, result.Code{})
+		}, broken, unknown, 2, ""},
+		{"chunk before Admitted", func(s *stream, in *rpc.ExecuteRequest) {
+			s.run()
+			s.chunk(0, part)
+			s.end(in, 1, result.Code{})
+		}, broken, unknown, 2, ""},
+		{"End before Admitted", func(s *stream, in *rpc.ExecuteRequest) { s.run(); s.end(in, 0, result.Code{}) }, broken, unknown, 2, ""},
+		{"Admitted twice", func(s *stream, in *rpc.ExecuteRequest) {
+			s.run()
+			s.admit()
+			s.chunk(0, part)
+			s.admit()
+			s.end(in, 1, result.Code{})
+		}, broken, unknown, 1, ""},
+		{"End of another request", func(s *stream, _ *rpc.ExecuteRequest) {
+			s.run()
+			s.admit()
+			s.chunk(0, part)
+			s.end(&rpc.ExecuteRequest{RequestId: make([]byte, 16)}, 1, result.Code{})
+		}, broken, unknown, 1, invariantOtherAnswer},
+		{"oversized event", func(s *stream, in *rpc.ExecuteRequest) {
+			s.run()
+			s.admit()
+			s.chunk(0, strings.Repeat("x", maxEventBytes+1))
+			s.end(in, 1, result.Code{})
+		}, broken, unknown, 2, ""},
+		{"refused after Admitted", func(s *stream, _ *rpc.ExecuteRequest) {
+			s.run()
+			s.admit()
+			s.chunk(0, part)
+			s.refuse(result.AgentFull)
+		}, broken, unknown, 1, invariantNotRunAfterAnswer},
+		{"not run after Admitted", func(s *stream, in *rpc.ExecuteRequest) {
+			s.run()
+			s.admit()
+			s.chunk(0, part)
+			s.end(in, 1, result.BackendDown)
+		}, broken, unknown, 1, invariantNotRunAfterAnswer},
+		{"complete", func(s *stream, in *rpc.ExecuteRequest) {
+			s.run()
+			s.admit()
+			s.chunk(0, part)
+			s.end(in, 1, result.Code{})
+		}, 0, 0, 1, ""},
+	}
+	for _, p := range points {
+		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
+			chat := newRig(t, p.act)
+			got := chat.streamed(nil)
+			if got.number != p.chat || strings.Contains(got.body, "[DONE]") != (p.chat == 0) {
+				t.Errorf("chat: code %d, want %d: %s", got.number, p.chat, got.body)
+			}
+			if n := strings.Count(got.body, part); n > 1 {
+				t.Errorf("the caller got %d beginnings", n)
+			}
+			// A new budget holds one retry.
+			chat.wantOutcome(got, p.tries, p.violated)
+
+			booking := newRig(t, runOnce(p.act))
+			got = booking.book("")
+			if got.number != p.book {
+				t.Errorf("booking: code %d, want %d", got.number, p.book)
+			}
+			booking.wantOutcome(got, 1, p.violated)
+		})
+	}
+}
+
+// runOnce acts on the first call of a key and reports later ones as unknown, as
+// the records of an agent do after a failure.
+func runOnce(a act) act {
+	var seen atomic.Bool
+	return func(s *stream, in *rpc.ExecuteRequest) {
+		if seen.Swap(true) {
+			s.end(in, 0, result.OutcomeUnknown)
+			return
+		}
+		a(s, in)
+	}
+}
+
+// wantOutcome compares the answer with the effects.
+func (g *rig) wantOutcome(got answer, effects int64, violated invariant.Name) {
+	g.t.Helper()
+	if n := g.effects(); n != effects {
+		g.t.Errorf("%d effects, want %d", n, effects)
+	}
+	if got.run == string(result.NotRun) && g.effects() > 0 {
+		g.t.Error("said not run after an effect")
+	}
+	lines := 0
+	if got.number == 0 {
+		lines = 1
+	}
+	g.wantSettled(lines)
+	counts := g.Check.Counts()
+	if violated == "" && len(counts) != 0 || violated != "" && counts[violated] == 0 {
+		g.t.Errorf("violations %v, want %q", counts, violated)
+	}
+}
+
+// TestUnreachableAgent guards against wrong statements about an agent that refuses
+// connections or fails the handshake: a new key has not run, a caller's may have.
+func TestUnreachableAgent(t *testing.T) {
+	for name, damage := range map[string]func(*rig){
+		"refuses": func(g *rig) { g.agents[0].address = closedAddress(t) },
+		"TLS fails": func(g *rig) {
+			other := newRig(t, work)
+			g.agents[0].address = other.agents[0].address
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, work)
+			damage(g)
+			g.publish()
+			deadline := map[string]string{headerDeadline: "100"}
+			for what, got := range map[string]answer{
+				"chat":    g.chat(deadline),
+				"booking": g.call("POST", "/v1/services/tickets/book", `{}`, deadline),
+			} {
+				if got.run != string(result.NotRun) {
+					t.Errorf("%s: code %d, run %q", what, got.number, got.run)
+				}
+			}
+			if got := g.book(g.keyAt(1)); got.number != result.OutcomeUnknown.Number {
+				t.Errorf("caller's key: code %d", got.number)
+			}
+			g.wantOutcome(answer{number: 1}, 0, "")
+		})
+	}
+}
