Add the scenario capacity: slopes by size

Change: views, subset, bundle, VM list, gossip, collector, records and messages of the real packages at three or more sizes, and idle processes with a VM list padded to 2,050 names.

--- /dev/null
+++ b/daemon/bench/capacity.go
@@ -0,0 +1,163 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"cactusknot.example/daemon/fleet"
+	"cactusknot.example/daemon/platform"
+)
+
+const (
+	// idleTime is how long the processes are observed at each size of the VM list;
+	// processor times have a step of 10 ms, 0.25% of a core.
+	idleTime = 4 * time.Second
+	// idleSettle lets the processes read the changed list first.
+	idleSettle = 5 * time.Second
+)
+
+// RunCapacity measures slopes: what each role needs by agents, processes,
+// workspaces, requests and changes. docs/CAPACITY.md works out the target size
+// from them.
+func RunCapacity(ctx context.Context, o Options) (Report, error) {
+	r := Report{Scenario: "capacity", Notes: fmt.Sprintf("slopes by size; load average at the start %.1f", loadAverage())}
+	for _, part := range []func(*Report) error{
+		viewRows, subsetRows, workspaceRows, changeRows, listRows, gossipRows, ledgerRows, recordRows, messageRows,
+	} {
+		if err := ctx.Err(); err != nil {
+			return r, err
+		}
+		if err := part(&r); err != nil {
+			return r, err
+		}
+	}
+	return r, idleRows(ctx, &r)
+}
+
+// idleRows measures processes without traffic. Their VM list is padded with
+// further names of the same processes, so that all calls are answered: the
+// router exchanges with 64 agents and syncs with two routers a second.
+func idleRows(ctx context.Context, r *Report) error {
+	f, stop, err := startFleet(ctx, fleet.Sample())
+	if err != nil {
+		return err
+	}
+	defer stop()
+	list := f.Listed()
+	size := len(list)
+	for _, next := range []int{size, 100, 500, targetProcesses} {
+		var more []platform.VM
+		for ; size < next; size++ {
+			vm := aliasOf(list, size)
+			more = append(more, vm)
+		}
+		if err := postJSON(ctx, f.Platform(fleet.VMs)+"/vms", map[string]any{"set": more}); err != nil {
+			return err
+		}
+		if err := idleAt(ctx, r, f, next); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// aliasOf names one of the processes again; one in six of the new names is a
+// router's.
+func aliasOf(list []platform.VM, i int) platform.VM {
+	var pool []platform.VM
+	for _, vm := range list {
+		if (vm.Role == platform.VMRouter) == (i%6 == 0) {
+			pool = append(pool, vm)
+		}
+	}
+	vm := pool[i%len(pool)]
+	vm.VM = vmName(i)
+	return vm
+}
+
+func idleAt(ctx context.Context, r *Report, f *fleet.Fleet, size int) error {
+	names := []string{"router-a", "router-b", "engine-a1", "engine-b1"}
+	if err := pause(ctx, idleSettle); err != nil {
+		return err
+	}
+	before, err := observe(ctx, f, names)
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	if err := pause(ctx, idleTime); err != nil {
+		return err
+	}
+	after, err := observe(ctx, f, names)
+	if err != nil {
+		return err
+	}
+	seconds := time.Since(started).Seconds()
+	for i, name := range names {
+		r.Rows = append(r.Rows, idleRow(name, size, seconds, before.processes[i], after.processes[i]))
+	}
+	r.Rows = append(r.Rows, storeRow(size, seconds, before.store, after.store))
+	return nil
+}
+
+// observation is the state of some processes and of the store at one time.
+type observation struct {
+	processes []idleState
+	store     map[string]storeCalls
+}
+
+type idleState struct {
+	usage   fleet.Usage
+	metrics map[string]float64
+}
+
+// storeCalls are the store's counters of one kind of call.
+type storeCalls struct {
+	Calls float64 `json:"calls"`
+	Bytes float64 `json:"bytes"`
+}
+
+func observe(ctx context.Context, f *fleet.Fleet, names []string) (observation, error) {
+	var o observation
+	for _, name := range names {
+		usage, err := f.Usage(name)
+		if err != nil {
+			return o, err
+		}
+		metrics, err := f.Metrics(ctx, name)
+		if err != nil {
+			return o, err
+		}
+		o.processes = append(o.processes, idleState{usage, metrics})
+	}
+	return o, getJSON(ctx, f.Platform(fleet.Store)+"/stats", &o.store)
+}
+
+// idleRow names the role with the first process of the role, so that the range
+// in the table covers both.
+func idleRow(name string, size int, seconds float64, before, after idleState) Row {
+	role := "router"
+	if name[0] == 'e' {
+		role = "agent"
+	}
+	values := []Value{
+		{"CPU", "% of a core", 100 * (after.usage.CPU - before.usage.CPU).Seconds() / seconds},
+		{"resident", "MB", float64(after.usage.Resident) / 1e6},
+		{"heap", "MB", after.metrics["go_memstats_heap_alloc_bytes"] / 1e6},
+		{"allocated", "MB/s", (after.metrics["go_memstats_alloc_bytes_total"] - before.metrics["go_memstats_alloc_bytes_total"]) / seconds / 1e6},
+	}
+	for _, kind := range []string{"sync", "exchange", "manifest", "parts", "store"} {
+		counter := fmt.Sprintf("cactusknot_control_bytes_total{kind=%q}", kind)
+		values = append(values, Value{kind + " traffic", "B/s", (after.metrics[counter] - before.metrics[counter]) / seconds})
+	}
+	return Row{Measure: "idle process", Variant: fmt.Sprintf("%s, %d processes", role, size), Values: values}
+}
+
+func storeRow(size int, seconds float64, before, after map[string]storeCalls) Row {
+	row := Row{Measure: "store, idle", Variant: fmt.Sprintf("%d processes listed, 8 running", size)}
+	for _, kind := range []string{"get", "list", "watch", "put", "grant", "keep_alive"} {
+		row.Values = append(row.Values, Value{kind, "calls/s", (after[kind].Calls - before[kind].Calls) / seconds})
+	}
+	return row
+}
--- a/daemon/bench/scenario.go
+++ b/daemon/bench/scenario.go
@@ -33,5 +33,6 @@
 		{Name: "exposure", Summary: "requests answered by a bad version before it is stopped", Run: RunExposure},
 		{Name: "path", Summary: "added time, processor time and allocations of the request path", Run: RunPath},
 		{Name: "readers", Summary: "memory for slow readers of streamed answers", Run: RunReaders},
+		{Name: "capacity", Summary: "slopes of processor time, memory and messages by size", Run: RunCapacity},
 	}
 }
