--- a/daemon/router/control_bench_test.go
+++ b/daemon/router/control_bench_test.go
@@ -2,16 +2,23 @@
 
 import (
 	"context"
+	"crypto/ed25519"
+	"encoding/base64"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"cactusknot.example/coord/clock"
+	"cactusknot.example/coord/invariant"
 	"cactusknot.example/coord/stats"
 	"cactusknot.example/coord/suspect"
+	"cactusknot.example/daemon/bundle"
 	"cactusknot.example/daemon/config"
+	"cactusknot.example/daemon/distribute"
 	"cactusknot.example/daemon/emulate"
 	"cactusknot.example/daemon/node"
 	"cactusknot.example/daemon/platform"
@@ -41,6 +48,7 @@
 	b.Cleanup(vms.Close)
 	settings := config.Node{VM: "vm-00000", DataCentre: "dc00", Region: "region-0", Platform: config.Platform{VMList: vms.URL()}}
 	r := &Router{
+		metrics:  &routerMetrics{alerts: metrics.NewSet().NewCounter("alerts")},
 		Node:     &node.Node{Settings: settings, Role: secure.RoleRouter, Log: zerolog.Nop(), Clock: clock.System{}},
 		settings: &config.Router{Node: settings},
 	}
@@ -52,6 +60,7 @@
 	}
 	return &controller{
 		router: r, agents: make(map[string]*agentRecord), suspicion: detector,
+		changedKeys: make(map[routing.Key]bool), staleRoutes: true,
 		table: stats.NewTable[routing.Key](stats.Node{Name: settings.VM, Incarnation: uint64(time.Now().UnixNano())}),
 	}
 }
@@ -76,3 +85,76 @@
 		})
 	}
 }
+
+// BenchmarkEvaluate runs the ticks of two seconds while ratings arrive all the
+// time, and reports the share of a core that the evaluations take, by workspaces.
+func BenchmarkEvaluate(b *testing.B) {
+	for _, workspaces := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(workspaces), func(b *testing.B) {
+			c := benchController(b, 100)
+			c.router.Check = &invariant.Checker{}
+			c.router.view.Store(&view{})
+			c.router.ratingUp.Store(true)
+			c.router.Keeper = benchKeeper(b, workspaces)
+			for i := range workspaces {
+				for rating := range 10 {
+					key := routing.Key{Workspace: fmt.Sprintf("workspace-%04d", i), Model: "model-0", Version: "1", Kind: "chat"}
+					if err := c.table.Add(key, 0.8+float64(rating)/50); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+			busy, ticks := time.Duration(0), 0
+			for b.Loop() {
+				for range 2 * int(time.Second/tickInterval) {
+					c.newEvidence = true
+					started := time.Now()
+					c.evaluate()
+					took := time.Since(started)
+					busy += took
+					ticks++
+					time.Sleep(max(0, tickInterval-took))
+				}
+			}
+			b.ReportMetric(100*busy.Seconds()/(float64(ticks)*tickInterval.Seconds()), "%core")
+		})
+	}
+}
+
+// benchKeeper holds a bundle of ten models and the number of workspaces.
+func benchKeeper(b *testing.B, workspaces int) *distribute.Keeper {
+	b.Helper()
+	root, operator := ed25519.NewKeyFromSeed(make([]byte, 32)), ed25519.NewKeyFromSeed([]byte("operator key of the benchmarks!!"))
+	public := func(name string, key ed25519.PrivateKey) bundle.OperatorKey {
+		return bundle.OperatorKey{Name: name, PublicKey: base64.StdEncoding.EncodeToString(key.Public().(ed25519.PublicKey))}
+	}
+	content := &bundle.Bundle{DataCentres: []bundle.DataCentre{{Name: "dc00", Region: "region-0", State: bundle.DataCentreServing}}}
+	var allowed []string
+	for i := range 10 {
+		name := fmt.Sprintf("model-%d", i)
+		allowed = append(allowed, name)
+		content.Models = append(content.Models, bundle.Model{
+			Name: name, Current: "1", InputPrice: uint64(i + 1), OutputPrice: uint64(i + 1), Versions: []bundle.Version{{Name: "1", State: bundle.VersionServing}},
+		})
+	}
+	for i := range workspaces {
+		content.Workspaces = append(content.Workspaces, bundle.Workspace{Name: fmt.Sprintf("workspace-%04d", i), Allowed: allowed, QualityTarget: 0.8})
+	}
+	content.Keys = bundle.SignKeys(bundle.Keys{Operators: []bundle.OperatorKey{public("ana", operator)}, SignOffs: 1, Serial: 1}, root)
+	parts, names, err := bundle.Split(content)
+	if err != nil {
+		b.Fatal(err)
+	}
+	signed, err := bundle.NewSigned(bundle.Manifest{Version: 1, Parts: names, Author: "ana"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	k := distribute.New(distribute.Config{
+		Self: distribute.Member{Node: "vm-00000", Router: true}, Anchor: bundle.Anchor{Roots: []bundle.OperatorKey{public("root", root)}, SignOffs: 1},
+		Clock: clock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(),
+	})
+	if err := k.Accept(bundle.Sign(signed, operator), parts); err != nil {
+		b.Fatal(err)
+	}
+	return k
+}
