Count exchanges in the control traffic

Cause: exchanges with agents were not counted, so that gossip filled its messages with counters up to 4 KB/s beside them. Change: router and agent count the bytes of exchanges; counters take what remains. The 250 bytes that the rate of 14 a second assumed are the headers alone. Conclusion: the rate of exchanges has to fall.

--- a/daemon/agent/server.go
+++ b/daemon/agent/server.go
@@ -6,6 +6,8 @@
 
 	"cactusknot.example/daemon/rpc"
 	"cactusknot.example/daemon/secure"
+
+	"google.golang.org/protobuf/proto"
 )
 
 const executePath = "/internal/execute"
@@ -36,5 +38,7 @@
 	if p := s.agent.Directory.Processes().Find(id.VM); p != nil {
 		s.agent.Keeper.Contact(p.DataCentre, s.agent.Clock.Now())
 	}
-	return &rpc.ExchangeResponse{State: s.agent.state()}, nil
+	out := &rpc.ExchangeResponse{State: s.agent.state()}
+	s.agent.Keeper.Spend("exchange", proto.Size(in)+proto.Size(out))
+	return out, nil
 }
--- a/daemon/router/control.go
+++ b/daemon/router/control.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"cactusknot.example/coord/limit"
 	"cactusknot.example/coord/stats"
 	"cactusknot.example/coord/suspect"
@@ -258,6 +260,7 @@
 	defer cancel()
 	request := &rpc.ExchangeRequest{Router: r.settings.VM, BundleVersion: r.Keeper.Version(), Stops: r.Keeper.Stops().All()}
 	response, err := rpc.NewAgentProtobufClient("https://"+to.address, r.Client).Exchange(bounded, request)
+	r.Keeper.Spend("exchange", proto.Size(request)+proto.Size(response))
 	if err != nil {
 		r.unreachable(to.vm)
 		return
