--- a/daemon/agent/server.go
+++ b/daemon/agent/server.go
@@ -6,6 +6,8 @@
 
 	"cactusknot.example/daemon/rpc"
 	"cactusknot.example/daemon/secure"
+
+	"google.golang.org/protobuf/proto"
 )
 
 const executePath = "/internal/execute"
@@ -38,5 +40,7 @@
 	}
 	state := s.agent.state()
 	state.CachedPrefixes = s.agent.backend.prefixes()
-	return &rpc.ExchangeResponse{State: state}, nil
+	out := &rpc.ExchangeResponse{State: state}
+	s.agent.Keeper.Spend("exchange", proto.Size(in)+proto.Size(out))
+	return out, nil
 }
--- a/daemon/bench/scenario.go
+++ b/daemon/bench/scenario.go
@@ -36,5 +36,6 @@
 		{Name: "recovery", Summary: "recovery from crashes with and without retries", Run: RunRecovery},
 		{Name: "path", Summary: "added time, processor time and allocations of the request path", Run: RunPath},
 		{Name: "readers", Summary: "memory for slow readers of streamed answers", Run: RunReaders},
+		{Name: "capacity", Summary: "slopes of processor time, memory and messages by size", Run: RunCapacity},
 	}
 }
--- a/daemon/router/control.go
+++ b/daemon/router/control.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"cactusknot.example/coord/limit"
 	"cactusknot.example/coord/stats"
 	"cactusknot.example/coord/suspect"
@@ -23,9 +25,11 @@
 	publishInterval = 5 * time.Millisecond
 	// tickInterval is how often the control goroutine looks for work of its own.
 	tickInterval = 250 * time.Millisecond
-	// exchangesPerSecond bounds the exchanges of one router; each costs about
-	// 250 bytes, so that they take 3.5 KB/s of the 5 KB/s for control.
-	exchangesPerSecond = 14
+	// exchangesPerSecond bounds the exchanges of one router. Each costs 370 to 540
+	// bytes by the number of loaded versions, headers included, so that they take
+	// 2.7 KB/s of the 5 KB/s for control; 14 took 5.4 KB/s. Agents that answer
+	// requests are not asked, so under load there are fewer.
+	exchangesPerSecond = 7
 	// exchangeInterval is the shortest interval of exchanges with one agent.
 	exchangeInterval = time.Second
 	exchangeTimeout  = 2 * time.Second
@@ -42,6 +46,11 @@
 	suspectMax = 15 * time.Second
 	// evidenceInterval is the shortest time between two evaluations of ratings.
 	evidenceInterval = 500 * time.Millisecond
+	// evidencePart bounds the evaluations to 0.5% of a core: each is followed by a
+	// pause of so many times its own time. With 1,000 workspaces it takes some
+	// 0.1 s. The routers evaluate at different times, so that with 350 of them the
+	// first test fires as early as before.
+	evidencePart = 200
 )
 
 // event is news for the control goroutine.
@@ -106,6 +115,8 @@
 	table     *stats.Table[routing.Key]
 	routes    *routing.Snapshot
 	keys      map[string]*bundle.Workspace
+	// mayExchange is how many known agents may be asked now.
+	mayExchange float64
 	// processes is the list from which agents was made.
 	processes *node.Processes
 	// stale marks what the next view must renew.
@@ -113,6 +124,9 @@
 	staleView   bool
 	evaluated   time.Time
 	started     time.Time
+	spreadAt    time.Time
+	// evidencePause is the time from the last evaluation to the next.
+	evidencePause time.Duration
 	// changedKeys are own ratings not yet handed to the keeper; spread is the
 	// table version up to which they were.
 	changedKeys map[routing.Key]bool
@@ -245,16 +259,22 @@
 	record.process = p
 }
 
-// exchange asks agents that have not replied lately for their state.
+// exchange asks agents that have not replied lately for their state, new ones at
+// once and the others spread over the interval.
 func (c *controller) exchange(ctx context.Context) {
 	interval := max(exchangeInterval, time.Duration(len(c.agents))*time.Second/exchangesPerSecond)
 	now := c.router.Clock.Now()
+	c.mayExchange = min(c.mayExchange+exchangesPerSecond*tickInterval.Seconds(), exchangesPerSecond)
 	for _, record := range c.agents {
 		// Replies to traffic carry the state but no prefixes.
 		quiet := now.Sub(record.at) >= interval
 		if now.Sub(record.asked) < interval || !quiet && now.Sub(record.asked) < busyExchanges*interval {
 			continue
 		}
+		if !record.asked.IsZero() && c.mayExchange < 1 {
+			continue
+		}
+		c.mayExchange = max(c.mayExchange-1, 0)
 		record.asked = now
 		go c.router.exchangeWith(ctx, c.peerOf(record))
 	}
@@ -265,6 +285,7 @@
 	defer cancel()
 	request := &rpc.ExchangeRequest{Router: r.settings.VM, BundleVersion: r.Keeper.Version(), Stops: r.Keeper.Stops().All()}
 	response, err := rpc.NewAgentProtobufClient("https://"+to.address, r.Client).Exchange(bounded, request)
+	r.Keeper.Spend("exchange", proto.Size(request)+proto.Size(response))
 	if err != nil {
 		r.unreachable(to.vm)
 		return
