--- a/daemon/e2e/start_test.go
+++ b/daemon/e2e/start_test.go
@@ -1,9 +1,12 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"testing"
 
 	"cactusknot.example/daemon/fleet"
@@ -49,3 +52,35 @@
 		return bookOn(ctx, f, vm, "later", "").status == http.StatusCreated
 	})
 }
+
+// TestCheckSettings guards against settings that pass the check although a daemon
+// would ignore a part of them, and against errors that take more than a line.
+func TestCheckSettings(t *testing.T) {
+	valid, err := os.ReadFile(filepath.Join(spec.Dir, "router-a.json"))
+	must(t, err)
+	for _, c := range []struct {
+		old, new, reason string
+		code             int
+	}{
+		{"", "", "", 0},
+		{`"max_requests":`, `"max_request":`, "max_request: unknown field", 2},
+		{`"tls": {`, `"tls": {"extra": 1,`, "tls.extra: unknown field", 2},
+		{`"drain_delay_ms": `, `"drain_delay_ms": "x", "n": `, "n: unknown field", 2},
+		{`"fatal_invariants": true`, `"fatal_invariants": "yes"`, "fatal_invariants: string where bool is expected", 2},
+		{`"vm": "router-a"`, `"vm": ""`, "vm: is required", 2},
+	} {
+		file := filepath.Join(t.TempDir(), "settings.json")
+		must(t, os.WriteFile(file, bytes.Replace(valid, []byte(c.old), []byte(c.new), 1), 0o600))
+		var errs bytes.Buffer
+		check := exec.CommandContext(t.Context(), spec.Daemon, "router", "-config", file, "-check")
+		check.Stderr = &errs
+		_ = check.Run()
+		want := ""
+		if c.code != 0 {
+			want = file + ": " + c.reason + "\n"
+		}
+		if code := check.ProcessState.ExitCode(); code != c.code || errs.String() != want {
+			t.Errorf("%s: exit code %d, %q", c.new, code, errs.String())
+		}
+	}
+}
