Give the ledger its own budget of store calls

Cause: after an outage or a restart the collectors used up the router's five store calls a second, and caller-made keys were refused with key_needs_store while the store was up (TestCallerMadeKey: call budget exhausted). Change: the collectors of a router use a client of their own.

--- a/daemon/node/directory.go
+++ b/daemon/node/directory.go
@@ -22,7 +22,8 @@
 
 func dialer() *net.Dialer { return &net.Dialer{Timeout: dialTimeout} }
 
-func newStore(url string, clk clock.Clock) *kv.Client {
+// NewStore returns a client of the store with its own budget of calls.
+func NewStore(url string, clk clock.Clock) *kv.Client {
 	return kv.NewClient(platform.NewStore(url), kv.ClientConfig{
 		Clock:          clk,
 		Random:         rand.NewPCG(rand.Uint64(), rand.Uint64()),
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -73,7 +73,7 @@
 		Client:      newClient(credentials),
 	}
 	n.Check = &invariant.Checker{OnViolation: n.violated}
-	n.Store = newStore(settings.Platform.Store, n.Clock)
+	n.Store = NewStore(settings.Platform.Store, n.Clock)
 	n.Directory = newDirectory(n)
 	return n, nil
 }
--- a/daemon/router/charge.go
+++ b/daemon/router/charge.go
@@ -80,7 +80,7 @@
 		return c
 	}
 	c := ledger.NewCollector(ledger.CollectorConfig{
-		Client:  s.router.Store,
+		Client:  s.router.ledgerStore,
 		Clock:   s.router.Clock,
 		Checker: s.router.Check,
 		Shard:   shard,
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
+	"cactusknot.example/coord/kv"
 	"cactusknot.example/coord/ledger"
 	"cactusknot.example/coord/limit"
 	"cactusknot.example/coord/once"
@@ -39,15 +40,18 @@
 	retries  *limit.RetryBudget
 	keys     *once.Generator
 	charges  *ledger.Queue
-	rating   *platform.Rating
-	metrics  *routerMetrics
-	view     atomic.Pointer[view]
-	events   chan event
-	chat     pipe
-	service  pipe
-	running  sync.WaitGroup
-	ratingUp atomic.Bool
-	rateSlot chan struct{}
+	// ledgerStore has a call budget of its own: charges that are stored after an
+	// outage must not keep callers' keys and the configuration from the store.
+	ledgerStore *kv.Client
+	rating      *platform.Rating
+	metrics     *routerMetrics
+	view        atomic.Pointer[view]
+	events      chan event
+	chat        pipe
+	service     pipe
+	running     sync.WaitGroup
+	ratingUp    atomic.Bool
+	rateSlot    chan struct{}
 }
 
 // New builds a router; it connects nowhere yet.
@@ -76,6 +80,7 @@
 	}
 	r.retries = limit.NewRetryBudget(limit.RetryConfig{}, r.Clock)
 	r.keys = once.NewGenerator(r.Clock, rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	r.ledgerStore = node.NewStore(settings.Platform.Store, r.Clock)
 	r.charges = ledger.NewQueue(r.Clock, settings.LedgerLines)
 	if settings.Platform.Rating != "" {
 		r.rating = platform.NewRating(settings.Platform.Rating)
