Order a fault that breaks its own order once

Cause: the answer to the order of an engine freeze or crash is lost with it, and the soak run repeated the order, which began the fault again. Change: these orders are sent once.

--- a/daemon/soak/perform.go
+++ b/daemon/soak/perform.go
@@ -312,7 +312,11 @@
 		defer r.countStoreFaults(-1)
 	}
 	r.during(a, func() {
-		r.postAll(ctx, targets, begin)
+		if breaksControl(a.Kind) {
+			_ = r.post(ctx, targets[0]+"/faults", begin)
+		} else {
+			r.postAll(ctx, targets, begin)
+		}
 		pause(ctx, a.For)
 		if end != nil {
 			r.postAll(ctx, targets, end)
@@ -320,6 +324,12 @@
 	})
 }
 
+// breaksControl tells whether the fault also breaks the call that orders it. It
+// is ordered once: a repeated order would begin the fault again after its end.
+func breaksControl(k Kind) bool {
+	return k == EngineFreeze || k == EngineCrash || k == ServiceCrash
+}
+
 func (r *run) countStoreFaults(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
