--- a/daemon/soak/soak.go
+++ b/daemon/soak/soak.go
@@ -117,10 +117,10 @@
 	defer stopObserving()
 	r.balancer = newBalancer(r.fleet, r.evidence.Routers)
 	r.traffic = newTraffic(r, r.options.Seed)
-	r.balancer.watch(observing)
-	r.observe(observing)
 	began := time.Now()
 	r.evidence.Began = began
+	r.balancer.watch(observing)
+	r.observe(observing)
 	loadEnd := began.Add(r.options.Duration + recoveryBound + quietEnd)
 	var load sync.WaitGroup
 	load.Go(func() { r.traffic.send(ctx, loadEnd) })
