--- /dev/null
+++ b/daemon/router/session_test.go
@@ -0,0 +1,159 @@
+package router
+
+import (
+	"encoding/base64"
+	"strings"
+	"testing"
+
+	"cactusknot.example/daemon/bundle"
+	"cactusknot.example/daemon/result"
+	"cactusknot.example/daemon/routing"
+	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/secure"
+)
+
+func (g *rig) token(workspace, version string) map[string]string {
+	g.t.Helper()
+	session := routing.Session{ID: "s", Workspace: workspace, Pins: []routing.Pin{{Model: "diary", Version: version}}}
+	token, err := g.sessions.Sign(session, g.Clock.Now())
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return map[string]string{headerSessionToken: token}
+}
+
+// withdraw puts version 2 of the bundle in force, in which the model's version 1
+// takes no new work.
+func (g *rig) withdraw() {
+	g.bundle.Models[0].Current = "2"
+	g.bundle.Models[0].Versions[0].State = bundle.VersionWithdrawn
+	g.putInForce(2)
+}
+
+// stop latches a stop notice for version 1.
+func (g *rig) stop() {
+	g.stops = []routing.Stop{{Model: "diary", Version: "1"}}
+	g.publish()
+}
+
+// TestSessionTokens guards against a token that carries a session into another
+// workspace, and against tokens that no router signed.
+func TestSessionTokens(t *testing.T) {
+	g := newRig(t, work)
+	stranger, err := secure.NewSessions([]string{base64.StdEncoding.EncodeToString([]byte(strings.Repeat("x", 32)))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	forged, err := stranger.Sign(routing.Session{ID: "s", Workspace: "aqua"}, g.Clock.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := g.token("aqua", "1")[headerSessionToken]
+	for name, token := range map[string]string{
+		"other workspace":   g.token("other", "1")[headerSessionToken],
+		"other secret":      forged,
+		"no token":          "x",
+		"signature cut":     own[:len(own)-4],
+		"signature removed": own[:strings.LastIndex(own, ".")+1],
+	} {
+		got := g.chat(map[string]string{headerSessionToken: token})
+		if got.number != result.BadSession.Number || g.calls() != 0 {
+			t.Errorf("%s: code %d, %d calls", name, got.number, g.calls())
+		}
+	}
+	if got := g.chat(g.token("aqua", "2")); got.status != 200 || g.agents[0].versions() != "2" {
+		t.Errorf("own session: code %d, versions %q", got.number, g.agents[0].versions())
+	}
+	g.wantSettled(1)
+}
+
+// TestWithdrawnWhilePinned guards against a session that goes on with a version
+// that takes no new work, and against a silent move.
+func TestWithdrawnWhilePinned(t *testing.T) {
+	for name, take := range map[string]func(*rig){"withdrawn": (*rig).withdraw, "stopped": (*rig).stop} {
+		for _, policy := range []bundle.WithdrawalPolicy{bundle.WithdrawalRefuse, bundle.WithdrawalMove} {
+			t.Run(name+"/"+string(policy), func(t *testing.T) {
+				g := newRig(t, work)
+				g.bundle.Workspaces[0].OnWithdrawal = policy
+				g.bundle.Models[0].Current = "2"
+				g.putInForce(2)
+				if name == "withdrawn" {
+					g.bundle.Models[0].Versions[0].State = bundle.VersionWithdrawn
+					g.putInForce(3)
+				} else {
+					take(g)
+				}
+				got := g.chat(g.token("aqua", "1"))
+				seen, moved := g.agents[0].versions(), got.header.Get(headerSessionMoved)
+				if policy == bundle.WithdrawalMove && (got.status != 200 || seen != "2" || moved != "diary@1 -> diary@2") {
+					t.Errorf("code %d, versions %q, announced %q", got.number, seen, moved)
+				}
+				if policy == bundle.WithdrawalRefuse && (got.number != result.VersionWithdrawn.Number || seen != "") {
+					t.Errorf("code %d, versions %q", got.number, seen)
+				}
+				if counts := g.Check.Counts(); len(counts) != 0 {
+					t.Errorf("violations %v", counts)
+				}
+			})
+		}
+	}
+}
+
+// TestConfigurationBetweenPlacementAndDispatch guards against a loop of refusals
+// and a wrong code when the agent has the newer configuration.
+func TestConfigurationBetweenPlacementAndDispatch(t *testing.T) {
+	for _, code := range []result.Code{result.VersionWithdrawn, result.NotAllowed, result.UnknownModel, result.BadIdempotency} {
+		g := newRig(t, refuseWith(code), refuseWith(code))
+		got := g.chat(nil)
+		if got.number != code.Number || got.run != string(result.NotRun) || g.calls() != 1 {
+			t.Errorf("%s: code %d, run %q after %d calls", code.Name, got.number, got.run, g.calls())
+		}
+		g.wantSettled(0)
+	}
+}
+
+// TestNoRetryOfWithdrawnVersion guards against another attempt with a version that
+// was withdrawn or stopped after the request was placed.
+func TestNoRetryOfWithdrawnVersion(t *testing.T) {
+	ways := map[string]struct {
+		fail act
+		want result.Code
+	}{
+		"after a broken stream": {fails, result.StreamBroken},
+		"after a refusal":       {refuseWith(result.AgentFull), result.VersionWithdrawn},
+	}
+	for name, way := range ways {
+		for how, take := range map[string]func(*rig){"withdrawn": (*rig).withdraw, "stopped": (*rig).stop} {
+			t.Run(how+" "+name, func(t *testing.T) {
+				var g *rig
+				a := firstThen(func(s *stream, in *rpc.ExecuteRequest) {
+					take(g)
+					way.fail(s, in)
+				}, work)
+				g = newRig(t, a, a)
+				got := g.chat(nil)
+				if got.number != way.want.Number || g.calls() != 1 {
+					t.Errorf("code %d, want %d; %d calls", got.number, way.want.Number, g.calls())
+				}
+				g.wantSettled(0)
+			})
+		}
+	}
+}
+
+// TestExcludedAgents guards against a request to an agent whose VM or data centre
+// was taken out between two attempts.
+func TestExcludedAgents(t *testing.T) {
+	var g *rig
+	g = newRig(t, firstThen(func(s *stream, in *rpc.ExecuteRequest) {
+		g.agents = g.agents[:0]
+		g.publish()
+		fails(s, in)
+	}, work))
+	agent := g.agents[0]
+	got := g.chat(map[string]string{headerDeadline: "100"})
+	if got.number != result.StreamBroken.Number || agent.calls.Load() != 1 {
+		t.Errorf("code %d, %d calls", got.number, agent.calls.Load())
+	}
+	g.wantSettled(0)
+}
