--- /dev/null
+++ b/daemon/router/charge_test.go
@@ -0,0 +1,196 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cactusknot.example/coord/clock"
+	"cactusknot.example/coord/kv"
+	"cactusknot.example/coord/ledger"
+	"cactusknot.example/daemon/node"
+	"cactusknot.example/daemon/result"
+	"cactusknot.example/daemon/rpc"
+)
+
+// TestChargeQueueFull guards against work that can't be billed: a full queue
+// refuses before dispatch.
+func TestChargeQueueFull(t *testing.T) {
+	g := newRig(t, work)
+	for g.charges.Reserve() {
+	}
+	for what, got := range map[string]answer{"chat": g.chat(nil), "booking": g.book(""), "caller's key": g.book(g.keyAt(1))} {
+		if got.number != result.LedgerFull.Number || got.run != string(result.NotRun) || g.calls() != 0 {
+			t.Errorf("%s: code %d, %d calls", what, got.number, g.calls())
+		}
+	}
+}
+
+// TestReservationsAfterFailures guards against reservations that are never given
+// back, which would refuse all work in the end, and against lost charges.
+func TestReservationsAfterFailures(t *testing.T) {
+	const requests = 150
+	seed := rand.Uint64()
+	random := rand.New(rand.NewPCG(seed, 1))
+	acts := []act{
+		work, fails, refuseWith(result.VersionWithdrawn), refuseWith(result.BadRequest),
+		func(s *stream, in *rpc.ExecuteRequest) { s.admit(); s.chunk(0, "[]"); s.cut() },
+		func(s *stream, in *rpc.ExecuteRequest) { s.end(in, 0, result.BackendError) },
+		func(s *stream, in *rpc.ExecuteRequest) {
+			s.admit()
+			s.send(&rpc.ExecuteEvent{Event: &rpc.ExecuteEvent_End{End: &rpc.End{
+				RequestId: in.GetRequestId(), Charge: &rpc.ChargeLine{RequestId: []byte("short")},
+			}}})
+		},
+	}
+	var way atomic.Int64
+	g := newRig(t, func(s *stream, in *rpc.ExecuteRequest) { acts[way.Load()](s, in) })
+	lines := 0
+	for n := range requests {
+		way.Store(int64(random.IntN(len(acts))))
+		path := []string{"/v1/services/tickets/events", "/v1/services/tickets/missing"}[random.IntN(2)]
+		if n%2 == 0 {
+			g.chat(nil)
+		} else {
+			g.call("GET", path, "", nil)
+		}
+		if way.Load() == 0 && (n%2 == 0 || path == "/v1/services/tickets/events") {
+			lines++
+		}
+		g.charges.Acknowledge(nil)
+		if held, reserved := g.charges.Len(); reserved != 0 || held != lines {
+			t.Fatalf("seed %d, request %d, way %d: %d lines and %d reservations, want %d and 0", seed, n, way.Load(), held, reserved, lines)
+		}
+		if lines == 90 {
+			break
+		}
+	}
+}
+
+// stored gives the rig a store of its own and returns it with the router's
+// collectors.
+func (g *rig) stored() (*kv.Memory, *collectorSet) {
+	memory := kv.NewMemory(clock.System{}, rand.NewPCG(1, 1))
+	g.Store = kv.NewClient(memory, kv.ClientConfig{Clock: clock.System{}, Random: rand.NewPCG(1, 2), CallsPerSecond: 1000, Burst: 1000})
+	ctx, cancel := context.WithCancel(context.Background())
+	g.t.Cleanup(cancel)
+	return memory, newCollectorSet(ctx, g.Router)
+}
+
+func deliver(t *testing.T, s *collectorSet, lines ...*rpc.ChargeLine) int {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	response, err := s.Deliver(ctx, &rpc.DeliverRequest{Lines: lines})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(response.GetAcknowledged())
+}
+
+func wantLedger(t *testing.T, store kv.Store, lines uint64) {
+	t.Helper()
+	report, err := ledger.Audit(context.Background(), store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := report.Sums["aqua"].Lines; got != lines {
+		t.Errorf("%d lines billed, want %d: %+v", got, lines, report)
+	}
+}
+
+// TestLostEndIsBilledOnce guards against billing both attempts of a request whose
+// first answer lost its end: the agent's line and the router's have one identity.
+func TestLostEndIsBilledOnce(t *testing.T) {
+	var first atomic.Pointer[rpc.ChargeLine]
+	g := newRig(t, firstThen(func(s *stream, in *rpc.ExecuteRequest) {
+		first.Store(&rpc.ChargeLine{RequestId: in.GetRequestId(), Attempt: in.GetAttempt(), Workspace: in.GetWorkspace(), AmountMicros: 1})
+		s.run()
+		s.admit()
+		s.cut()
+	}, work))
+	if got := g.chat(nil); got.status != 200 || g.effects() != 2 {
+		t.Fatalf("code %d, %d effects", got.number, g.effects())
+	}
+	lines := g.charges.Pending(0, 10)
+	if len(lines) != 1 || lines[0].Attempt != 1 || first.Load().GetAttempt() != 0 {
+		t.Fatalf("router's lines %+v, agent's %v", lines, first.Load())
+	}
+	memory, collectors := g.stored()
+	if n := deliver(t, collectors, node.LineToMessage(lines[0])); n != 1 {
+		t.Errorf("%d acknowledged", n)
+	}
+	if n := deliver(t, collectors, first.Load()); n != 1 {
+		t.Errorf("%d acknowledged", n)
+	}
+	wantLedger(t, memory, 1)
+}
+
+// TestReplayIsNotBilled guards against a second charge for an answer from the
+// records, which carries none.
+func TestReplayIsNotBilled(t *testing.T) {
+	g := newRig(t, func(s *stream, in *rpc.ExecuteRequest) {
+		s.admit()
+		s.send(&rpc.ExecuteEvent{Event: &rpc.ExecuteEvent_End{End: &rpc.End{RequestId: in.GetRequestId()}}})
+	})
+	if got := g.book(g.keyAt(1)); got.status != 200 {
+		t.Errorf("code %d", got.number)
+	}
+	g.wantSettled(0)
+}
+
+// TestDeliver guards against double billing of repeated lines, and against a
+// malformed line that is acknowledged, stored, or holds up the others.
+func TestDeliver(t *testing.T) {
+	g := newRig(t)
+	memory, collectors := g.stored()
+	line := func(n, attempt byte) *rpc.ChargeLine {
+		return &rpc.ChargeLine{RequestId: append(make([]byte, 15), n), Attempt: uint32(attempt), Workspace: "aqua", AmountMicros: 1}
+	}
+	malformed := []*rpc.ChargeLine{
+		{RequestId: []byte("short"), Workspace: "aqua"},
+		{RequestId: make([]byte, 16)},
+		{RequestId: make([]byte, 16), Workspace: "aqua", CompletedMs: -1},
+		{RequestId: make([]byte, 16), Workspace: fmt.Sprint(make([]int, ledger.MaxNameBytes))},
+		nil,
+	}
+	if n := deliver(t, collectors, malformed...); n != 0 {
+		t.Errorf("%d malformed lines acknowledged", n)
+	}
+	if n := deliver(t, collectors, append(malformed, line(1, 0), line(1, 0), line(1, 1), line(33, 0))...); n < 2 {
+		t.Errorf("%d acknowledged", n)
+	}
+	if n := deliver(t, collectors, line(1, 0), line(2, 0)); n != 2 {
+		t.Errorf("repeated: %d acknowledged", n)
+	}
+	wantLedger(t, memory, 3)
+}
+
+// TestDeliverDuringOutage guards against an acknowledgement of lines that are not
+// stored, and against a draining router that takes lines over.
+func TestDeliverDuringOutage(t *testing.T) {
+	g := newRig(t)
+	memory, collectors := g.stored()
+	memory.SetFaults(kv.Faults{Outage: true})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	request := &rpc.DeliverRequest{Lines: []*rpc.ChargeLine{{RequestId: make([]byte, 16), Workspace: "aqua"}}}
+	response, err := collectors.Deliver(ctx, request)
+	if err == nil || len(response.GetAcknowledged()) != 0 {
+		t.Errorf("outage: %d acknowledged, error %v", len(response.GetAcknowledged()), err)
+	}
+	request.HandOver = true
+	response, err = collectors.Deliver(ctx, request)
+	if err != nil || len(response.GetAcknowledged()) != 1 {
+		t.Errorf("hand-over: %d acknowledged, error %v", len(response.GetAcknowledged()), err)
+	}
+	g.SetDraining()
+	response, err = collectors.Deliver(ctx, request)
+	if err != nil || len(response.GetAcknowledged()) != 0 {
+		t.Errorf("hand-over to a draining router: %d acknowledged, error %v", len(response.GetAcknowledged()), err)
+	}
+	g.wantSettled(1)
+}
