Hand charges over to the next router when one takes none

Cause: a stopping router answers a hand-over without acknowledging a line, which ended the search. Two routers that stop at the same time preferred each other and, with the store down, never stopped although a third one could take the lines. Change: the search goes on until a router acknowledges lines; nothing is sent without lines. Tests of the VM list, collectors, hand-over and Sync. Conclusion: TestHandOver/another_is_stopping failed before and passes.

--- a/daemon/node/charges.go
+++ b/daemon/node/charges.go
@@ -95,12 +95,15 @@
 	for _, line := range lines {
 		request.Lines = append(request.Lines, LineToMessage(line))
 	}
-	n.deliver(ctx, queue, n.otherRouters(), request)
+	if len(lines) > 0 {
+		n.deliver(ctx, queue, n.otherRouters(), request)
+	}
 	held, _ := queue.Len()
 	return held == 0
 }
 
-// deliver tries the routers in order until one acknowledges.
+// deliver tries the routers in order until one acknowledges lines. One that is
+// stopping answers without any.
 func (n *Node) deliver(ctx context.Context, queue *ledger.Queue, routers []Process, request *rpc.DeliverRequest) {
 	const tries = 3
 	for _, p := range routers[:min(len(routers), tries)] {
@@ -111,8 +114,11 @@
 			n.Log.Debug().Err(err).Str("collector", p.VM).Msg("charges not delivered")
 			continue
 		}
-		queue.Acknowledge(identities(response.GetAcknowledged()))
-		return
+		acknowledged := identities(response.GetAcknowledged())
+		queue.Acknowledge(acknowledged)
+		if len(acknowledged) > 0 {
+			return
+		}
 	}
 }
 
