--- a/daemon/router/retry_test.go
+++ b/daemon/router/retry_test.go
@@ -73,10 +73,17 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			deadline := map[string]string{headerDeadline: "60"}
 			g := newRig(t, a)
-			got := g.chat(map[string]string{headerDeadline: "60"})
+			got := g.chat(deadline)
 			if got.run != string(result.Unknown) || g.calls() != 1 {
-				t.Errorf("code %d, run %q after %d calls", got.number, got.run, g.calls())
+				t.Errorf("chat: code %d, run %q after %d calls", got.number, got.run, g.calls())
+			}
+			g.wantSettled(0)
+			g = newRig(t, a)
+			got = g.call("POST", "/v1/services/tickets/book", `{}`, deadline)
+			if got.number != result.OutcomeUnknown.Number || g.calls() != 1 {
+				t.Errorf("booking: code %d after %d calls", got.number, g.calls())
 			}
 			g.wantSettled(0)
 		})
@@ -92,8 +99,9 @@
 			g.agents[0].free = 0
 			return g
 		},
-		"agent refuses": func(t *testing.T) *rig { return newRig(t, refuseWith(result.AgentFull)) },
-		"no agent":      func(t *testing.T) *rig { return newRig(t) },
+		"agent refuses":   func(t *testing.T) *rig { return newRig(t, refuseWith(result.AgentFull)) },
+		"agent is behind": func(t *testing.T) *rig { return newRig(t, refuseWith(result.AgentBehind)) },
+		"no agent":        func(t *testing.T) *rig { return newRig(t) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := build(t)
@@ -195,3 +203,26 @@
 		})
 	}
 }
+
+// TestRetryOfLongAttempt guards against an attempt that can't be repeated because it
+// took longer than a request may wait for capacity.
+func TestRetryOfLongAttempt(t *testing.T) {
+	g := newRig(t, work)
+	now := g.Clock.Now()
+	for _, c := range []struct {
+		code result.Code
+		left time.Duration
+		ok   bool
+	}{
+		{result.StreamBroken, time.Minute, true},
+		{result.StreamBroken, 0, false},
+		{result.AgentFull, time.Minute, false},
+	} {
+		j := &job{call: &call{deadline: now.Add(c.left)}, waitUntil: now.Add(-time.Second), attempts: 1}
+		g.retries.Attempt()
+		err := g.pause(t.Context(), newRandom(), j, attemptResult{err: c.code.With("")})
+		if (err == nil) != c.ok {
+			t.Errorf("%s with %s left: %v", c.code.Name, c.left, err)
+		}
+	}
+}
