--- a/daemon/router/stream_test.go
+++ b/daemon/router/stream_test.go
@@ -189,3 +189,38 @@
 		})
 	}
 }
+
+// TestTransportRepeatsNothing guards against a call that HTTP/2 repeats on its own
+// when a connection used before is closed under it.
+func TestTransportRepeatsNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(*fakeAgent)
+		want int
+	}{
+		"connection is lost": {func(a *fakeAgent) { a.server.CloseClientConnections() }, result.OutcomeUnknown.Number},
+		"server closes gracefully": {func(a *fakeAgent) {
+			a.server.Config.SetKeepAlivesEnabled(false)
+			a.server.Config.SetKeepAlivesEnabled(true)
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, func(s *stream, in *rpc.ExecuteRequest) {
+				if s.agent.calls.Load() > 1 {
+					c.end(s.agent)
+				}
+				work(s, in)
+			})
+			if got := g.book(""); got.status != 200 {
+				t.Fatalf("first: code %d", got.number)
+			}
+			for range 3 {
+				if got := g.book(""); got.number != c.want {
+					t.Errorf("code %d, want %d", got.number, c.want)
+				}
+			}
+			if calls, attempts := g.calls(), int64(g.metrics.attempts.Get()); calls != attempts {
+				t.Errorf("%d calls of %d attempts", calls, attempts)
+			}
+		})
+	}
+}
