--- a/daemon/router/execute.go
+++ b/daemon/router/execute.go
@@ -56,8 +56,7 @@
 	err *result.Error
 	// begun is true when the caller got any part of the answer.
 	begun bool
-	// refused is true when the agent itself said so, as opposed to a connection
-	// that failed.
+	// refused is true when the agent itself refused the request.
 	refused bool
 	charge  *rpc.ChargeLine
 }
@@ -154,8 +153,12 @@
 	}
 }
 
+// begun tells whether the caller got any part of the answer. What the router
+// still holds in memory does not count.
+func (s *answerStream) begun() bool { return s.out.started() }
+
 func (s *answerStream) broken(ctx context.Context, err error) attemptResult {
-	return attemptResult{err: brokenBy(ctx, err), begun: s.out.started()}
+	return attemptResult{err: brokenBy(ctx, err), begun: s.begun()}
 }
 
 // handle processes one event. The result counts when done is true.
@@ -230,7 +233,7 @@
 	if !s.admitted {
 		return s.broken(ctx, errOrder)
 	}
-	return attemptResult{charge: end.GetCharge()}
+	return attemptResult{begun: s.begun(), charge: end.GetCharge()}
 }
 
 // ended returns the outcome of a stream that ended with an error.
@@ -239,5 +242,5 @@
 	if !s.mayBe(code) {
 		return s.broken(ctx, errOrder)
 	}
-	return attemptResult{err: code.With("%s", end.GetReason()), begun: s.out.started()}
+	return attemptResult{err: code.With("%s", end.GetReason()), begun: s.begun()}
 }
