--- a/daemon/node/charges.go
+++ b/daemon/node/charges.go
@@ -114,7 +114,9 @@
 	for _, line := range lines {
 		request.Lines = append(request.Lines, LineToMessage(line))
 	}
-	n.deliver(ctx, queue, n.otherRouters(), request)
+	if len(lines) > 0 {
+		n.deliver(ctx, queue, n.otherRouters(), request)
+	}
 	held, _ := queue.Len()
 	return held == 0
 }
