--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,8 @@
 
 test:
 	@for m in $(MODULES); do (cd $$m && $(GO) test ./...) || exit 1; done
+	@# The cache of test results does not see changes of files outside the module.
+	@cd daemon && $(GO) test -count=1 -run Pages ./ctl
 
 tools:
 	cd tools && GOWORK=off $(GO) build -o ../bin/ tool
--- a/daemon/distribute/members.go
+++ b/daemon/distribute/members.go
@@ -19,8 +19,8 @@
 	Region     string
 	// Router is false for agents.
 	Router bool
-	// Live is false while the process is suspected or leaving. It steers only the
-	// choice of peers and watchers.
+	// Live is false while the process is leaving. It steers only the choice of
+	// peers and watchers.
 	Live bool
 }
 
