Simulate roll-outs with one counter per version

Placement of a request that names its model depends on the bundle and the notices alone, and the test reads only sums. A test compares the outcome with that of separate counters. The rate of false stops is checked by its upper 95% bound instead of the point estimate, which is stricter.

--- a/coord/stats/sequential.go
+++ b/coord/stats/sequential.go
@@ -111,6 +111,17 @@
 	return s.evidence(s.leastFavourable(candidate, base))
 }
 
+// WorseBound returns an upper bound of the LogE of Worse at a small part of its
+// cost: the evidence at one mean of base instead of the smallest over all.
+func (s Sequential) WorseBound(candidate, base Counter) float64 {
+	if candidate.Count == 0 || base.Count == 0 || candidate.Mean() >= base.Mean()-s.Margin {
+		return 0
+	}
+	weight := float64(candidate.Count) + float64(base.Count)
+	pooled := (candidate.Sum + float64(candidate.Count)*s.Margin + base.Sum) / weight
+	return s.worseAt(candidate, base.mirrored(), math.Max(s.Margin, math.Min(1, pooled)))
+}
+
 func (s Sequential) evidence(logE float64) Evidence {
 	return Evidence{LogE: logE, Fired: logE >= -math.Log(s.Level)}
 }
@@ -122,17 +133,7 @@
 // multiplying two mixtures.
 func (s Sequential) leastFavourable(candidate, base Counter) float64 {
 	mirrored := base.mirrored()
-	at := func(m float64) float64 {
-		var scores [ratioCount * betCount]float64
-		for j := range bets {
-			below := s.Method.score(bets[j], candidate, m-s.Margin)
-			for i := range baseBets {
-				above := s.Method.score(baseBets[i][j], mirrored, 1-m)
-				scores[i*betCount+j] = below + above
-			}
-		}
-		return logMean(scores[:])
-	}
+	at := func(m float64) float64 { return s.worseAt(candidate, mirrored, m) }
 	step := (1 - s.Margin) / coarseSteps
 	best, bestValue := s.Margin, at(s.Margin)
 	for i := 1; i <= coarseSteps; i++ {
@@ -145,6 +146,19 @@
 	return math.Min(bestValue, goldenMinimum(at, low, high))
 }
 
+// worseAt returns the evidence for the mean m of base.
+func (s Sequential) worseAt(candidate, mirrored Counter, m float64) float64 {
+	var scores [ratioCount * betCount]float64
+	for j := range bets {
+		below := s.Method.score(bets[j], candidate, m-s.Margin)
+		for i := range baseBets {
+			above := s.Method.score(baseBets[i][j], mirrored, 1-m)
+			scores[i*betCount+j] = below + above
+		}
+	}
+	return logMean(scores[:])
+}
+
 // goldenMinimum returns the smallest value that a golden-section search finds.
 func goldenMinimum(f func(float64) float64, low, high float64) float64 {
 	const ratio = 0.6180339887498949
--- a/coord/stats/stats_test.go
+++ b/coord/stats/stats_test.go
@@ -152,3 +152,23 @@
 	}
 	return 0
 }
+
+// Guards against a test that is left out although it would fire: the bound must
+// not be below the evidence.
+func TestWorseBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		counter := func(name string) Counter {
+			n := rapid.IntRange(0, 300).Draw(t, name)
+			good := float64(rapid.IntRange(0, n).Draw(t, name+" good"))
+			return Counter{Count: uint64(n), Sum: good, SumSquares: good}
+		}
+		candidate, base := counter("candidate"), counter("base")
+		for _, method := range []Method{EmpiricalBernstein, Betting, Hoeffding} {
+			s := Sequential{Method: method, Level: 0.01, Margin: rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "margin")}
+			evidence, bound := s.Worse(candidate, base).LogE, s.WorseBound(candidate, base)
+			if evidence > bound+1e-3 {
+				t.Fatalf("%v: evidence %v above its bound %v", method, evidence, bound)
+			}
+		}
+	})
+}
--- a/daemon/bench/bench_test.go
+++ b/daemon/bench/bench_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math"
 	"testing"
 
 	"cactusknot.example/daemon/routing"
@@ -85,3 +86,39 @@
 		t.Fatalf("pins %+v", s.Pins)
 	}
 }
+
+// Guards against a shortened simulation that decides otherwise: counters per
+// workspace, kind and interval must give the same roll-out as one per version.
+func TestPooledKeysDecideAlike(t *testing.T) {
+	w, err := loadWorkload("coop")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Rollout.HorizonSeconds = 500
+	for _, scope := range []evidenceScope{pooledEvidence, ownEvidence, ownWithNotices} {
+		for _, failures := range []float64{0, 0.4} {
+			run := trial{workload: w, scope: scope, failures: failures, test: routing.DefaultStopTest()}
+			short := newSimulation(run, 7).run()
+			run.separate = true
+			full := newSimulation(run, 7).run()
+			same := short.exposed == full.exposed && short.stopped == full.stopped && math.Abs(short.largest-full.largest) < 1e-6
+			if !same {
+				t.Errorf("seed 7, %s, failures %v: %+v and %+v", scopeNames[scope], failures, short, full)
+			}
+		}
+	}
+}
+
+// Guards the bound of the false-stop rate: without events the exact bound is
+// 1-(1-confidence)^(1/runs); with 3 of 300 tables give 0.0256.
+func TestRateUpper(t *testing.T) {
+	if got, want := rateUpper(0, 300, 0.95), 1-math.Pow(0.05, 1.0/300); math.Abs(got-want) > 1e-9 {
+		t.Errorf("0 of 300: %v, want %v", got, want)
+	}
+	if got := rateUpper(3, 300, 0.95); math.Abs(got-0.0256) > 5e-4 {
+		t.Errorf("3 of 300: %v", got)
+	}
+	if rateUpper(300, 300, 0.95) != 1 {
+		t.Error("all runs")
+	}
+}
--- a/daemon/bench/exposure.go
+++ b/daemon/bench/exposure.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"sync"
 
@@ -21,8 +22,9 @@
 	goodRuns = 300
 	// badRuns is the number of roll-outs per seed and kind of bad version.
 	badRuns = 6
-	// exposureWorkers bounds the roll-outs simulated at one time.
-	exposureWorkers = 3
+	// settleSeconds is the time that a roll-out is followed after every router has
+	// stopped the candidate, so that the moves of its sessions are checked too.
+	settleSeconds = 60
 	// configSeconds is the time until a new step of a roll-out is in force.
 	configSeconds = 10
 
@@ -55,6 +57,9 @@
 	// failures is the share of failed answers of the candidate; 0 is a good version.
 	failures float64
 	test     stats.Sequential
+	// separate keeps the counters per workspace, kind and interval as routers do.
+	// The test reads only their sums, so by default each version has one key.
+	separate bool
 }
 
 // outcome of one roll-out.
@@ -87,21 +92,27 @@
 }
 
 func exposureDeployment(ctx context.Context, report *Report, w *Workload, o Options) error {
-	var rate, level float64
-	var err error
+	var level float64
 	for scope := pooledEvidence; scope <= timerOnly; scope++ {
 		t := trial{workload: w, scope: scope, test: routing.DefaultStopTest()}
 		if scope == pooledEvidence || scope == ownEvidence {
-			rate, level, err = calibrate(ctx, t, max(10, int(goodRuns*o.Scale)))
+			runs := max(10, int(goodRuns*o.Scale))
+			fired, newLevel, err := calibrate(ctx, t, runs)
 			if err != nil {
 				return err
 			}
+			level = newLevel
+			upper := rateUpper(fired, runs, rateConfidence)
 			report.Rows = append(report.Rows, Row{
 				Measure: "false stops", Deployment: w.Name, Variant: scopeNames[scope],
-				Values: []Value{{"rate at level 0.01", "", rate}, {"level for a rate of 1%", "", level}},
+				Values: []Value{
+					{"rate at level 0.01", "", float64(fired) / float64(runs)},
+					{"upper 95% bound of the rate", "", upper},
+					{"level for a rate of 1%", "", level},
+				},
 			})
 			if scope == pooledEvidence {
-				report.atMost(w.Name, "product false stops", falseStops, rate)
+				report.atMost(w.Name, "product false stops, upper 95% bound", falseStops, upper)
 			}
 		}
 		if scope == ownEvidence || scope == ownWithNotices {
@@ -139,21 +150,20 @@
 	return sum
 }
 
-// calibrate runs good roll-outs without acting on the test. It returns the share
-// whose evidence reached the level of t, and the largest level at which at most
-// 1% would have been stopped.
-func calibrate(ctx context.Context, t trial, runs int) (rate, level float64, err error) {
+// calibrate runs good roll-outs without acting on the test. It returns the number
+// whose evidence reached the level of t at any router, and the largest level at
+// which at most 1% would have been stopped.
+func calibrate(ctx context.Context, t trial, runs int) (fired int, level float64, err error) {
 	t.test.Level, level = math.SmallestNonzeroFloat64, t.test.Level
 	outcomes, err := runTrials(ctx, t, 1_000_000, runs)
 	if err != nil {
 		return 0, 0, err
 	}
 	var largest []float64
-	over := 0
 	for _, r := range outcomes {
 		largest = append(largest, r.largest)
 		if r.largest >= -math.Log(level) {
-			over++
+			fired++
 		}
 	}
 	slices.Sort(largest)
@@ -161,7 +171,7 @@
 	// The test fires at or above the threshold, which lies just above the first
 	// roll-out that must not be stopped.
 	threshold := math.Nextafter(largest[runs-1-allowed], math.Inf(1))
-	return float64(over) / float64(runs), math.Min(1, math.Exp(-threshold)), nil
+	return fired, math.Min(1, math.Exp(-threshold)), nil
 }
 
 func exposureRows(ctx context.Context, report *Report, t trial, o Options) error {
@@ -193,7 +203,7 @@
 func runTrials(ctx context.Context, t trial, seed uint64, runs int) ([]outcome, error) {
 	out := make([]outcome, runs)
 	var wait sync.WaitGroup
-	slots := make(chan struct{}, exposureWorkers)
+	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
 	for i := range out {
 		wait.Go(func() {
 			slots <- struct{}{}
@@ -217,6 +227,9 @@
 	table    *stats.Table[routing.Key]
 	snapshot *routing.Snapshot
 	stops    []routing.Stop
+	// told is true from a notice of another router until the next exchange, when
+	// it comes into force.
+	told bool
 	// sent is the table version up to which peers have its own rows.
 	sent uint64
 	// tested is the table version of the last test.
@@ -237,25 +250,42 @@
 	src    rand.Source
 	who    *callers
 	bundle *bundle.Bundle
-	nodes  []*node
-	due    []dueRating
-	inv    invariant.Checker
+	// keys holds the key of each version's ratings in the roll-out.
+	keys  map[string]routing.Key
+	nodes []*node
+	due   []dueRating
+	inv   invariant.Checker
 	// growAt is the second at which the next step is in force; 0 when none is.
 	growAt int
-	out    outcome
+	// settled is the second at which every router had stopped the candidate.
+	settled int
+	out     outcome
 }
 
 func newSimulation(t trial, seed uint64) *simulation {
 	s := &simulation{trial: t, rng: rand.New(rand.NewPCG(seed, 5)), src: rand.NewPCG(seed, 6)}
 	s.who = newCallers(t.workload, s.rng)
 	s.bundle = rolloutBundle(t.workload)
+	s.keys = rolloutKeys(&s.bundle.Rollouts[0])
 	for i := range t.workload.Routers {
 		name := fmt.Sprintf("router-%d", i)
-		s.nodes = append(s.nodes, &node{table: stats.NewTable[routing.Key](stats.Node{Name: name, Incarnation: 1})})
+		n := &node{table: stats.NewTable[routing.Key](stats.Node{Name: name, Incarnation: 1})}
+		s.rebuild(n)
+		s.nodes = append(s.nodes, n)
 	}
 	return s
 }
 
+// rolloutKeys returns one key per version of the roll-out's generation.
+func rolloutKeys(r *bundle.Rollout) map[string]routing.Key {
+	tags := routing.Tags{Rollout: fmt.Sprintf("%s/%d", r.ID, r.Generation), Bin: routing.NoBin}
+	out := make(map[string]routing.Key)
+	for _, version := range []string{r.From, r.To} {
+		out[version] = routing.Key{Model: r.Model, Version: version, Kind: tags.Encode()}
+	}
+	return out
+}
+
 // rolloutBundle holds the model that is rolled out alone, to keep snapshots cheap.
 func rolloutBundle(w *Workload) *bundle.Bundle {
 	b := w.bundle()
@@ -280,6 +310,9 @@
 		for range w.RequestsPerSecond {
 			s.request(second)
 		}
+		if s.settled > 0 && second >= s.settled+settleSeconds {
+			break
+		}
 	}
 	if s.inv.Total() > 0 {
 		s.out.err = fmt.Errorf("%w: %v", errInvariant, s.inv.Counts())
@@ -302,7 +335,10 @@
 		return
 	}
 	for _, n := range s.nodes {
-		s.rebuild(n)
+		if n.told {
+			n.told = false
+			s.rebuild(n)
+		}
 		s.judge(n)
 	}
 	s.propose(second)
@@ -312,19 +348,37 @@
 	if s.scope != ownEvidence {
 		s.exchangeStops()
 	}
+	running := func(n *node) bool { return len(n.stops) == 0 }
+	if s.settled == 0 && !slices.ContainsFunc(s.nodes, running) {
+		s.settled = second
+	}
 }
 
+// rebuild makes the snapshot that places requests. The model is named by the
+// request, so placement depends on the bundle and the notices alone.
 func (s *simulation) rebuild(n *node) {
-	q := routing.Quality{Ratings: n.table.Totals(), RatingUp: true}
-	n.snapshot = routing.Build(s.bundle, 1, n.stops, q)
+	n.snapshot = routing.Build(s.bundle, 1, n.stops, routing.Quality{RatingUp: true})
 }
 
+// judged returns the snapshot with the ratings that the node knows.
+func (s *simulation) judged(n *node) *routing.Snapshot {
+	return routing.Build(s.bundle, 1, n.stops, routing.Quality{Ratings: n.table.Totals(), RatingUp: true})
+}
+
+// judge runs the tests of the router. A full evaluation is left out when the
+// bound of the evidence shows that it can neither fire nor be the largest.
 func (s *simulation) judge(n *node) {
-	if s.scope == timerOnly || n.tested == n.table.Version() {
+	if s.scope == timerOnly || n.tested == n.table.Version() || len(n.stops) > 0 {
 		return
 	}
 	n.tested = n.table.Version()
-	for _, v := range n.snapshot.Verdicts(s.test) {
+	bound := s.test.WorseBound(s.trialCounters(n))
+	fires := bound >= -math.Log(s.test.Level)
+	if !fires && (s.failures > 0 || bound <= s.out.largest) {
+		return
+	}
+	snapshot := s.judged(n)
+	for _, v := range snapshot.Verdicts(s.test) {
 		if v.Cause == routing.CauseWorse {
 			s.out.stopped = true
 			n.stops = append(n.stops, v.Stop)
@@ -332,11 +386,19 @@
 		}
 	}
 	if s.failures == 0 {
-		e := s.test.Worse(n.snapshot.Trial(&s.bundle.Rollouts[0]))
+		e := s.test.Worse(snapshot.Trial(&s.bundle.Rollouts[0]))
 		s.out.largest = math.Max(s.out.largest, e.LogE)
 	}
 }
 
+// trialCounters returns the ratings of candidate and base that the node knows.
+func (s *simulation) trialCounters(n *node) (candidate, base stats.Counter) {
+	if s.separate {
+		return s.judged(n).Trial(&s.bundle.Rollouts[0])
+	}
+	return n.table.Pooled(s.keys["2"]), n.table.Pooled(s.keys["1"])
+}
+
 // propose asks the first router whether the roll-out may grow. With per-router
 // evidence it sees only its share of the ratings, so it asks for as much less.
 func (s *simulation) propose(second int) {
@@ -347,7 +409,7 @@
 	if s.scope != pooledEvidence {
 		rule.RatingsPerStep /= uint64(len(s.nodes))
 	}
-	if g := s.nodes[0].snapshot.Growth("r", rule); g.Hold == "" {
+	if g := s.judged(s.nodes[0]).Growth("r", rule); g.Hold == "" {
 		s.growAt = second + configSeconds
 	}
 }
@@ -402,7 +464,7 @@
 		}
 		for _, other := range s.nodes {
 			if len(other.stops) == 0 {
-				other.stops = n.stops
+				other.stops, other.told = n.stops, true
 			}
 		}
 		return
@@ -427,7 +489,13 @@
 		}
 	}
 	if s.rng.Float64() < w.RatedShare {
-		key := routing.RatingKey(&req, &decision, rating)
-		s.due = append(s.due, dueRating{second + w.RatingDelaySeconds, i, key, rating})
+		s.due = append(s.due, dueRating{second + w.RatingDelaySeconds, i, s.key(&req, &decision, rating), rating})
+	}
+}
+
+func (s *simulation) key(req *routing.Request, d *routing.Decision, rating float64) routing.Key {
+	if s.separate || d.Rollout == "" {
+		return routing.RatingKey(req, d, rating)
 	}
+	return s.keys[d.Version]
 }
