Simulate the roll-outs of all seeds at once

The workers waited for the slowest of six roll-outs after each seed and kind of bad version, the timer variant was simulated once per kind of bad version although nothing reads its ratings, and Growth was asked when the number of ratings already held it. New variant: the product at a measured rate of false stops of 1%, as the per-router variants have it.

--- a/daemon/bench/exposure.go
+++ b/daemon/bench/exposure.go
@@ -25,6 +25,9 @@
 	// settleSeconds is the time that a roll-out is followed after every router has
 	// stopped the candidate, so that the moves of its sessions are checked too.
 	settleSeconds = 60
+	// calibrationSeed is the first seed of the good roll-outs; those of the bad
+	// ones are lower.
+	calibrationSeed = 1_000_000
 	// configSeconds is the time until a new step of a roll-out is in force.
 	configSeconds = 10
 
@@ -50,6 +53,10 @@
 
 var scopeNames = [...]string{"product", "per-router", "per-router with notices", "timer"}
 
+// calibratedProduct runs the product's test at the level of the per-router
+// variants' rate of false stops.
+const calibratedProduct = "product at a rate of 1%"
+
 // trial is one simulated roll-out.
 type trial struct {
 	workload *Workload
@@ -119,9 +126,15 @@
 			// Notices change nothing while no version is stopped.
 			t.test.Level = level
 		}
-		if err := exposureRows(ctx, report, t, o); err != nil {
+		if err := exposureRows(ctx, report, t, scopeNames[scope], o); err != nil {
 			return err
 		}
+		if scope == pooledEvidence {
+			t.test.Level = level
+			if err := exposureRows(ctx, report, t, calibratedProduct, o); err != nil {
+				return err
+			}
+		}
 	}
 	for _, failures := range w.Rollout.FailureShares {
 		name := exposedName(failures)
@@ -155,7 +168,7 @@
 // which at most 1% would have been stopped.
 func calibrate(ctx context.Context, t trial, runs int) (fired int, level float64, err error) {
 	t.test.Level, level = math.SmallestNonzeroFloat64, t.test.Level
-	outcomes, err := runTrials(ctx, t, 1_000_000, runs)
+	outcomes, err := runJobs(ctx, jobsOf(t, calibrationSeed, runs))
 	if err != nil {
 		return 0, 0, err
 	}
@@ -174,42 +187,76 @@
 	return fired, math.Min(1, math.Exp(-threshold)), nil
 }
 
-func exposureRows(ctx context.Context, report *Report, t trial, o Options) error {
+// exposureRows runs the bad versions of all seeds at once, to keep every
+// processor busy.
+func exposureRows(ctx context.Context, report *Report, t trial, variant string, o Options) error {
+	shares := t.workload.Rollout.FailureShares
+	simulated := shares
+	if t.scope == timerOnly {
+		// Nothing looks at the ratings, so all bad versions are exposed alike.
+		simulated = shares[:1]
+	}
+	var jobs []job
 	for _, seed := range o.Seeds {
-		row := Row{Measure: "exposure", Deployment: t.workload.Name, Variant: scopeNames[t.scope], Seed: seed}
-		for _, failures := range t.workload.Rollout.FailureShares {
-			t.failures = failures
-			outcomes, err := runTrials(ctx, t, seed*1000, badRuns)
-			if err != nil {
-				return err
-			}
-			exposed, stopped := 0, 0
-			for _, r := range outcomes {
-				exposed += r.exposed
-				if r.stopped {
-					stopped++
-				}
-			}
-			row.Values = append(row.Values,
-				Value{exposedName(failures), "", float64(exposed) / badRuns},
-				Value{fmt.Sprintf("stopped, %.0f%% failures", failures*100), "", float64(stopped) / badRuns})
+		for _, t.failures = range simulated {
+			jobs = append(jobs, jobsOf(t, seed*1000, badRuns)...)
+		}
+	}
+	outcomes, err := runJobs(ctx, jobs)
+	if err != nil {
+		return err
+	}
+	for i, seed := range o.Seeds {
+		row := Row{Measure: "exposure", Deployment: t.workload.Name, Variant: variant, Seed: seed}
+		for j, failures := range shares {
+			group := i*len(simulated) + min(j, len(simulated)-1)
+			row.Values = append(row.Values, exposureValues(outcomes[group*badRuns:][:badRuns], failures)...)
 		}
 		report.Rows = append(report.Rows, row)
 	}
 	return nil
 }
 
-// runTrials runs the roll-out with consecutive seeds.
-func runTrials(ctx context.Context, t trial, seed uint64, runs int) ([]outcome, error) {
-	out := make([]outcome, runs)
+func exposureValues(outcomes []outcome, failures float64) []Value {
+	exposed, stopped := 0, 0
+	for _, r := range outcomes {
+		exposed += r.exposed
+		if r.stopped {
+			stopped++
+		}
+	}
+	return []Value{
+		{exposedName(failures), "", float64(exposed) / badRuns},
+		{fmt.Sprintf("stopped, %.0f%% failures", failures*100), "", float64(stopped) / badRuns},
+	}
+}
+
+// job is one roll-out with its seed.
+type job struct {
+	trial trial
+	seed  uint64
+}
+
+// jobsOf returns the roll-out with consecutive seeds.
+func jobsOf(t trial, seed uint64, runs int) []job {
+	out := make([]job, runs)
+	for i := range out {
+		out[i] = job{t, seed + uint64(i)}
+	}
+	return out
+}
+
+// runJobs simulates as many roll-outs at one time as there are processors.
+func runJobs(ctx context.Context, jobs []job) ([]outcome, error) {
+	out := make([]outcome, len(jobs))
 	var wait sync.WaitGroup
 	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
-	for i := range out {
+	for i, j := range jobs {
+		slots <- struct{}{}
 		wait.Go(func() {
-			slots <- struct{}{}
 			defer func() { <-slots }()
 			if ctx.Err() == nil {
-				out[i] = newSimulation(t, seed+uint64(i)).run()
+				out[i] = newSimulation(j.trial, j.seed).run()
 			}
 		})
 	}
@@ -402,13 +449,18 @@
 // propose asks the first router whether the roll-out may grow. With per-router
 // evidence it sees only its share of the ratings, so it asks for as much less.
 func (s *simulation) propose(second int) {
-	if s.growAt > 0 || s.scope == timerOnly {
+	r := &s.bundle.Rollouts[0]
+	if s.growAt > 0 || s.scope == timerOnly || r.Step+1 >= len(r.Steps) {
 		return
 	}
 	rule := routing.GrowthRule{RatingsPerStep: s.workload.Rollout.RatingsPerStep, Test: routing.DefaultStopTest()}
 	if s.scope != pooledEvidence {
 		rule.RatingsPerStep /= uint64(len(s.nodes))
 	}
+	if candidate, _ := s.trialCounters(s.nodes[0]); candidate.Count < rule.RatingsPerStep*uint64(r.Step+1) {
+		// Growth would hold for few ratings.
+		return
+	}
 	if g := s.judged(s.nodes[0]).Growth("r", rule); g.Hold == "" {
 		s.growAt = second + configSeconds
 	}
