--- a/daemon/bench/cost.go
+++ b/daemon/bench/cost.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
+	"slices"
+	"sync"
 	"time"
 
 	"cactusknot.example/coord/invariant"
@@ -64,13 +67,12 @@
 	if err != nil {
 		return report, err
 	}
+	rows, err := costRuns(ctx, workloads, o)
+	if err != nil {
+		return report, err
+	}
+	report.Rows = rows
 	for _, w := range workloads {
-		for _, seed := range o.Seeds {
-			if ctx.Err() != nil {
-				return report, ctx.Err()
-			}
-			costRun(&report, w, seed, int(costRequests*o.Scale))
-		}
 		report.atMost(w.Name, "product workspaces below target", 0, report.worst(w.Name, "product", "workspaces below target"))
 		report.atMost(w.Name, "product cost / oracle per kind", costBoundOracle, report.worst(w.Name, "product", "cost / oracle per kind"))
 		report.atMost(w.Name, "product cost / oracle", costBoundOracle, report.worst(w.Name, "product", "cost / oracle"))
@@ -79,7 +81,25 @@
 	return report, nil
 }
 
-func costRun(report *Report, w *Workload, seed uint64, n int) {
+// costRuns runs as many deployments and seeds at one time as there are processors.
+func costRuns(ctx context.Context, workloads []*Workload, o Options) ([]Row, error) {
+	parts := make([][]Row, len(workloads)*len(o.Seeds))
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for i := range parts {
+		slots <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-slots }()
+			if ctx.Err() == nil {
+				parts[i] = costRun(workloads[i/len(o.Seeds)], o.Seeds[i%len(o.Seeds)], int(costRequests*o.Scale))
+			}
+		})
+	}
+	wait.Wait()
+	return slices.Concat(parts...), ctx.Err()
+}
+
+func costRun(w *Workload, seed uint64, n int) []Row {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	drafts := make([]draft, n)
 	for i := range drafts {
@@ -98,10 +118,11 @@
 		{"oracle", oracleBill(w, drafts, false)},
 	}
 	last := len(bills) - 1
+	var rows []Row
 	reference, perKind, top := bills[last].bill.cost, bills[last-1].bill.cost, bills[1].bill.cost
 	for _, b := range bills {
 		margin, missed := b.bill.margin(w)
-		report.Rows = append(report.Rows, Row{
+		rows = append(rows, Row{
 			Measure: "cost", Deployment: w.Name, Variant: b.variant, Seed: seed,
 			Values: []Value{
 				{"cost per request", "millionths", b.bill.cost / float64(n)},
@@ -113,6 +134,7 @@
 			},
 		})
 	}
+	return rows
 }
 
 func fixedBill(w *Workload, drafts []draft, model int) *bill {
