Give cold agents requests while they have a free place

Cause: the cost compared a cold agent by its speed, and one request of a limit of two is half a load.

Change: while a cold agent has a free place its speed is not counted and its estimated load is halved.

--- a/daemon/balance/balance_test.go
+++ b/daemon/balance/balance_test.go
@@ -209,3 +209,24 @@
 		t.Errorf("without an answer length: %v", plain)
 	}
 }
+
+// Guards against a cold agent that is never chosen because it is slow, so that
+// its ramp never opens, and against one that is chosen without a free place.
+func TestColdAgentGetsRequests(t *testing.T) {
+	const n = 2000
+	agents := testAgents(6)
+	for i := range agents {
+		agents[i].TokenIntervalMS = 30
+	}
+	cold := &agents[0]
+	cold.Phase, cold.Limit, cold.Free = limit.Cold, 2, 1
+	cold.FirstTokenMS, cold.TokenIntervalMS = 400, 120
+	r := Request{Target: "m@1", Tokens: 200}
+	if got := counts(NewSnapshot(Config{}, agents, Exclusion{}), n, r); got["vm-0"] == 0 {
+		t.Errorf("chosen %v", got)
+	}
+	cold.Free = 0
+	if got := counts(NewSnapshot(Config{}, agents, Exclusion{}), n, r); got["vm-0"] > 0 {
+		t.Errorf("full: chosen %v", got)
+	}
+}
--- a/daemon/balance/choose.go
+++ b/daemon/balance/choose.go
@@ -5,14 +5,15 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"cactusknot.example/coord/limit"
 )
 
 const (
 	// suspectedPenalty makes a suspected agent a last resort.
 	suspectedPenalty = 1000
 	// minSpeed and maxSpeed bound the ratio of an agent's first-token time and
-	// time between tokens to the median. Without the upper bound a cold agent would get no requests and its
-	// ramp would never open.
+	// time between tokens to the median, so that one report never dominates.
 	minSpeed = 0.7
 	maxSpeed = 2
 	// fullPenalty is added to the load of an agent without an estimated free place,
@@ -27,6 +28,10 @@
 	// bounds the expected length: callers set max_tokens far above most answers.
 	answerPart        = 0.4
 	maxExpectedTokens = 400
+	// coldLoadFactor lowers the estimated load of a cold agent with a free place, and
+	// its speed is not counted: its ramp opens only by completions. Compared by
+	// speed, a replaced engine got 1 to 12 requests in two minutes and stayed cold.
+	coldLoadFactor = 0.5
 	// fixedStepPart is the part of the time between tokens that does not depend on
 	// the load. Parts of 0.15 to 0.5 gave the same latency within the range of the
 	// seeds (docs/decisions/load-and-limits.md).
@@ -182,27 +187,39 @@
 // and the network.
 func (s *Snapshot) cost(a *Agent, now time.Time, p *pool, r Request) float64 {
 	load := s.load(a, now, p)
+	speed, interval := p.speed(a), p.intervalMS(a)
+	if a.Phase == limit.Cold && load <= 1 {
+		speed, interval = 1, p.typicalIntervalMS
+		load *= coldLoadFactor
+	}
 	if load > 1 {
 		load += fullPenalty * (load - 1)
 	}
-	speed := 1.0
-	if a.FirstTokenMS > 0 {
-		speed = min(max(a.FirstTokenMS/p.typicalMS, minSpeed), maxSpeed)
-	}
-	cost := p.typicalMS*speed*load + p.decodeMS(a, r, load) + s.cfg.DistanceMS[min(a.Distance, OtherRegion)]
+	step := interval * (fixedStepPart + (1-fixedStepPart)*load)
+	cost := p.typicalMS*speed*load + r.expectedTokens()*step + s.cfg.DistanceMS[min(a.Distance, OtherRegion)]
 	if a.Suspicion >= 1 {
 		cost *= suspectedPenalty
 	}
 	return cost * (1 + a.Suspicion)
 }
 
-// decodeMS estimates the time of the answer after its first token in ms, at the
-// estimated load.
-func (p *pool) decodeMS(a *Agent, r Request, load float64) float64 {
-	interval := p.typicalIntervalMS
-	if a.TokenIntervalMS > 0 {
-		interval = min(max(a.TokenIntervalMS, minSpeed*interval), maxSpeed*interval)
-	}
-	tokens := min(answerPart*float64(r.Tokens), maxExpectedTokens)
-	return tokens * interval * (fixedStepPart + (1-fixedStepPart)*load)
+// speed is the ratio of an agent's first-token time to the typical one.
+func (p *pool) speed(a *Agent) float64 {
+	if a.FirstTokenMS <= 0 {
+		return 1
+	}
+	return min(max(a.FirstTokenMS/p.typicalMS, minSpeed), maxSpeed)
+}
+
+// intervalMS is the time between tokens of an agent; the typical one when unknown.
+func (p *pool) intervalMS(a *Agent) float64 {
+	if a.TokenIntervalMS <= 0 {
+		return p.typicalIntervalMS
+	}
+	return min(max(a.TokenIntervalMS, minSpeed*p.typicalIntervalMS), maxSpeed*p.typicalIntervalMS)
+}
+
+// expectedTokens estimates the length of the answer.
+func (r Request) expectedTokens() float64 {
+	return min(answerPart*float64(r.Tokens), maxExpectedTokens)
 }
