Do not count a pause of the observer as silence of its peers

Cause: a paused router suspected all peers when it woke, since the whole pause counted as their silence.

Change: the observer reports that it runs; a gap of the smallest timeout or more moves the latest observations by the gap, so each peer keeps the level that it had before the pause. The router reports at each state and each turn of its control loop.

Test: a live peer is not suspected after a pause of an hour, a silent one stays suspected, and the timeout does not learn the pause.

--- a/coord/suspect/suspect.go
+++ b/coord/suspect/suspect.go
@@ -44,6 +44,8 @@
 
 	mu    sync.RWMutex
 	peers map[string]*peer
+	// awake is the time of the latest call of Awake.
+	awake time.Time
 }
 
 type peer struct {
@@ -61,6 +63,27 @@
 	return &Detector{cfg: cfg, peers: make(map[string]*peer)}, nil
 }
 
+// Awake tells that the observer runs at now. The observer calls it at intervals
+// well below Min, and before Observe and Level. A gap of Min or more means that the
+// observer itself was paused: the gap does not count as silence of the peers, and
+// a peer has the level that it had before the pause.
+func (d *Detector) Awake(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	gap := now.Sub(d.awake)
+	known := !d.awake.IsZero()
+	d.awake = now
+	if !known || gap < d.cfg.Min {
+		return
+	}
+	for _, p := range d.peers {
+		p.last = p.last.Add(gap)
+		if p.last.After(now) {
+			p.last = now
+		}
+	}
+}
+
 // Observe records a reply of the peer at now. A time before the last reply is
 // ignored.
 func (d *Detector) Observe(name string, now time.Time) {
--- a/coord/suspect/suspect_test.go
+++ b/coord/suspect/suspect_test.go
@@ -64,3 +64,43 @@
 		t.Error("bad bounds accepted")
 	}
 }
+
+// Guards against suspicion of all peers after a pause of the observer, against a
+// timeout that learns the pause, and against a pause that clears the suspicion of
+// a silent peer or delays it by more than one timeout.
+func TestPauseOfTheObserver(t *testing.T) {
+	d, _ := New(bounds)
+	const tick = 100 * time.Millisecond
+	now := time.Unix(0, 0)
+	run := func(n int, peers ...string) {
+		for range n {
+			now = now.Add(tick)
+			d.Awake(now)
+			for _, name := range peers {
+				d.Observe(name, now)
+			}
+		}
+	}
+	run(100, "live", "dead")
+	run(20, "live")
+	before := d.Level("dead", now)
+	if before < Suspected {
+		t.Fatalf("dead peer at level %v", before)
+	}
+	now = now.Add(time.Hour)
+	d.Awake(now)
+	if level := d.Level("live", now); level >= Suspected {
+		t.Errorf("level %v of a live peer after the pause", level)
+	}
+	if level := d.Level("dead", now); level < Suspected {
+		t.Errorf("dead peer at level %v after the pause", level)
+	}
+	d.Observe("live", now)
+	if got := d.Timeout("live"); got != bounds.Min {
+		t.Errorf("timeout %v after the pause", got)
+	}
+	run(int(bounds.Min / tick))
+	if level := d.Level("live", now); level < Suspected {
+		t.Errorf("peer silent since the pause at level %v", level)
+	}
+}
--- a/daemon/router/control.go
+++ b/daemon/router/control.go
@@ -175,6 +175,7 @@
 		return
 	}
 	now := c.router.Clock.Now()
+	c.suspicion.Awake(now)
 	c.suspicion.Observe(e.from.vm, now)
 	c.router.Keeper.Heard(e.state.GetBundleVersion(), e.from.vm)
 	c.router.Keeper.Contact(e.from.dataCentre, now)
@@ -284,6 +285,7 @@
 
 // publish builds a new view when something changed.
 func (c *controller) publish() {
+	c.suspicion.Awake(c.router.Clock.Now())
 	current := c.router.Keeper.Current()
 	if current == nil || (!c.staleRoutes && !c.staleView) {
 		return
