Report the p99 on reduced capacity in the recovery scenario

Change: the scenario also prints the p99 on the remaining servers and while the new ones warm up, over the p99 before the fault. The bound is unchanged.

--- a/daemon/bench/queueing/recovery.go
+++ b/daemon/bench/queueing/recovery.go
@@ -60,6 +60,12 @@
 	// with failures counted as longest, is back to normal for three windows. It is
 	// the whole rest of the run when that never happens.
 	TimeToNormal time.Duration
+	// Reduced is the p99 while the remaining servers carry the load, from two
+	// windows after the fault until the new servers start, over the p99 before the
+	// fault. Near normalFactor, TimeToNormal depends on chance.
+	Reduced float64
+	// Warming is the same from the start of the new servers to the end.
+	Warming float64
 	// Counts are the requests from one deadline before the fault, so that requests
 	// in progress at the fault count too.
 	Counts Counts
@@ -126,6 +132,8 @@
 	return RecoveryResult{
 		Policy:             p.Name,
 		TimeToNormal:       r.timeToNormal(c.record),
+		Reduced:            r.overNormal(c.record, r.Fault+2*recoveryWindow, r.Replaced),
+		Warming:            r.overNormal(c.record, r.Replaced, r.End),
 		Counts:             c.record.counts(r.Fault-c.workload.Deadline, r.End),
 		Amplification:      float64(c.record.attempts) / float64(c.record.started),
 		WorstAmplification: c.record.worstAmplification(r.Fault, r.End),
@@ -136,9 +144,19 @@
 	}, nil
 }
 
-func (r Recovery) timeToNormal(rec *record) time.Duration {
+// normal is the p99 before the fault.
+func (r Recovery) normal(rec *record) time.Duration {
 	const warmUp = 20 * time.Second
-	normal := rec.p99WithFailures(warmUp, r.Fault)
+	return rec.p99WithFailures(warmUp, r.Fault)
+}
+
+// overNormal is the p99 of [from, to) over that before the fault.
+func (r Recovery) overNormal(rec *record, from, to time.Duration) float64 {
+	return float64(rec.p99WithFailures(from, to)) / float64(r.normal(rec))
+}
+
+func (r Recovery) timeToNormal(rec *record) time.Duration {
+	normal := r.normal(rec)
 	run := 0
 	for from := r.Fault; from+recoveryWindow <= r.End; from += recoveryWindow {
 		p99 := rec.p99WithFailures(from, from+recoveryWindow)
--- a/daemon/bench/queueing/scenario_bench_test.go
+++ b/daemon/bench/queueing/scenario_bench_test.go
@@ -139,6 +139,8 @@
 			for _, results := range eachSeed(b, scenario.Run) {
 				for _, r := range results {
 					t.add(r.Policy, "to normal s", r.TimeToNormal.Seconds())
+					t.add(r.Policy, "p99 reduced", r.Reduced)
+					t.add(r.Policy, "p99 warming", r.Warming)
 					t.add(r.Policy, "not served", float64(r.Counts.Requests-r.Counts.InTime))
 					t.add(r.Policy, "refused", float64(r.Counts.Refused))
 					t.add(r.Policy, "broken", float64(r.Counts.Broken))
@@ -150,7 +152,7 @@
 					t.add(r.Policy, "violations", float64(r.Violations))
 				}
 			}
-			t.print(name+", "+d.Name, "to normal s", "not served", "refused", "broken", "timed out", "amplification", "worst 5 s",
+			t.print(name+", "+d.Name, "to normal s", "p99 reduced", "p99 warming", "not served", "refused", "broken", "timed out", "amplification", "worst 5 s",
 				"lost+duplicates", "falls", "violations")
 		}
 	}
