--- a/daemon/bench/queueing/scenario_bench_test.go
+++ b/daemon/bench/queueing/scenario_bench_test.go
@@ -98,11 +98,13 @@
 				t.add(r.Policy, "amplification", r.Amplification)
 				t.add(r.Policy, "falls", float64(r.Falls))
 				t.add(r.Policy, "false colds", float64(r.Colds))
+				t.add(r.Policy, "tail on slow %", 100*r.TailOnSlow)
+				t.add(r.Policy, "by restarted", float64(r.Restarted))
 				t.add(r.Policy, "violations", float64(r.Violations))
 			}
 		}
 		t.print("latency "+d.Name+", ms", "first p50", "first p95", "first p99", "first p99/rr", "total p50", "total p95", "total p99", "total p99/rr",
-			"not served %", "amplification", "falls", "false colds", "violations")
+			"not served %", "amplification", "falls", "false colds", "tail on slow %", "by restarted", "violations")
 	}
 }
 
@@ -137,6 +139,8 @@
 			for _, results := range eachSeed(b, scenario.Run) {
 				for _, r := range results {
 					t.add(r.Policy, "to normal s", r.TimeToNormal.Seconds())
+					t.add(r.Policy, "p99 reduced", r.Reduced)
+					t.add(r.Policy, "p99 warming", r.Warming)
 					t.add(r.Policy, "not served", float64(r.Counts.Requests-r.Counts.InTime))
 					t.add(r.Policy, "refused", float64(r.Counts.Refused))
 					t.add(r.Policy, "broken", float64(r.Counts.Broken))
@@ -148,7 +152,7 @@
 					t.add(r.Policy, "violations", float64(r.Violations))
 				}
 			}
-			t.print(name+", "+d.Name, "to normal s", "not served", "refused", "broken", "timed out", "amplification", "worst 5 s",
+			t.print(name+", "+d.Name, "to normal s", "p99 reduced", "p99 warming", "not served", "refused", "broken", "timed out", "amplification", "worst 5 s",
 				"lost+duplicates", "falls", "violations")
 		}
 	}
--- a/daemon/router/control.go
+++ b/daemon/router/control.go
@@ -189,6 +189,7 @@
 		return
 	}
 	now := c.router.Clock.Now()
+	c.suspicion.Awake(now)
 	c.suspicion.Observe(e.from.vm, now)
 	c.router.Keeper.Heard(e.state.GetBundleVersion(), e.from.vm)
 	c.router.Keeper.Contact(e.from.dataCentre, now)
@@ -305,6 +306,7 @@
 
 // publish builds a new view when something changed.
 func (c *controller) publish() {
+	c.suspicion.Awake(c.router.Clock.Now())
 	current := c.router.Keeper.Current()
 	if current == nil || (!c.staleRoutes && !c.staleView) {
 		return
@@ -366,19 +368,20 @@
 		targets = []string{s.GetService()}
 	}
 	return balance.Agent{
-		VM:             record.process.VM,
-		DataCentre:     record.process.DataCentre,
-		Distance:       c.distance(record.process),
-		Phase:          phaseOf(s.GetPhase()),
-		Free:           int(s.GetFreePermits()),
-		Limit:          int(s.GetPermitLimit()),
-		At:             record.at,
-		FirstTokenMS:   float64(s.GetFirstTokenMs()),
-		Targets:        targets,
-		Prefixes:       record.prefixes,
-		Suspicion:      suspicion,
-		Flight:         record.flight,
-		FlightAtReport: record.flightAt,
+		VM:              record.process.VM,
+		DataCentre:      record.process.DataCentre,
+		Distance:        c.distance(record.process),
+		Phase:           phaseOf(s.GetPhase()),
+		Free:            int(s.GetFreePermits()),
+		Limit:           int(s.GetPermitLimit()),
+		At:              record.at,
+		FirstTokenMS:    float64(s.GetFirstTokenMs()),
+		TokenIntervalMS: float64(s.GetTokenIntervalUs()) * float64(time.Microsecond) / float64(time.Millisecond),
+		Targets:         targets,
+		Prefixes:        record.prefixes,
+		Suspicion:       suspicion,
+		Flight:          record.flight,
+		FlightAtReport:  record.flightAt,
 	}
 }
 
