Decode operators' files and emulator settings with one strict decoder

Cause: three decoders of strict JSON stood side by side, and a bundle with an unknown field got a byte offset instead of its path. Change: bundle files, workloads and emulator settings use package strict; parts and manifests keep the exact decoder, since the walk for paths would double the time of a configuration change.

--- a/daemon/bundle/manifest.go
+++ b/daemon/bundle/manifest.go
@@ -82,7 +82,7 @@
 	if len(data) > MaxManifestBytes {
 		return s, fmt.Errorf("%w: %d bytes", ErrMalformed, len(data))
 	}
-	if err := strict(data, &s); err != nil {
+	if err := decodeExact(data, &s); err != nil {
 		return s, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	_, err := s.Open()
--- a/daemon/bundle/parts.go
+++ b/daemon/bundle/parts.go
@@ -170,7 +170,7 @@
 	if HashOf(data) != hash {
 		return fmt.Errorf("%w: %s", ErrPartHash, name)
 	}
-	if err := strict(data, target); err != nil {
+	if err := decodeExact(data, target); err != nil {
 		return fmt.Errorf("part %s: %w", name, err)
 	}
 	return nil
--- a/daemon/emulate/web.go
+++ b/daemon/emulate/web.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -10,6 +9,8 @@
 	"github.com/gravitational/trace"
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
+
+	"cactusknot.example/daemon/strict"
 )
 
 // maxBodyBytes bounds request bodies of all emulators.
@@ -36,13 +37,12 @@
 
 // DecodeStrict decodes exactly one JSON value and refuses unknown fields.
 func DecodeStrict(r io.Reader, into any) error {
-	d := json.NewDecoder(r)
-	d.DisallowUnknownFields()
-	if err := d.Decode(into); err != nil {
-		return trace.BadParameter("JSON: %v", err)
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return trace.Wrap(err)
 	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return trace.BadParameter("JSON: more than one value")
+	if err := strict.Decode(data, into); err != nil {
+		return trace.BadParameter("JSON: %v", err)
 	}
 	return nil
 }
--- a/daemon/strict/strict.go
+++ b/daemon/strict/strict.go
@@ -14,12 +14,20 @@
 	"strings"
 )
 
+// ErrTrailingData: bytes follow the JSON value.
+var ErrTrailingData = errors.New("data after the JSON value")
+
 // FieldError names the path of a field and what is wrong with it.
 type FieldError struct {
 	Path   string
 	Reason string
+	// Err is the cause, or nil.
+	Err error
 }
 
+// Unwrap returns the cause.
+func (e *FieldError) Unwrap() error { return e.Err }
+
 // Error returns "path: reason".
 func (e *FieldError) Error() string {
 	if e.Path == "" {
@@ -29,11 +37,11 @@
 }
 
 // Decode parses data into v, a pointer to a struct with json tags. The first
-// problem is returned as a *FieldError.
+// problem is returned as a *FieldError, which may wrap ErrTrailingData.
 func Decode(data []byte, v any) error {
 	var raw any
 	if err := single(data, &raw); err != nil {
-		return &FieldError{Reason: err.Error()}
+		return &FieldError{Reason: err.Error(), Err: err}
 	}
 	if err := unknown("", raw, reflect.TypeOf(v).Elem()); err != nil {
 		return err
@@ -47,7 +55,7 @@
 		return err
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("data after the JSON value")
+		return ErrTrailingData
 	}
 	return nil
 }
