--- a/daemon/router/bind_test.go
+++ b/daemon/router/bind_test.go
@@ -61,3 +61,37 @@
 		})
 	}
 }
+
+// TestRefusalBeforeHome guards against "not run" for a key that has run, when the
+// router refuses a repeated call before it asks the key's home.
+func TestRefusalBeforeHome(t *testing.T) {
+	made := func(*rig) string { return uuid.Must(uuid.NewV7()).String() }
+	generated := func(g *rig) string { return g.keyAt(1) }
+	for name, c := range map[string]struct {
+		key      func(*rig) string
+		deadline string
+		before   func(*rig, *kv.Memory)
+	}{
+		"queue of charges is full": {generated, "1000", func(g *rig, _ *kv.Memory) {
+			for g.charges.Reserve() {
+			}
+		}},
+		"deadline is too soon": {generated, "1", func(*rig, *kv.Memory) {}},
+		"store is down":        {made, "1000", func(_ *rig, m *kv.Memory) { m.SetFaults(kv.Faults{Outage: true}) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, work)
+			memory, _ := g.stored()
+			key := c.key(g)
+			if got := g.book(key); got.status != 200 || g.effects() != 1 {
+				t.Fatalf("first: code %d, %d effects", got.number, g.effects())
+			}
+			c.before(g, memory)
+			header := map[string]string{headerIdempotencyKey: key, headerDeadline: c.deadline}
+			got := g.call("POST", "/v1/services/tickets/book", `{}`, header)
+			if got.run == string(result.NotRun) {
+				t.Errorf("code %d says not run of a key that has run", got.number)
+			}
+		})
+	}
+}
