--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -7,7 +7,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,7 +39,8 @@
 	view        atomic.Pointer[view]
 	sequence    atomic.Uint64
 	events      chan struct{}
-	running     sync.WaitGroup
+	// running counts execute calls and detached runs.
+	running atomic.Int64
 	// stopping is set by a planned stop.
 	stopping atomic.Bool
 }
@@ -128,13 +128,25 @@
 	a.SetDraining()
 	a.admission.SetLeaving(true)
 	a.changed()
-	a.running.Wait()
+	a.awaitRunning()
 	a.handOverCharges()
 	_ = internal.Shutdown(context.Background())
 	_ = admin.Shutdown(context.Background())
 	a.Log.Info().Msg("agent stopped")
 }
 
+// awaitRunning blocks until no request runs. A WaitGroup can't be used: calls that
+// are refused, or answered from a record, still come in meanwhile.
+func (a *Agent) awaitRunning() {
+	for a.running.Load() > 0 {
+		time.Sleep(stopPoll)
+	}
+}
+
+// stopPoll is how often a planned stop looks for running requests. It is not read
+// from the clock of the agent, which tests may hold.
+const stopPoll = 20 * time.Millisecond
+
 // control is the only goroutine that builds views.
 func (a *Agent) control(ctx context.Context) {
 	for {
@@ -160,11 +172,9 @@
 		a.SetConfigured()
 	}
 	previous := a.view.Load()
-	next.since = previous.since
-	if previous.leaving != next.leaving {
-		next.since = a.Clock.Now()
-	}
 	a.view.Store(next)
+	now := a.Clock.Now()
+	previous.replaced.Store(&now)
 	a.admission.SetLeaving(next.leaving != "")
 	if previous.leaving != next.leaving || previous.version() != next.version() {
 		a.Log.Info().Uint64("bundle_version", next.version()).Str("leaving", next.leaving).Strs("loaded", next.names).Msg("state changed")
@@ -190,19 +200,18 @@
 	v := a.view.Load()
 	now := a.admission.State()
 	return &rpc.AgentState{
-		Vm:             a.settings.VM,
-		DataCentre:     a.settings.DataCentre,
-		Incarnation:    a.incarnation,
-		Sequence:       a.sequence.Add(1),
-		BundleVersion:  v.version(),
-		Phase:          phase(now.Phase),
-		FreePermits:    uint32(now.Free),
-		PermitLimit:    uint32(now.Limit),
-		QueuedTokens:   uint32(now.Tokens),
-		FirstTokenMs:   uint32(now.FirstToken / time.Millisecond),
-		Loaded:         v.names,
-		Service:        a.settings.Backend.Service,
-		CachedPrefixes: a.backend.prefixes(),
+		Vm:            a.settings.VM,
+		DataCentre:    a.settings.DataCentre,
+		Incarnation:   a.incarnation,
+		Sequence:      a.sequence.Add(1),
+		BundleVersion: v.version(),
+		Phase:         phase(now.Phase),
+		FreePermits:   uint32(now.Free),
+		PermitLimit:   uint32(now.Limit),
+		QueuedTokens:  uint32(now.Tokens),
+		FirstTokenMs:  uint32(now.FirstToken / time.Millisecond),
+		Loaded:        v.names,
+		Service:       a.settings.Backend.Service,
 	}
 }
 
@@ -221,6 +230,7 @@
 }
 
 func (a *Agent) registerMetrics() {
+	a.Metrics.NewGauge("cactusknot_bundle_version", func() float64 { return float64(a.view.Load().version()) })
 	a.Metrics.NewGauge("cactusknot_agent_running_requests", func() float64 { return float64(a.admission.State().Running) })
 	a.Metrics.NewGauge("cactusknot_agent_permit_limit", func() float64 { return float64(a.admission.State().Limit) })
 	a.Metrics.NewGauge("cactusknot_agent_cold_starts", func() float64 { return float64(a.admission.State().Colds) })
--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -25,6 +25,8 @@
 	loaded() []string
 	// prefixes returns the hashes of prompt prefixes believed to be cached.
 	prefixes() []uint64
+	// forget drops what is believed to be cached, after a restart.
+	forget()
 	// probe asks the backend server for its condition.
 	probe(ctx context.Context) (probeReport, error)
 }
@@ -43,6 +45,14 @@
 	status    int
 	tokensIn  uint64
 	tokensOut uint64
+	// charge is that of a recorded run.
+	charge *rpc.ChargeLine
+}
+
+// billable tells whether the answer is complete and not an error of the backend
+// server.
+func (r reply) billable() bool {
+	return r.err == nil && r.status > 0 && r.status < http.StatusBadRequest
 }
 
 // probeReport is the condition of a backend server.
--- a/daemon/agent/engine.go
+++ b/daemon/agent/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -15,8 +16,12 @@
 	"cactusknot.example/daemon/rpc"
 )
 
-// maxEventBytes bounds one server-sent event of an engine.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one server-sent event of an engine. With its framing it
+// must fit the 1 MiB that routers accept for one event.
+const maxEventBytes = 1<<20 - 4<<10
+
+// errNoObject: the body is the JSON value null.
+var errNoObject = errors.New("agent: body is no JSON object")
 
 // streamEnd is the data of the last event of a streamed answer.
 const streamEnd = "[DONE]"
@@ -26,7 +31,7 @@
 	settings config.Backend
 	client   *http.Client
 	versions atomic.Pointer[[]string]
-	cached   atomic.Pointer[[]uint64]
+	cached   prefixCache
 }
 
 func newEngine(settings config.Backend) *engine {
@@ -40,12 +45,9 @@
 	return nil
 }
 
-func (g *engine) prefixes() []uint64 {
-	if hashes := g.cached.Load(); hashes != nil {
-		return *hashes
-	}
-	return nil
-}
+func (g *engine) prefixes() []uint64 { return g.cached.list() }
+
+func (g *engine) forget() { g.cached.clear() }
 
 // loadReport holds the used fields of an engine's GET /load.
 type loadReport struct {
@@ -81,6 +83,7 @@
 	if response.StatusCode != http.StatusOK {
 		return reply{err: engineError(response)}
 	}
+	g.cached.used(in.GetPrefixHash())
 	if in.GetStream() {
 		return g.relayStream(ctx, response, out)
 	}
@@ -93,6 +96,9 @@
 	if err := json.Unmarshal(in.GetBody(), &fields); err != nil {
 		return nil, err
 	}
+	if fields == nil {
+		return nil, errNoObject
+	}
 	set := func(name string, value any) {
 		fields[name], _ = json.Marshal(value)
 	}
--- a/daemon/agent/server.go
+++ b/daemon/agent/server.go
@@ -38,7 +38,9 @@
 	if p := s.agent.Directory.Processes().Find(id.VM); p != nil {
 		s.agent.Keeper.Contact(p.DataCentre, s.agent.Clock.Now())
 	}
-	out := &rpc.ExchangeResponse{State: s.agent.state()}
+	state := s.agent.state()
+	state.CachedPrefixes = s.agent.backend.prefixes()
+	out := &rpc.ExchangeResponse{State: state}
 	s.agent.Keeper.Spend("exchange", proto.Size(in)+proto.Size(out))
 	return out, nil
 }
--- a/daemon/fleet/fleet.go
+++ b/daemon/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -41,6 +42,9 @@
 	DrainDelay time.Duration
 	// Fatal ends a process on a violated invariant.
 	Fatal bool
+	// OnExit, when set, is called with the exit code of each process that ends; a
+	// process ended by a signal has code -1.
+	OnExit func(name string, code int)
 	// Env is added to the environment of routers and agents, as NAME=value.
 	Env []string
 }
@@ -76,6 +80,8 @@
 	secrets   []string
 	rootKey   bundle.OperatorKey
 	addresses map[string]string
+
+	mu        sync.Mutex
 	processes map[string]*Process
 }
 
@@ -145,6 +151,9 @@
 // Admin returns the base URL of a process for operators.
 func (f *Fleet) Admin(vm string) string { return "http://" + f.addresses[vm+suffixAdmin] }
 
+// Internal returns the base URL of a process for other processes.
+func (f *Fleet) Internal(vm string) string { return "https://" + f.addresses[vm+suffixInternal] }
+
 // Backend returns the base URL of an agent's backend server.
 func (f *Fleet) Backend(vm string) string {
 	for _, a := range f.spec.Agents {
@@ -301,3 +310,13 @@
 	const fileMode = 0o600
 	return trace.ConvertSystemError(os.WriteFile(file, data, fileMode))
 }
+
+// VM returns the entry of a VM in the VM list.
+func (f *Fleet) VM(name string) (platform.VM, error) {
+	for _, vm := range f.vmList().VMs {
+		if vm.VM == name {
+			return vm, nil
+		}
+	}
+	return platform.VM{}, trace.NotFound("VM %s", name)
+}
--- a/daemon/router/control.go
+++ b/daemon/router/control.go
@@ -33,8 +33,14 @@
 	// exchangeInterval is the shortest interval of exchanges with one agent.
 	exchangeInterval = time.Second
 	exchangeTimeout  = 2 * time.Second
+	// busyExchanges is how many intervals pass between exchanges with an agent
+	// that replies to traffic.
+	busyExchanges = 5
 	// subsetSize bounds the agents that one router uses.
 	subsetSize = 64
+	// readyGrace is how long a router that starts waits for the first state of its
+	// agents before it takes requests all the same.
+	readyGrace = 5 * time.Second
 	// suspectMin and suspectMax bound the adaptive timeout of suspicion.
 	suspectMin = 3 * time.Second
 	suspectMax = 15 * time.Second
@@ -95,6 +101,8 @@
 	flight      *balance.Flight
 	flightAt    int
 	unreachable bool
+	// prefixes are those of the last exchange; other replies carry none.
+	prefixes []uint64
 	// asked is when the last exchange was sent.
 	asked time.Time
 }
@@ -118,6 +126,7 @@
 	spreadAt    time.Time
 	// evidencePause is the time from the last evaluation to the next.
 	evidencePause time.Duration
+	started       time.Time
 	// changedKeys are own ratings not yet handed to the keeper; spread is the
 	// table version up to which they were.
 	changedKeys map[routing.Key]bool
@@ -138,6 +147,7 @@
 		suspicion:   detector,
 		table:       stats.NewTable[routing.Key](stats.Node{Name: r.settings.VM, Incarnation: uint64(r.Clock.Now().UnixNano())}),
 		staleRoutes: true,
+		started:     r.Clock.Now(),
 		changedKeys: make(map[routing.Key]bool),
 	}
 	ticker := time.NewTicker(tickInterval)
@@ -186,6 +196,9 @@
 	if older {
 		return
 	}
+	if len(e.state.GetCachedPrefixes()) > 0 || record.state.GetIncarnation() != e.state.GetIncarnation() {
+		record.prefixes = e.state.GetCachedPrefixes()
+	}
 	record.state = e.state
 	record.at = now
 	record.flightAt = record.flight.Count()
@@ -253,7 +266,9 @@
 	now := c.router.Clock.Now()
 	c.mayExchange = min(c.mayExchange+exchangesPerSecond*tickInterval.Seconds(), exchangesPerSecond)
 	for _, record := range c.agents {
-		if now.Sub(record.at) < interval || now.Sub(record.asked) < interval {
+		// Replies to traffic carry the state but no prefixes.
+		quiet := now.Sub(record.at) >= interval
+		if now.Sub(record.asked) < interval || !quiet && now.Sub(record.asked) < busyExchanges*interval {
 			continue
 		}
 		if !record.asked.IsZero() && c.mayExchange < 1 {
@@ -302,12 +317,29 @@
 	next.servers = c.servers(next)
 	previous := c.router.view.Swap(next)
 	c.staleRoutes, c.staleView = false, false
-	c.router.SetConfigured()
+	if c.knowsAgents() {
+		c.router.SetConfigured()
+	}
 	if previous.version() != next.version() {
 		c.router.Log.Info().Uint64("bundle_version", next.version()).Int("agents", len(c.agents)).Msg("configuration in force")
 	}
 }
 
+// knowsAgents tells whether every agent of the subset has answered or failed to.
+// A router that took requests before would refuse them for want of a backend
+// server.
+func (c *controller) knowsAgents() bool {
+	if c.router.Clock.Now().Sub(c.started) > readyGrace {
+		return true
+	}
+	for _, record := range c.agents {
+		if record.state == nil && !record.unreachable {
+			return false
+		}
+	}
+	return len(c.agents) > 0
+}
+
 // servers builds the snapshot for the choice of backend servers.
 func (c *controller) servers(v *view) *balance.Snapshot {
 	now := c.router.Clock.Now()
@@ -343,7 +375,7 @@
 		At:             record.at,
 		FirstTokenMS:   float64(s.GetFirstTokenMs()),
 		Targets:        targets,
-		Prefixes:       s.GetCachedPrefixes(),
+		Prefixes:       record.prefixes,
 		Suspicion:      suspicion,
 		Flight:         record.flight,
 		FlightAtReport: record.flightAt,
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 
@@ -52,6 +53,9 @@
 	if reason != routing.ReasonNone {
 		return reason.Code().With("%s %s %s: %s", c.service, c.request.Method, c.path, reason)
 	}
+	if !utf8.ValidString(c.path) || !utf8.ValidString(c.request.Header.Get("Content-Type")) {
+		return result.BadRequest.With("path or content type is not UTF-8")
+	}
 	c.operation = operation
 	return c.identify()
 }
@@ -146,7 +150,7 @@
 		j.call.key = key
 		j.call.writer.Header().Set(headerIdempotencyKey, key.String())
 		out := r.runAtHome(ctx, j, to)
-		if out.err == nil || out.err.Code.Run != result.NotRun || !r.mayRetry(ctx, j, out) {
+		if out.err == nil || out.err.Code.Run != result.NotRun || !r.mayRetryElsewhere(ctx, j, out) {
 			return out
 		}
 		if refused := r.pause(ctx, random, j, out); refused != nil {
@@ -155,8 +159,16 @@
 	}
 }
 
+// mayRetryElsewhere also allows another attempt after an agent that started anew
+// refused the key of its predecessor.
+func (r *Router) mayRetryElsewhere(ctx context.Context, j *job, out attemptResult) bool {
+	restarted := out.err.Code == result.WrongHome && ctx.Err() == nil && j.attempts < maxAttempts
+	return restarted || r.mayRetry(ctx, j, out)
+}
+
 // runAtHome runs the call at its home. After a broken connection it asks the same
-// home again, which joins the running call or returns its recorded outcome.
+// home again, which joins the running call or returns its recorded outcome. A
+// home that answers "unknown" has said its last word.
 func (r *Router) runAtHome(ctx context.Context, j *job, home peer) attemptResult {
 	j.in.IdempotencyKey = j.call.key.String()
 	j.in.Home = home.incarnation
@@ -166,15 +178,16 @@
 		if out.err == nil {
 			return out
 		}
+		final := out.err.Code == result.OutcomeUnknown
 		unknown := out.err.Code.Run == result.Unknown
 		sent = sent || unknown
-		if sent && !unknown && !definiteRefusal(out.err.Code) {
+		if !unknown && j.call.callerKey && homeLost(out) || sent && !unknown && !definiteRefusal(out.err.Code) {
 			// An earlier attempt may have reached the home; a refusal of this one
 			// proves nothing about it.
 			out.err = result.OutcomeUnknown.With("%s", out.err)
 			unknown = true
 		}
-		if !unknown || out.err.Code == result.OutcomeUnknown && !sent || j.attempts >= maxAttempts {
+		if !unknown || final || out.err.Code == result.OutcomeUnknown && !sent || j.attempts >= maxAttempts {
 			return asOutcomeUnknown(out)
 		}
 		if r.Clock.Sleep(ctx, rejoinInterval) != nil {
@@ -183,6 +196,12 @@
 	}
 }
 
+// homeLost tells whether the attempt did not reach the incarnation that the key
+// names. An earlier call under the key may have run there.
+func homeLost(out attemptResult) bool {
+	return out.err.Code.Run == result.NotRun && (!out.refused || out.err.Code == result.WrongHome)
+}
+
 // definiteRefusal tells whether a refusal speaks about the key and not only about
 // this attempt.
 func definiteRefusal(code result.Code) bool { return code == result.KeyReused }
@@ -274,6 +293,9 @@
 	return nil
 }
 
+// started is false: the answer is sent as a whole by finish.
+func (a *serviceAnswer) started() bool { return false }
+
 func (a *serviceAnswer) finish() error {
 	header := a.call.writer.Header()
 	if a.contentType != "" {
