--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -23,11 +23,15 @@
 	"cactusknot.example/daemon/secure"
 )
 
-// Store calls of one process. 2,050 processes at this rate use at most half of
-// the store's reads when all of them are busy at once.
+// Store calls of one process per second.
 const (
-	storeCallsPerSecond = 5
-	storeCallsBurst     = 40
+	// storeCalls covers the configuration, load permits and callers' keys.
+	storeCalls = 10
+	// LedgerStoreCalls covers the collectors of a router: three calls a second for
+	// each of their shards. All 32 shards of the ledger together need 96, however
+	// many routers share them.
+	LedgerStoreCalls = 100
+	storeCallsBurst  = 40
 )
 
 // Node is the common part of a process.
@@ -73,7 +77,7 @@
 		Client:      newClient(credentials),
 	}
 	n.Check = &invariant.Checker{OnViolation: n.violated}
-	n.Store = newStore(settings.Platform.Store, n.Clock)
+	n.Store = NewStore(settings.Platform.Store, n.Clock, storeCalls)
 	n.Directory = NewDirectory(n)
 	return n, nil
 }
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -179,12 +179,9 @@
 			return out
 		}
 		final := out.err.Code == result.OutcomeUnknown
-		if j.call.callerKey && homeLost(out) {
-			out.err = result.OutcomeUnknown.With("%s", out.err)
-		}
 		unknown := out.err.Code.Run == result.Unknown
 		sent = sent || unknown
-		if sent && !unknown && !definiteRefusal(out.err.Code) {
+		if !unknown && j.call.callerKey && homeLost(out) || sent && !unknown && !definiteRefusal(out.err.Code) {
 			// An earlier attempt may have reached the home; a refusal of this one
 			// proves nothing about it.
 			out.err = result.OutcomeUnknown.With("%s", out.err)
