Halve less the load of cold agents

Cause: at a factor of 0.5 cold engines are chosen also at low load, and their slow answers lengthen the recovery after 30% of the VMs are replaced.

Conclusion: 0.7.

--- a/daemon/balance/choose.go
+++ b/daemon/balance/choose.go
@@ -30,8 +30,9 @@
 	maxExpectedTokens = 400
 	// coldLoadFactor lowers the estimated load of a cold agent with a free place, and
 	// its speed is not counted: its ramp opens only by completions. Compared by
-	// speed, a replaced engine got 1 to 12 requests in two minutes and stayed cold.
-	coldLoadFactor = 0.5
+	// speed, replaced engines got next to no requests and stayed cold. At 1 they stay
+	// cold at low load; at 0.5 more requests pass their deadline on them.
+	coldLoadFactor = 0.7
 	// fixedStepPart is the part of the time between tokens that does not depend on
 	// the load. Parts of 0.15 to 0.5 gave the same latency within the range of the
 	// seeds (docs/decisions/load-and-limits.md).
