Say not_run of a keyed call only when the key's home said so

Cause: a router that refuses a call with a caller's key before it asks the key's home (queue full, deadline, store down) answered not_run although an earlier call may have run; a caller who believes that books twice (TestRefusalBeforeHome). A router also looked for homes only among its subset of agents, and one subset of all agents left most routers without any agent of a small service. Change: code 4006 key_not_asked, 2008 no longer says not_run; an incarnation holds 16 bits of the VM's name, by which a home outside of the subset is found; subsets are taken per pool, a label in the VM list. Settings without effect are gone, weights count in hundredths, engines serve the earliest deadline first.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -24,9 +23,6 @@
 	"cactusknot.example/daemon/secure"
 )
 
-// incarnationBits is the width of an incarnation, as idempotency keys hold it.
-const incarnationBits = 48
-
 // Agent runs the agent role.
 type Agent struct {
 	*node.Node
@@ -55,7 +51,7 @@
 		Node:        common,
 		settings:    settings,
 		backend:     newBackend(settings.Backend),
-		incarnation: newIncarnation(),
+		incarnation: once.NewIncarnation(settings.VM, node.NewRand()),
 		events:      make(chan struct{}, 1),
 	}
 	a.admission, err = limit.NewAdmission(limit.AdmissionConfig{
@@ -83,11 +79,6 @@
 	return a, nil
 }
 
-func newIncarnation() uint64 {
-	// An incarnation of 0 would mean "no home".
-	return 1 + rand.Uint64N(1<<incarnationBits-1)
-}
-
 // changed makes the control goroutine publish a new view.
 func (a *Agent) changed() {
 	select {
--- a/daemon/bundle/bundle.go
+++ b/daemon/bundle/bundle.go
@@ -139,11 +139,8 @@
 	Weight float64 `json:"weight" validate:"gte=0"`
 	// MaxConcurrent bounds requests in progress on one router; 0 means the limit
 	// of the router alone.
-	MaxConcurrent int `json:"max_concurrent" validate:"gte=0"`
-	// MaxBufferBytes bounds answer bytes buffered on one router; 0 means the
-	// default of Limits.
-	MaxBufferBytes int64            `json:"max_buffer_bytes" validate:"gte=0"`
-	OnWithdrawal   WithdrawalPolicy `json:"on_withdrawal" validate:"omitempty,oneof=refuse move"`
+	MaxConcurrent int              `json:"max_concurrent" validate:"gte=0"`
+	OnWithdrawal  WithdrawalPolicy `json:"on_withdrawal" validate:"omitempty,oneof=refuse move"`
 	// ExploreShare is the share of requests that may go to another model to learn
 	// its quality, 0 to 1.
 	ExploreShare float64 `json:"explore_share" validate:"gte=0,lte=1"`
@@ -153,16 +150,8 @@
 type Limits struct {
 	// IsolatedServeSeconds is how long an isolated process goes on serving.
 	IsolatedServeSeconds int `json:"isolated_serve_seconds" validate:"gte=0"`
-	// RetryPercent is the retry budget as a share of first attempts.
-	RetryPercent int `json:"retry_percent" validate:"gte=0,lte=100"`
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64 `json:"max_body_bytes" validate:"gte=0"`
-	// WorkspaceBufferBytes bounds buffered answers of one workspace on one router.
-	WorkspaceBufferBytes int64 `json:"workspace_buffer_bytes" validate:"gte=0"`
-	// RequestBufferBytes bounds buffered answer bytes of one request.
-	RequestBufferBytes int64 `json:"request_buffer_bytes" validate:"gte=0"`
-	// LedgerShards is the number of shards of the charge ledger.
-	LedgerShards int `json:"ledger_shards" validate:"gte=0"`
 	// ConcurrentLoads bounds loads from the weight store at one time.
 	ConcurrentLoads int `json:"concurrent_loads" validate:"gte=0"`
 }
--- a/daemon/fleet/fleet.go
+++ b/daemon/fleet/fleet.go
@@ -293,7 +293,9 @@
 		list.VMs = append(list.VMs, f.vm(r.VM, platform.VMRouter, r.DataCentre))
 	}
 	for _, a := range f.spec.Agents {
-		list.VMs = append(list.VMs, f.vm(a.VM, platform.VMAgent, a.DataCentre))
+		vm := f.vm(a.VM, platform.VMAgent, a.DataCentre)
+		vm.Pool = a.ServiceName
+		list.VMs = append(list.VMs, vm)
 	}
 	return list
 }
--- a/daemon/node/directory.go
+++ b/daemon/node/directory.go
@@ -40,6 +40,8 @@
 	Region     string
 	// Address is the internal address (IP:port).
 	Address string
+	// Pool is the label of what the VM serves; empty when the list has none.
+	Pool    string
 	Leaving bool
 }
 
@@ -119,6 +121,7 @@
 			DataCentre: vm.DataCentre,
 			Region:     vm.Region,
 			Address:    vm.Address,
+			Pool:       vm.Pool,
 			Leaving:    vm.State == platform.VMLeaving,
 		})
 	}
--- a/daemon/platform/vms.go
+++ b/daemon/platform/vms.go
@@ -31,12 +31,15 @@
 
 // VM is an entry of the platform's VM list.
 type VM struct {
-	VM         string  `json:"vm"`
-	Role       VMRole  `json:"role"`
-	DataCentre string  `json:"data_centre"`
-	Region     string  `json:"region"`
-	Address    string  `json:"address"`
-	State      VMState `json:"state"`
+	VM         string `json:"vm"`
+	Role       VMRole `json:"role"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+	Address    string `json:"address"`
+	// Pool is a label given by whoever starts the VM: the name of the plain service
+	// or of the kind of engine behind an agent. Optional.
+	Pool  string  `json:"pool,omitempty"`
+	State VMState `json:"state"`
 }
 
 // VMList is the list at one revision. The list lags behind the VMs.
--- a/daemon/result/result.go
+++ b/daemon/result/result.go
@@ -78,7 +78,7 @@
 	NotReady        = add(2005, "not_ready", http.StatusServiceUnavailable, NotRun, true, "The process holds no configuration yet.")
 	Isolated        = add(2006, "isolated", http.StatusServiceUnavailable, NotRun, true, "The process can't confirm that its configuration is current.")
 	LedgerFull      = add(2007, "ledger_full", http.StatusServiceUnavailable, NotRun, true, "The queue of charges is full.")
-	KeyNeedsStore   = add(2008, "key_needs_store", http.StatusServiceUnavailable, NotRun, true, "A caller-made key can't be bound while the store is down; use the suggested key.")
+	KeyNeedsStore   = add(2008, "key_needs_store", http.StatusServiceUnavailable, Unknown, true, "A caller-made key can't be bound while the store is down; use the suggested key only if this one was never sent before.")
 	RetryBudget     = add(2009, "retry_budget_exhausted", http.StatusServiceUnavailable, NotRun, true, "The request was not run and the retry budget is used up.")
 )
 
@@ -102,6 +102,7 @@
 	DeadlinePassed = add(4003, "deadline_passed", http.StatusGatewayTimeout, Unknown, true, "The deadline passed after the request was dispatched.")
 	BackendError   = add(4004, "backend_error", http.StatusBadGateway, Unknown, true, "The backend server answered with an error.")
 	CallerGone     = add(4005, "caller_gone", 499, Unknown, false, "The caller closed the connection.")
+	KeyNotAsked    = add(4006, "key_not_asked", http.StatusServiceUnavailable, Unknown, true, "This call was not run, but the home of its key could not be asked about earlier ones; send the same key again.")
 	Internal       = add(5001, "internal", http.StatusInternalServerError, Unknown, false, "An internal error.")
 )
 
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -39,6 +39,9 @@
 	key       once.Key
 	// callerKey is true when the caller sent the key.
 	callerKey bool
+	// homeAnswered is true when the home of the key has refused the call itself,
+	// after it looked for the key's record.
+	homeAnswered bool
 
 	// release functions run in reverse order when the call ends.
 	releases []func()
--- a/daemon/router/chat.go
+++ b/daemon/router/chat.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"cactusknot.example/coord/limit"
+	"cactusknot.example/daemon/bundle"
 	"cactusknot.example/daemon/result"
 	"cactusknot.example/daemon/routing"
 )
@@ -42,7 +43,7 @@
 		prepare(c)
 	}
 	r.metrics.requests.Inc()
-	err := p.run(request.Context(), c)
+	err := c.aboutKey(p.run(request.Context(), c))
 	r.metrics.finished(err, r.Clock.Now().Sub(c.started))
 	if err != nil {
 		r.answerError(c, err)
@@ -52,7 +53,7 @@
 // admit takes a place of the workspace's fair share and the memory that a slow
 // reader of the answer can hold: the receive window of one stream.
 func (r *Router) admit(ctx context.Context, c *call) *result.Error {
-	share := limit.Share{Weight: max(int(c.workspace.Weight), 1), Max: c.workspace.MaxConcurrent}
+	share := limit.Share{Weight: weightOf(c.workspace), Max: c.workspace.MaxConcurrent}
 	release, err := r.fair.Acquire(ctx, c.workspace.Name, share, c.deadline)
 	if err != nil {
 		return admissionError(ctx, err)
@@ -66,6 +67,15 @@
 	return nil
 }
 
+// weightOf returns the workspace's weight in hundredths; the default weight is 1.
+func weightOf(w *bundle.Workspace) int {
+	const hundredths = 100
+	if w.Weight == 0 {
+		return hundredths
+	}
+	return max(int(w.Weight*hundredths), 1)
+}
+
 // place chooses model and version.
 func (r *Router) place(_ context.Context, c *call) *result.Error {
 	v := r.view.Load()
--- a/daemon/router/control.go
+++ b/daemon/router/control.go
@@ -36,7 +36,7 @@
 	// busyExchanges is how many intervals pass between exchanges with an agent
 	// that replies to traffic.
 	busyExchanges = 5
-	// subsetSize bounds the agents that one router uses.
+	// subsetSize bounds the agents of one pool that one router uses.
 	subsetSize = 64
 	// readyGrace is how long a router that starts waits for the first state of its
 	// agents before it takes requests all the same.
@@ -222,26 +222,30 @@
 	c.staleView = true
 }
 
-// refreshAgents takes over the subset of agents of the VM list when the list has
-// changed. The subset costs O(agents x routers): 30 ms for 2,050 processes.
+// refreshAgents takes over the subset of agents of each pool when the VM list has
+// changed. One subset of all agents would leave most routers without any agent of
+// a service that runs on a few VMs. The subset costs O(agents x routers): 30 ms for 2,050 processes.
 func (c *controller) refreshAgents() {
 	processes := c.router.Directory.Processes()
 	if processes == c.processes {
 		return
 	}
 	c.processes = processes
-	var routers, names []string
+	var routers []string
+	pools := make(map[string][]string)
 	for _, p := range processes.All {
 		if p.Role == secure.RoleRouter {
 			routers = append(routers, p.VM)
 		} else {
-			names = append(names, p.VM)
+			pools[p.Pool] = append(pools[p.Pool], p.VM)
 		}
 	}
 	wanted := make(map[string]bool)
-	for _, i := range balance.Subset(c.router.settings.VM, routers, names, subsetSize) {
-		wanted[names[i]] = true
-		c.keep(*processes.Find(names[i]))
+	for _, names := range pools {
+		for _, i := range balance.Subset(c.router.settings.VM, routers, names, subsetSize) {
+			wanted[names[i]] = true
+			c.keep(*processes.Find(names[i]))
+		}
 	}
 	for vm := range c.agents {
 		if !wanted[vm] {
@@ -282,16 +286,22 @@
 }
 
 func (r *Router) exchangeWith(ctx context.Context, to peer) {
+	state, err := r.askState(ctx, to)
+	if err != nil {
+		r.unreachable(to.vm)
+		return
+	}
+	r.report(to, state)
+}
+
+// askState asks an agent for its state and tells it what this router knows.
+func (r *Router) askState(ctx context.Context, to peer) (*rpc.AgentState, error) {
 	bounded, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	request := &rpc.ExchangeRequest{Router: r.settings.VM, BundleVersion: r.Keeper.Version(), Stops: r.Keeper.Stops().All()}
 	response, err := rpc.NewAgentProtobufClient("https://"+to.address, r.Client).Exchange(bounded, request)
 	r.Keeper.Spend("exchange", proto.Size(request)+proto.Size(response))
-	if err != nil {
-		r.unreachable(to.vm)
-		return
-	}
-	r.report(to, response.GetState())
+	return response.GetState(), err
 }
 
 func (c *controller) peerOf(record *agentRecord) peer {
--- a/daemon/router/dispatch.go
+++ b/daemon/router/dispatch.go
@@ -26,6 +26,9 @@
 	// it doubles up to capacityPollMax.
 	capacityPoll    = 5 * time.Millisecond
 	capacityPollMax = 200 * time.Millisecond
+	// priorityUnit is the time to the deadline that makes one step of priority; an
+	// engine serves the lowest number first, so the earliest deadline.
+	priorityUnit = 100 * time.Millisecond
 )
 
 // job is one step of a request: it runs at one backend server, tried at several
@@ -139,7 +142,9 @@
 	}
 	j.in.Attempt = j.attempts
 	j.in.BundleVersion = v.version()
-	j.in.DeadlineMs = uint32(max(j.call.remaining(r.Clock.Now()).Milliseconds(), 1))
+	remaining := max(j.call.remaining(r.Clock.Now()), time.Millisecond)
+	j.in.DeadlineMs = uint32(remaining.Milliseconds())
+	j.in.Priority = int32(remaining / priorityUnit)
 	j.attempts++
 	j.tried = append(j.tried, to.vm)
 	r.metrics.attempts.Inc()
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -11,9 +11,11 @@
 	"github.com/google/uuid"
 
 	"cactusknot.example/coord/once"
+	"cactusknot.example/daemon/balance"
 	"cactusknot.example/daemon/result"
 	"cactusknot.example/daemon/routing"
 	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/secure"
 )
 
 // servicePrefix is the path of plain services: /v1/services/{service}/{path}.
@@ -178,6 +180,7 @@
 		if out.err == nil {
 			return out
 		}
+		j.call.homeAnswered = out.refused && out.err.Code != result.WrongHome
 		final := out.err.Code == result.OutcomeUnknown
 		unknown := out.err.Code.Run == result.Unknown
 		sent = sent || unknown
@@ -202,6 +205,18 @@
 	return out.err.Code.Run == result.NotRun && (!out.refused || out.err.Code == result.WrongHome)
 }
 
+// aboutKey corrects a refusal of a call whose key may have been used before: only
+// the key's home can say that the key has not run.
+func (c *call) aboutKey(err *result.Error) *result.Error {
+	const firstCapacityCode = 2000
+	keyed := c.service != "" && c.request.Header.Get(headerIdempotencyKey) != ""
+	idempotent := c.operation != nil && c.operation.Idempotent
+	if err == nil || !keyed || idempotent || c.homeAnswered || err.Code.Run != result.NotRun || err.Code.Number < firstCapacityCode {
+		return err
+	}
+	return result.KeyNotAsked.With("%s", err)
+}
+
 // definiteRefusal tells whether a refusal speaks about the key and not only about
 // this attempt.
 func definiteRefusal(code result.Code) bool { return code == result.KeyReused }
@@ -218,7 +233,6 @@
 // homeOf finds the home of the caller's key. A key of the caller's own making is
 // bound to a home in the store first.
 func (r *Router) homeOf(ctx context.Context, j *job) (peer, *result.Error) {
-	v := r.view.Load()
 	incarnation, generated := once.Home(j.call.key)
 	if !generated {
 		bound, err := r.bind(ctx, j)
@@ -227,11 +241,30 @@
 		}
 		incarnation = bound
 	}
-	to, ok := v.peers[v.homes[incarnation]]
-	if !ok {
-		return peer{}, result.OutcomeUnknown.With("the home of the key is gone")
+	v := r.view.Load()
+	if to, ok := v.peers[v.homes[incarnation]]; ok {
+		return to, nil
+	}
+	if to, ok := r.searchHome(ctx, incarnation); ok {
+		return to, nil
+	}
+	return peer{}, result.OutcomeUnknown.With("the home of the key is gone")
+}
+
+// searchHome asks the agents outside of this router's subset whose name fits the
+// incarnation; there is one, or two by chance.
+func (r *Router) searchHome(ctx context.Context, incarnation uint64) (peer, bool) {
+	for _, p := range r.Directory.Processes().All {
+		if p.Role != secure.RoleAgent || !once.FitsName(incarnation, p.VM) {
+			continue
+		}
+		to := peer{vm: p.VM, dataCentre: p.DataCentre, address: p.Address, incarnation: incarnation, flight: &balance.Flight{}}
+		state, err := r.askState(ctx, to)
+		if err == nil && state.GetIncarnation() == incarnation {
+			return to, true
+		}
 	}
-	return to, nil
+	return peer{}, false
 }
 
 func (r *Router) bind(ctx context.Context, j *job) (uint64, *result.Error) {
