--- a/daemon/router/bind_test.go
+++ b/daemon/router/bind_test.go
@@ -1,11 +1,17 @@
 package router
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/google/uuid"
+	"github.com/rs/zerolog"
 
 	"cactusknot.example/coord/kv"
+	"cactusknot.example/coord/once"
+	"cactusknot.example/daemon/emulate"
+	"cactusknot.example/daemon/node"
+	"cactusknot.example/daemon/platform"
 	"cactusknot.example/daemon/result"
 )
 
@@ -95,3 +101,43 @@
 		})
 	}
 }
+
+// TestHomeOutsideSubset guards against "unknown" for a key whose home is alive but
+// not among the agents that this router uses, and against running it elsewhere.
+func TestHomeOutsideSubset(t *testing.T) {
+	for name, alive := range map[string]bool{"alive": true, "replaced": false} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, work)
+			home := once.NewIncarnation("far", rand.New(rand.NewPCG(1, 1)))
+			far := newFakeAgent(t, g.Settings.TLS, home, work)
+			if !alive {
+				far.incarnation++
+			}
+			vms, err := emulate.StartVMs("127.0.0.1:0", emulate.VMsConfig{VMs: []platform.VM{
+				{VM: "far", DataCentre: "dc1", Role: platform.VMAgent, Address: far.address, State: platform.VMLive},
+				{VM: "other", DataCentre: "dc1", Role: platform.VMAgent, Address: "127.0.0.1:1", State: platform.VMLive},
+			}}, zerolog.Nop())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(vms.Close)
+			g.Settings.Platform.VMList = vms.URL()
+			g.Directory = node.NewDirectory(g.Node)
+			g.Directory.Refresh(t.Context())
+			key, err := g.keys.New(home)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := g.book(key.String())
+			if alive && (got.status != 200 || far.effects.Load() != 1) {
+				t.Errorf("code %d, %d effects at the home", got.number, far.effects.Load())
+			}
+			if !alive && (got.number != result.OutcomeUnknown.Number || far.effects.Load() != 0) {
+				t.Errorf("code %d, %d effects at the new incarnation", got.number, far.effects.Load())
+			}
+			if g.effects() != 0 {
+				t.Error("another agent ran the call")
+			}
+		})
+	}
+}
--- a/daemon/router/rig_test.go
+++ b/daemon/router/rig_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"crypto/ed25519"
 	"encoding/base64"
 	"encoding/json"
@@ -167,7 +168,12 @@
 		t.Fatal(err)
 	}
 	f := &fakeAgent{incarnation: incarnation, free: 100}
+	exchange := rpc.NewAgentServer(f)
 	f.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, rpc.AgentPathPrefix) {
+			exchange.ServeHTTP(w, r)
+			return
+		}
 		f.calls.Add(1)
 		data, _ := io.ReadAll(r.Body)
 		in := &rpc.ExecuteRequest{}
@@ -188,6 +194,11 @@
 	return f
 }
 
+// Exchange implements rpc.Agent.
+func (f *fakeAgent) Exchange(context.Context, *rpc.ExchangeRequest) (*rpc.ExchangeResponse, error) {
+	return &rpc.ExchangeResponse{State: &rpc.AgentState{Incarnation: f.incarnation}}, nil
+}
+
 // versions returns the versions of the requests seen.
 func (f *fakeAgent) versions() string {
 	f.mu.Lock()
