Count the holders of a charge from the time of its line

Both holders were killed after the answer, which the check allows, but it compared the router's end with the reader's. It now takes the time of the router's log line.

--- a/daemon/soak/checks_charge.go
+++ b/daemon/soak/checks_charge.go
@@ -138,20 +138,25 @@
 		if lines > 1 {
 			c.add(calls[0].RequestID, "booking %s is billed %d times", ref, lines)
 		}
-		if done != nil && lines == 0 && !unknown && !c.lost(done.Router, c.ranAt(ids), done.Ended) {
-			c.add(done.RequestID, "booking %s, answered at %s through %s and run by %s, has no charge", ref, c.clock(done.Ended), done.Router, c.ranAt(ids))
+		if done == nil || lines > 0 || unknown {
+			continue
+		}
+		if vm, at := c.ranAt(ids, done); !c.lost(done.Router, vm, at) {
+			c.add(done.RequestID, "booking %s, answered at %s through %s and run by %s, has no charge", ref, c.clock(at), done.Router, vm)
 		}
 	}
 }
 
-// ranAt returns the agent that completed one of the requests.
-func (c *charges) ranAt(ids map[string]bool) string {
+// ranAt returns the agent that completed one of the requests and the time at which
+// the router of the call had its line. A slow reader ends its call later; when the
+// router's log does not say, that is the best known time.
+func (c *charges) ranAt(ids map[string]bool, call *Call) (string, time.Time) {
 	for _, a := range c.Attempts {
-		if ids[a.RequestID] && a.Code == 0 {
-			return a.VM
+		if ids[a.RequestID] && a.Code == 0 && a.Router == call.Router {
+			return a.VM, a.At
 		}
 	}
-	return ""
+	return "", call.Ended
 }
 
 // checkAnswered: a chat request with a whole answer has a line.
@@ -161,8 +166,8 @@
 		if call.Booking || call.Outcome != OutcomeOK || len(c.stored[call.RequestID]) > 0 {
 			continue
 		}
-		if vm := c.ranAt(map[string]bool{call.RequestID: true}); !c.lost(call.Router, vm, call.Ended) {
-			c.add(call.RequestID, "%s, answered at %s through %s, has no charge", call.Class, c.clock(call.Ended), call.Router)
+		if vm, at := c.ranAt(map[string]bool{call.RequestID: true}, call); !c.lost(call.Router, vm, at) {
+			c.add(call.RequestID, "%s, answered at %s through %s, has no charge", call.Class, c.clock(at), call.Router)
 		}
 	}
 }
--- a/daemon/soak/soak_test.go
+++ b/daemon/soak/soak_test.go
@@ -260,6 +260,14 @@
 				{Process: "router-a", At: at(11), Code: -1, Expected: true}, {Process: "engine-a1", At: at(12), Code: -1, Expected: true},
 			}
 		},
+		// The router had the line at 10 s; the caller read until 11.5 s.
+		"a line lost with all its holders during a slow read": func(e *Evidence) {
+			e.Ledger.Stored = e.Ledger.Stored[1:]
+			e.Calls[0].Ended = at(11.5)
+			e.Exits = []Exit{
+				{Process: "router-a", At: at(11), Code: -1, Expected: true}, {Process: "engine-a1", At: at(12), Code: -1, Expected: true},
+			}
+		},
 		"an answer cut by a killed router": func(e *Evidence) {
 			e.Calls[0].Outcome = OutcomeCut
 			e.Faults = append(e.Faults, Interval{Kind: KillProcess, Target: "router-a", From: at(10.4), To: at(11)})
