--- a/daemon/router/charge_test.go
+++ b/daemon/router/charge_test.go
@@ -75,6 +75,7 @@
 func (g *rig) stored() (*kv.Memory, *collectorSet) {
 	memory := kv.NewMemory(clock.System{}, rand.NewPCG(1, 1))
 	g.Store = kv.NewClient(memory, kv.ClientConfig{Clock: clock.System{}, Random: rand.NewPCG(1, 2), CallsPerSecond: 1000, Burst: 1000})
+	g.ledgerStore = g.Store
 	ctx, cancel := context.WithCancel(context.Background())
 	g.t.Cleanup(cancel)
 	return memory, newCollectorSet(ctx, g.Router)
