--- a/daemon/node/directory.go
+++ b/daemon/node/directory.go
@@ -22,11 +22,8 @@
 
 func dialer() *net.Dialer { return &net.Dialer{Timeout: dialTimeout} }
 
-func newStore(url string, clk clock.Clock, role secure.Role) *kv.Client {
-	calls := float64(agentStoreCalls)
-	if role == secure.RoleRouter {
-		calls = routerStoreCalls
-	}
+// NewStore returns a client of the store with its own budget of calls a second.
+func NewStore(url string, clk clock.Clock, calls float64) *kv.Client {
 	return kv.NewClient(platform.NewStore(url), kv.ClientConfig{
 		Clock:          clk,
 		Random:         rand.NewPCG(rand.Uint64(), rand.Uint64()),
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -23,13 +23,14 @@
 	"cactusknot.example/daemon/secure"
 )
 
-// Store calls of one process per second. An agent needs a few for load permits and
-// the configuration. The collectors of a router need three calls for each of their
-// shards a second; all 32 shards of the ledger together need 96, however many
-// routers share them.
+// Store calls of one process per second.
 const (
-	agentStoreCalls  = 5
-	routerStoreCalls = 100
+	// storeCalls covers the configuration, load permits and callers' keys.
+	storeCalls = 10
+	// LedgerStoreCalls covers the collectors of a router: three calls a second for
+	// each of their shards. All 32 shards of the ledger together need 96, however
+	// many routers share them.
+	LedgerStoreCalls = 100
 	storeCallsBurst  = 40
 )
 
@@ -76,7 +77,7 @@
 		Client:      newClient(credentials),
 	}
 	n.Check = &invariant.Checker{OnViolation: n.violated}
-	n.Store = newStore(settings.Platform.Store, n.Clock, role)
+	n.Store = NewStore(settings.Platform.Store, n.Clock, storeCalls)
 	n.Directory = NewDirectory(n)
 	return n, nil
 }
