Rate every second answer in the cost scenario

The scenario had 30% of the second answers of cascades rated, while the router rates each of them (router/evidence.go) and the workload states the share for answers outside cascades. This corrects the scenario; the decisions are the same.

--- a/daemon/bench/cost.go
+++ b/daemon/bench/cost.go
@@ -274,10 +274,8 @@
 	}
 	remember(req.Session, &second)
 	dearer := d.answers[w.modelIndex(second.Model)]
-	if who.rng.Float64() < w.RatedShare {
-		key := routing.EscalatedKey(&req, &first, &second, a.rating)
-		late = append(late, lateRating{key, dearer.rating})
-	}
+	key := routing.EscalatedKey(&req, &first, &second, a.rating)
+	late = append(late, lateRating{key, dearer.rating})
 	out.add(d.workspace, a.cost+dearer.cost, dearer.score)
 	return late
 }
