--- /dev/null
+++ b/daemon/bench/counters.go
@@ -0,0 +1,123 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strconv"
+
+	"google.golang.org/protobuf/proto"
+
+	"cactusknot.example/coord/stats"
+	"cactusknot.example/daemon/routing"
+	"cactusknot.example/daemon/rpc"
+)
+
+const (
+	// counterKinds and counterVersions are the kinds of request per workspace and
+	// the versions that answer them, assumed for the number of rows at the target.
+	counterKinds    = 3
+	counterVersions = 2
+
+	// Budgets of section 1.4 of the design page; the whole control work of a node
+	// has to fit, not the counters alone.
+	memoryBudget    = 64 << 20
+	bandwidthBudget = 5 << 10
+	// targetRequests is the number of requests per second of the whole fleet. The
+	// router has each answer rated, so each request changes a counter.
+	targetRequests = 7800
+)
+
+// counterSizes are the measured numbers of routers and workspaces. The rows of
+// the last size do not fit one machine and are calculated from measured rows.
+var counterSizes = []struct{ routers, workspaces int }{{12, 10}, {40, 100}, {targetRouters, targetWorkspaces}}
+
+const (
+	targetWorkspaces = 2000
+	// measuredRows bounds the rows of one measurement.
+	measuredRows = 200_000
+)
+
+// RunCounters measures the memory of a row of the counter table and the bytes of
+// its message, at three sizes.
+func RunCounters(ctx context.Context, o Options) (Report, error) {
+	report := Report{Scenario: "counters", Notes: fmt.Sprintf(
+		"%d kinds, %d versions and %d intervals per workspace", counterKinds, counterVersions, routing.ScoreBins)}
+	for _, size := range counterSizes {
+		if ctx.Err() != nil {
+			return report, ctx.Err()
+		}
+		keys := size.workspaces * counterKinds * counterVersions * routing.ScoreBins
+		rows := keys * size.routers
+		measured := min(rows, max(1000, int(measuredRows*o.Scale)))
+		rowBytes, messageBytes := counterBytes(size.routers, measured)
+		name := fmt.Sprintf("%d routers, %d workspaces", size.routers, size.workspaces)
+		report.Rows = append(report.Rows, Row{
+			Measure: "counters", Deployment: name, Variant: "stats.Table",
+			Values: []Value{
+				{"rows when every router has rated every key", "", float64(rows)},
+				{"rows measured", "", float64(measured)},
+				{"memory per row", "B", rowBytes},
+				{"message per changed row", "B", messageBytes},
+				{"memory of all rows", "MB", rowBytes * float64(rows) / (1 << 20)},
+				{"rows that fit 64 MB", "", memoryBudget / rowBytes},
+				{"changed rows per second that fit 5 KB/s", "", bandwidthBudget / messageBytes},
+			},
+		})
+		if size.routers == targetRouters {
+			report.atMost(name, "memory of all rows, bytes", memoryBudget, rowBytes*float64(rows))
+			report.atMost(name, "bytes per second of deltas at one changed row per request", bandwidthBudget, messageBytes*targetRequests)
+		}
+	}
+	return report, nil
+}
+
+// counterBytes fills a table with the rows of as many routers and returns the
+// heap per row and the mean size of its message.
+func counterBytes(routers, rows int) (rowBytes, messageBytes float64) {
+	before := liveHeap()
+	table := stats.NewTable[routing.Key](stats.Node{Name: "self", Incarnation: 1})
+	total := 0
+	for i := range rows {
+		e := counterEntry(i%routers, i/routers)
+		_, _ = table.Merge([]stats.Entry[routing.Key]{e})
+		total += counterMessageSize(e)
+	}
+	heap := liveHeap() - before
+	runtime.KeepAlive(table)
+	return heap / float64(rows), float64(total) / float64(rows)
+}
+
+// counterEntry is the row of the router for key number i. Strings are made anew
+// for each row, as messages from peers make them.
+func counterEntry(router, i int) stats.Entry[routing.Key] {
+	tags := routing.Tags{Kind: "kind-" + strconv.Itoa(i/routing.ScoreBins%counterKinds), Bin: i % routing.ScoreBins}
+	i /= routing.ScoreBins * counterKinds
+	return stats.Entry[routing.Key]{
+		Node: stats.Node{Name: vmName(router), Incarnation: 1 << 60},
+		Key: routing.Key{
+			Workspace: workspaceName(i / counterVersions),
+			Model:     "model-0" + strconv.Itoa(i%counterVersions),
+			Version:   strconv.Itoa(1),
+			Kind:      tags.Encode(),
+		},
+		Counter: stats.Counter{Count: 50, Sum: 42.5, SumSquares: 38.25},
+	}
+}
+
+func counterMessageSize(e stats.Entry[routing.Key]) int {
+	return proto.Size(&rpc.QualityCounter{
+		Node: e.Node.Name, NodeIncarnation: e.Node.Incarnation, Workspace: e.Key.Workspace,
+		Model: e.Key.Model, Version: e.Key.Version, Kind: e.Key.Kind,
+		Count: e.Counter.Count, Sum: e.Counter.Sum, SumSquares: e.Counter.SumSquares,
+	})
+}
+
+// liveHeap returns the bytes of live objects.
+func liveHeap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/daemon/bench/scenario.go
+++ b/daemon/bench/scenario.go
@@ -31,6 +31,7 @@
 		{Name: "sequential", Summary: "sequential tests: false stops and ratings until a stop", Run: RunSequential},
 		{Name: "cost", Summary: "cost at the quality target against fixed choices and an oracle", Run: RunCost},
 		{Name: "exposure", Summary: "requests answered by a bad version before it is stopped", Run: RunExposure},
+		{Name: "counters", Summary: "memory and messages of quality counters", Run: RunCounters},
 		{Name: "latency", Summary: "latency against other choices of backend servers", Run: RunLatency},
 		{Name: "datacentre", Summary: "service while a data centre leaves and returns", Run: RunDataCentre},
 		{Name: "recovery", Summary: "recovery from crashes with and without retries", Run: RunRecovery},
