Load versions by orders in the demo and the soak run

Cause: every emulated engine had all versions from the start, so placement, load permits and the rate-limited weight store were used by unit tests only. Change: candidates are not loaded at first; an emulated engine reads the weights from the weight store and waits as its rate limit asks. The unused setting platform.weights is gone.

--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -57,9 +57,8 @@
 type Platform struct {
 	Store  string `json:"store" validate:"required,url"`
 	VMList string `json:"vm_list" validate:"required,url"`
-	// Rating and Weights are optional; empty turns ratings or loads off.
-	Rating  string `json:"rating" validate:"omitempty,url"`
-	Weights string `json:"weights" validate:"omitempty,url"`
+	// Rating is optional; without it no answers are rated.
+	Rating string `json:"rating" validate:"omitempty,url"`
 }
 
 // Router holds the settings of the router role.
--- a/daemon/emulate/engine_config.go
+++ b/daemon/emulate/engine_config.go
@@ -84,6 +84,9 @@
 	MaxLoaded int       `json:"max_loaded"`
 	Fence     FenceMode `json:"fence"`
 	Role      string    `json:"role"`
+	// WeightsURL is the weight store from which an order to load reads; empty loads
+	// without one.
+	WeightsURL string `json:"weights_url,omitempty"`
 	// Seed drives the error share.
 	Seed uint64 `json:"seed"`
 }
--- a/daemon/emulate/engine_control.go
+++ b/daemon/emulate/engine_control.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
+
+	"cactusknot.example/daemon/platform"
 )
 
 // LoadReport is the answer of GET /load. It shows the engine as it was when the
@@ -188,8 +192,40 @@
 	return http.StatusAccepted, ""
 }
 
+// loadTimeout bounds the reading of weights; maxWeightBytes bounds an object.
+const (
+	loadTimeout    = time.Minute
+	maxWeightBytes = 1 << 30
+)
+
+// fetchWeights reads the weights of a version and waits as the rate-limited store
+// asks. It returns false when they can't be had.
+func (e *Engine) fetchWeights(version string) bool {
+	if e.cfg.WeightsURL == "" {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+	defer cancel()
+	store := platform.NewWeights(e.cfg.WeightsURL, maxWeightBytes)
+	defer store.Close()
+	for {
+		_, err := store.Fetch(ctx, version, io.Discard)
+		var limited *platform.RateLimitError
+		if err == nil {
+			return true
+		}
+		if !errors.As(err, &limited) || sleep(ctx, limited.RetryAfter) != nil {
+			e.log.Info().Err(err).Str("version", version).Msg("weights not read")
+			return false
+		}
+	}
+}
+
 // carryOut applies an order unless the engine restarted since it was accepted.
 func (e *Engine) carryOut(o Order, epoch uint64) {
+	if o.Kind == OrderLoad && !e.fetchWeights(o.Model) {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.crashed || e.epoch != epoch {
--- a/daemon/fleet/fleet.go
+++ b/daemon/fleet/fleet.go
@@ -241,10 +241,9 @@
 		AdminListen:    f.addresses[vm+suffixAdmin],
 		TLS:            config.TLS{CA: f.path("ca/ca.pem"), Cert: f.path("certs/" + vm + ".pem"), Key: f.path("certs/" + vm + "-key.pem")},
 		Platform: config.Platform{
-			Store:   f.Platform(Store),
-			VMList:  f.Platform(VMs),
-			Rating:  f.Platform(Rating),
-			Weights: f.Platform(Weights),
+			Store:  f.Platform(Store),
+			VMList: f.Platform(VMs),
+			Rating: f.Platform(Rating),
 		},
 		RootKeys:        []config.RootKey{{Name: f.rootKey.Name, PublicKey: f.rootKey.PublicKey}},
 		LogLevel:        "info",
--- a/daemon/fleet/process.go
+++ b/daemon/fleet/process.go
@@ -72,7 +72,9 @@
 	if a.Service != nil {
 		return f.startEmulator(name, "service", f.addresses[name], a.Service)
 	}
-	return f.startEmulator(name, "engine", f.addresses[name], a.Engine)
+	settings := *a.Engine
+	settings.WeightsURL = f.Platform(Weights)
+	return f.startEmulator(name, "engine", f.addresses[name], settings)
 }
 
 func (f *Fleet) startEmulator(name, kind, address string, settings any) error {
--- a/daemon/fleet/sample.go
+++ b/daemon/fleet/sample.go
@@ -30,12 +30,12 @@
 	settings := emulate.DefaultEngineConfig()
 	settings.Models = []emulate.EngineModel{
 		{ID: "small@1", Quality: 0.8, Loaded: true},
-		{ID: "small@2", Quality: 0.85, Loaded: true},
+		{ID: "small@2", Quality: 0.85},
 		{ID: "large@1", Quality: 0.95, Loaded: true},
 	}
 	// Faster than a real engine, so that a demonstration takes seconds.
 	settings.StepUs, settings.StepPerRequestUs, settings.PrefillUs = 2000, 100, 5
-	settings.ColdFactor, settings.WarmCompletions = 3, 20
+	settings.ColdFactor, settings.WarmCompletions, settings.OrderMs = 3, 20, 200
 	return AgentSpec{VM: vm, DataCentre: dataCentre, Engine: &settings, MaxConcurrent: 32, ColdLimit: 4}
 }
 
--- a/daemon/soak/deployment.go
+++ b/daemon/soak/deployment.go
@@ -54,8 +54,8 @@
 	settings := emulate.DefaultEngineConfig()
 	settings.Models = []emulate.EngineModel{
 		{ID: "small@1", Quality: 0.8, Loaded: true},
-		{ID: "small@2", Quality: 0.85, Loaded: true},
-		{ID: "small@3", Quality: 0.85, Loaded: true},
+		{ID: "small@2", Quality: 0.85},
+		{ID: "small@3", Quality: 0.85},
 		{ID: "large@1", Quality: 0.95, Loaded: true},
 	}
 	// Faster than a real engine, so that a run of seconds completes thousands of
