Report the cost of cascades with known means

New reference of the cost scenario: the best two-step cascade per workspace and kind when every mean is known.

--- a/daemon/bench/cost.go
+++ b/daemon/bench/cost.go
@@ -114,6 +114,7 @@
 		{"dearest", fixedBill(w, drafts, dearest)},
 		{"cheapest", fixedBill(w, drafts, 0)},
 		{"static split", splitBill(w, drafts, rng)},
+		{"cascade with known means", informedBill(w, drafts)},
 		{"oracle per kind", oracleBill(w, drafts, true)},
 		{"oracle", oracleBill(w, drafts, false)},
 	}
