--- a/daemon/bench/cost.go
+++ b/daemon/bench/cost.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"runtime"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -154,9 +155,8 @@
 	for i := range coins {
 		coins[i] = rng.Float64()
 	}
-	var b *bill
-	for step := range splitSteps + 1 {
-		b = newBill(w)
+	at := func(step int) *bill {
+		b := newBill(w)
 		for i := range drafts {
 			model := 0
 			if coins[i] < float64(step)/splitSteps {
@@ -165,11 +165,15 @@
 			a := &drafts[i].answers[model]
 			b.add(drafts[i].workspace, a.cost, a.score)
 		}
-		if _, missed := b.margin(w); missed == 0 {
-			break
-		}
+		return b
 	}
-	return b
+	// A larger share replaces cheap answers by dear ones, so the targets are met
+	// from one step on.
+	step := sort.Search(splitSteps, func(step int) bool {
+		_, missed := at(step).margin(w)
+		return missed == 0
+	})
+	return at(step)
 }
 
 // oracleBill knows the true score of every answer beforehand. Per workspace it
