Take buffers as full when the engine can write no more

Cause: under load the memory stopped growing between two looks before the buffers were full (105 KiB a reader at 1,000), and the stacks that the runtime caches made the second group's leftover vary by 1 KiB. Change: the engine's writes tell when the buffers are full; the leftover counts heap, and goroutines on their own.

--- a/daemon/bench/readers.go
+++ b/daemon/bench/readers.go
@@ -33,16 +33,18 @@
 	// readerLeftover is the noise of the measurement per reader; the smallest
 	// object that lives as long as a reader is a 4 KiB buffer.
 	readerLeftover = 1 << 10
+	// readerConnections is the number of goroutines by which idle connections that
+	// read the metrics differ from look to look, two for each of eight.
+	readerConnections = 16
 	// readerGOGC makes the measured router collect its garbage after little
 	// allocation, so that the live heap can be read.
 	readerGOGC = 10
 	// readerMaxRequests is above the largest number of readers.
 	readerMaxRequests = 5000
-	// Buffers count as full when the memory grows by less than readerGrowth between
-	// two looks; at most readerLooks are taken.
+	// Buffers count as full when the engine has written nothing between two looks;
+	// at most readerLooks are taken.
 	readerSettle = 700 * time.Millisecond
-	readerGrowth = 0.01
-	readerLooks  = 8
+	readerLooks  = 15
 	// readerLeave bounds the wait until the router has let go of all readers.
 	readerLeave = 10 * time.Second
 	readersVM   = "engine-a1"
@@ -85,7 +87,7 @@
 		if err := group.open(ctx, count); err != nil {
 			return err
 		}
-		if last, err = settled(ctx, f); err != nil {
+		if last, err = settled(ctx, f, engine); err != nil {
 			return err
 		}
 		r.Rows = append(r.Rows, readersRow("router", count, before, last))
@@ -112,7 +114,8 @@
 	}
 	r.Rows = append(r.Rows, readersRow("router, second group of readers gone", 0, before, second))
 	r.atMost("", "router: requests in progress after a second group left", 0, second.running)
-	r.atMost("", "router: heap and stacks that a second group left behind, per reader [B]", readerLeftover, (second.held-after.held)/readerSecondWave)
+	r.atMost("", "router: heap that a second group left behind, per reader [B]", readerLeftover, (second.heap-after.heap)/readerSecondWave)
+	r.atMost("", "router: goroutines that a second group left behind", readerConnections, second.routines-after.routines)
 	return nil
 }
 
@@ -137,22 +140,27 @@
 	}, nil
 }
 
-// settled returns the memory after the buffers have filled and the garbage was
-// collected.
-func settled(ctx context.Context, f *fleet.Fleet) (memory, error) {
-	last := memory{}
+// filled waits until the engine can write no more.
+func filled(ctx context.Context, engine *flood) error {
+	last := int64(-1)
 	for range readerLooks {
-		if err := pause(ctx, readerSettle); err != nil {
-			return memory{}, err
-		}
-		now, err := routerMemory(ctx, f)
-		if err != nil {
-			return now, err
-		}
-		if now.held < last.held*(1+readerGrowth) {
+		written := engine.written.Load()
+		if written == last {
 			break
 		}
-		last = now
+		last = written
+		if err := pause(ctx, readerSettle); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// settled returns the memory after the buffers have filled and the garbage was
+// collected.
+func settled(ctx context.Context, f *fleet.Fleet, engine *flood) (memory, error) {
+	if err := filled(ctx, engine); err != nil {
+		return memory{}, err
 	}
 	return collected(ctx, f, 1)
 }
@@ -262,7 +270,7 @@
 		if err := group.open(ctx, count); err != nil {
 			return err
 		}
-		if err := pause(ctx, 2*readerSettle); err != nil {
+		if err := filled(ctx, engine); err != nil {
 			return err
 		}
 		r.Rows = append(r.Rows, Row{Measure: "readers", Variant: fmt.Sprintf("unbounded relay, %d readers", count), Values: []Value{
--- a/daemon/bench/readers_support.go
+++ b/daemon/bench/readers_support.go
@@ -49,6 +49,8 @@
 	server   *http.Server
 	listener net.Listener
 	event    []byte
+	// written counts the events that connections took.
+	written atomic.Int64
 }
 
 func startFlood() (*flood, error) {
@@ -79,6 +81,7 @@
 		if _, err := w.Write(f.event); err != nil {
 			return
 		}
+		f.written.Add(1)
 	}
 	// The answer stays open, so that a fast reader does not count as gone.
 	_ = http.NewResponseController(w).Flush()
