--- a/daemon/bench/load.go
+++ b/daemon/bench/load.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"runtime"
 	"slices"
+	"sync"
 	"time"
 
 	"cactusknot.example/daemon/bench/queueing"
@@ -25,21 +28,44 @@
 	return all
 }
 
-// eachLoadRun calls run for each deployment and seed in a fixed order.
-func eachLoadRun(o Options, run func(name string, d queueing.Deployment, seed uint64) error) error {
+// loadRun is one deployment with one seed.
+type loadRun struct {
+	name       string
+	deployment queueing.Deployment
+	seed       uint64
+}
+
+// eachLoadRun calls measure for each deployment and seed at the same time, then
+// collect with the results in a fixed order. The runs are simulations, so their
+// figures don't depend on each other.
+func eachLoadRun[T any](o Options, measure func(loadRun) (T, error), collect func(loadRun, T)) error {
 	deployments := loadDeployments(o)
+	var runs []loadRun
 	for _, name := range []string{"coop", "creches"} {
-		d, ok := deployments[name]
-		if !ok {
-			continue
-		}
-		for _, seed := range o.Seeds {
-			if err := run(name, d, seed); err != nil {
-				return err
+		if d, ok := deployments[name]; ok {
+			for _, seed := range o.Seeds {
+				runs = append(runs, loadRun{name, d, seed})
 			}
 		}
 	}
-	return nil
+	results := make([]T, len(runs))
+	errs := make([]error, len(runs))
+	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
+	var all sync.WaitGroup
+	for i, run := range runs {
+		slots <- struct{}{}
+		all.Go(func() {
+			results[i], errs[i] = measure(run)
+			<-slots
+		})
+	}
+	all.Wait()
+	for i, run := range runs {
+		if errs[i] == nil {
+			collect(run, results[i])
+		}
+	}
+	return errors.Join(errs...)
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -58,11 +84,10 @@
 func RunLatency(ctx context.Context, o Options) (Report, error) {
 	report := Report{Scenario: "latency", Notes: "80% load, one cold and one slow engine, 24 routers with lagging views"}
 	shares := make(map[string][]float64)
-	err := eachLoadRun(o, func(name string, d queueing.Deployment, seed uint64) error {
-		results, err := queueing.NewLatency(d).Run(ctx, seed)
-		if err != nil {
-			return err
-		}
+	err := eachLoadRun(o, func(r loadRun) ([]queueing.LatencyResult, error) {
+		return queueing.NewLatency(r.deployment).Run(ctx, r.seed)
+	}, func(run loadRun, results []queueing.LatencyResult) {
+		name, seed := run.name, run.seed
 		var product, roundRobin queueing.LatencyResult
 		for i, r := range results {
 			values := slices.Concat(latencyValues("first token", r.FirstToken), latencyValues("total", r.Total), []Value{
@@ -78,7 +103,6 @@
 		}
 		shares[name+" first token"] = append(shares[name+" first token"], part(int(product.FirstToken.P99), int(roundRobin.FirstToken.P99)))
 		shares[name+" total"] = append(shares[name+" total"], part(int(product.Total.P99), int(roundRobin.Total.P99)))
-		return nil
 	})
 	for _, name := range []string{"coop", "creches"} {
 		for _, kind := range []string{" first token", " total"} {
@@ -93,11 +117,10 @@
 	report := Report{Scenario: "datacentre", Notes: "a data centre leaves and returns at 80% of the remaining capacity"}
 	served := make(map[string][]float64)
 	lost := make(map[string][]float64)
-	err := eachLoadRun(o, func(name string, d queueing.Deployment, seed uint64) error {
-		results, err := queueing.NewDataCentre(d).Run(ctx, seed)
-		if err != nil {
-			return err
-		}
+	err := eachLoadRun(o, func(r loadRun) ([]queueing.DataCentreResult, error) {
+		return queueing.NewDataCentre(r.deployment).Run(ctx, r.seed)
+	}, func(run loadRun, results []queueing.DataCentreResult) {
+		name, seed := run.name, run.seed
 		for _, r := range results {
 			report.Rows = append(report.Rows, Row{Measure: "data centre leaves and returns", Deployment: name, Variant: r.Policy, Seed: seed, Values: []Value{
 				{Name: "served in time", Value: r.InTime() / 100},
@@ -110,7 +133,6 @@
 		}
 		served[name] = append(served[name], results[0].InTime()/100)
 		lost[name] = append(lost[name], float64(results[0].Lost+results[0].Duplicates+results[0].AdmittedLate))
-		return nil
 	})
 	for _, name := range []string{"coop", "creches"} {
 		report.allAtLeast(name, "served in time", minServedInTime, served[name])
@@ -123,35 +145,38 @@
 func RunRecovery(ctx context.Context, o Options) (Report, error) {
 	report := Report{Scenario: "recovery", Notes: "one VM crashes; 30% of the VMs are replaced"}
 	amplification := make(map[string][]float64)
+	var err error
 	faults := []struct {
 		name string
 		make func(queueing.Deployment) queueing.Recovery
 	}{{"crash", queueing.NewCrash}, {"30% replaced", queueing.NewReplacement}}
-	err := eachLoadRun(o, func(name string, d queueing.Deployment, seed uint64) error {
-		for _, fault := range faults {
-			results, err := fault.make(d).Run(ctx, seed)
-			if err != nil {
-				return err
-			}
+	for _, fault := range faults {
+		faultErr := eachLoadRun(o, func(r loadRun) ([]queueing.RecoveryResult, error) {
+			return fault.make(r.deployment).Run(ctx, r.seed)
+		}, func(run loadRun, results []queueing.RecoveryResult) {
 			for _, r := range results {
-				report.Rows = append(report.Rows, Row{Measure: "recovery, " + fault.name, Deployment: name, Variant: r.Policy, Seed: seed, Values: []Value{
-					{Name: "time to normal p99", Unit: "s", Value: r.TimeToNormal.Seconds()},
-					{Name: "in time", Value: part(r.Counts.InTime, r.Counts.Requests)},
-					{Name: "amplification", Value: r.Amplification},
-					{Name: "worst window", Value: r.WorstAmplification},
-					{Name: "lost or duplicated", Value: float64(r.Lost + r.Duplicates)},
-				}})
+				report.Rows = append(report.Rows, recoveryRow(fault.name, run, r))
 			}
-			amplification[name] = append(amplification[name], results[0].Amplification)
-		}
-		return nil
-	})
+			amplification[run.name] = append(amplification[run.name], results[0].Amplification)
+		})
+		err = errors.Join(err, faultErr)
+	}
 	for _, name := range []string{"coop", "creches"} {
 		report.allAtMost(name, "retry amplification", maxRetryAmplification, amplification[name])
 	}
 	return report, err
 }
 
+func recoveryRow(fault string, run loadRun, r queueing.RecoveryResult) Row {
+	return Row{Measure: "recovery, " + fault, Deployment: run.name, Variant: r.Policy, Seed: run.seed, Values: []Value{
+		{Name: "time to normal p99", Unit: "s", Value: r.TimeToNormal.Seconds()},
+		{Name: "in time", Value: part(r.Counts.InTime, r.Counts.Requests)},
+		{Name: "amplification", Value: r.Amplification},
+		{Name: "worst window", Value: r.WorstAmplification},
+		{Name: "lost or duplicated", Value: float64(r.Lost + r.Duplicates)},
+	}}
+}
+
 // allAtMost adds a check of the largest of the values; none adds nothing.
 func (r *Report) allAtMost(deployment, target string, bound float64, values []float64) {
 	if len(values) > 0 {
