Use a new prompt in each try of TestEngineBreaksBeforeAnswer

Cause: after one success at the healthy engine, the prefix affinity sends the same prompt there again, so that no further try met a faulty engine and the test waited in vain. The condition is unchanged.

--- a/daemon/e2e/failures_test.go
+++ b/daemon/e2e/failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"syscall"
@@ -51,9 +52,12 @@
 	for _, vm := range engines()[1:] {
 		fault(t, deployment.Backend(vm), object{"reset_after_bytes": 0}, object{"reset_after_bytes": -1})
 	}
+	// A new prompt each time: the engine that answered a prompt is preferred for it.
+	tries := 0
 	eventually(t, "a request is answered after a reset", func() bool {
+		tries++
 		before := brokenAttempts(t)
-		a := chat(t.Context(), "router-a", refusing, streamed("small@1", "retry"))
+		a := chat(t.Context(), "router-a", refusing, streamed("small@1", fmt.Sprint("retry ", tries)))
 		return strings.HasSuffix(string(a.body), "data: [DONE]\n\n") && brokenAttempts(t) > before
 	})
 }
