--- a/daemon/router/control.go
+++ b/daemon/router/control.go
@@ -36,8 +36,11 @@
 	// busyExchanges is how many intervals pass between exchanges with an agent
 	// that replies to traffic.
 	busyExchanges = 5
-	// subsetSize bounds the agents of one pool that one router uses.
+	// subsetSize is the number of agents that one router uses, shared by the pools
+	// in proportion to their size; a small pool gets at least poolSubset. At the
+	// exchange rate above each is asked every 9 s, below the bound of suspicion.
 	subsetSize = 64
+	poolSubset = 16
 	// readyGrace is how long a router that starts waits for the first state of its
 	// agents before it takes requests all the same.
 	readyGrace = 5 * time.Second
@@ -232,17 +235,19 @@
 	}
 	c.processes = processes
 	var routers []string
+	total := 0
 	pools := make(map[string][]string)
 	for _, p := range processes.All {
 		if p.Role == secure.RoleRouter {
 			routers = append(routers, p.VM)
 		} else {
 			pools[p.Pool] = append(pools[p.Pool], p.VM)
+			total++
 		}
 	}
 	wanted := make(map[string]bool)
 	for _, names := range pools {
-		for _, i := range balance.Subset(c.router.settings.VM, routers, names, subsetSize) {
+		for _, i := range balance.Subset(c.router.settings.VM, routers, names, poolShare(len(names), total)) {
 			wanted[names[i]] = true
 			c.keep(*processes.Find(names[i]))
 		}
@@ -255,6 +260,14 @@
 	}
 }
 
+// poolShare returns the size of the subset of a pool.
+func poolShare(pool, total int) int {
+	if total <= subsetSize {
+		return subsetSize
+	}
+	return max(subsetSize*pool/total, poolSubset)
+}
+
 func (c *controller) keep(p node.Process) {
 	record, ok := c.agents[p.VM]
 	if !ok {
