--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -72,25 +72,9 @@
 	if r.sessions, err = secure.NewSessions(settings.SessionSecrets); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	r.fair, err = limit.NewFair(limit.FairConfig{
-		Capacity:             settings.MaxRequests,
-		MaxQueue:             settings.MaxRequests * queueShare,
-		MaxQueuePerWorkspace: settings.MaxRequests * queueShare,
-		MinService:           minService,
-	}, r.Clock)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	r.buffers, err = limit.NewBuffers(limit.BufferConfig{
-		Reserve:      node.StreamBufferBytes,
-		PerRequest:   node.StreamBufferBytes,
-		PerWorkspace: max(settings.BufferBytes/workspaceBufferPart, node.StreamBufferBytes),
-		PerProcess:   settings.BufferBytes,
-	})
-	if err != nil {
+	if err := r.makeLimits(); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	r.retries = limit.NewRetryBudget(limit.RetryConfig{}, r.Clock)
 	r.keys = once.NewGenerator(r.Clock, rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	r.ledgerStore = node.NewStore(settings.Platform.Store, r.Clock, node.LedgerStoreCalls)
 	r.charges = ledger.NewQueue(r.Clock, settings.LedgerLines)
@@ -110,6 +94,27 @@
 	return r, nil
 }
 
+// makeLimits creates the bounds on requests, answer memory and retries.
+func (r *Router) makeLimits() (err error) {
+	r.fair, err = limit.NewFair(limit.FairConfig{
+		Capacity:             r.settings.MaxRequests,
+		MaxQueue:             r.settings.MaxRequests * queueShare,
+		MaxQueuePerWorkspace: r.settings.MaxRequests * queueShare,
+		MinService:           minService,
+	}, r.Clock)
+	if err != nil {
+		return err
+	}
+	r.buffers, err = limit.NewBuffers(limit.BufferConfig{
+		Reserve:      node.StreamBufferBytes,
+		PerRequest:   node.StreamBufferBytes,
+		PerWorkspace: max(r.settings.BufferBytes/workspaceBufferPart, node.StreamBufferBytes),
+		PerProcess:   r.settings.BufferBytes,
+	})
+	r.retries = limit.NewRetryBudget(limit.RetryConfig{}, r.Clock)
+	return err
+}
+
 // Run serves until ctx ends, then performs a graceful shutdown.
 func (r *Router) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
