--- a/daemon/ctl/bundle.go
+++ b/daemon/ctl/bundle.go
@@ -77,10 +77,7 @@
 	s := newSession(env, "export", "FILE", "Writes the bundle in force to FILE and prints its version for propose -parent.").withStore()
 	version := s.flags.Uint64("version", 0, "`VERSION` of the history instead")
 	return s.run(ctx, func(ctx context.Context) error {
-		if err := s.parse(args, 1, 1); err != nil {
-			return err
-		}
-		store, err := s.open()
+		store, err := s.parseAndOpen(args, 1, 1)
 		if err != nil {
 			return err
 		}
@@ -256,10 +253,7 @@
 func runHistory(ctx context.Context, env Env, args []string) int {
 	s := newSession(env, "history", "", "Lists the versions kept, the newest last.").withStore()
 	return s.run(ctx, func(ctx context.Context) error {
-		if err := s.parse(args, 0, 0); err != nil {
-			return err
-		}
-		store, err := s.open()
+		store, err := s.parseAndOpen(args, 0, 0)
 		if err != nil {
 			return err
 		}
@@ -315,10 +309,7 @@
 func runStatus(ctx context.Context, env Env, args []string) int {
 	s := newSession(env, "status", "", "Shows the version in the store and what is out, withdrawn, rolling out or stopped.").withStore()
 	return s.run(ctx, func(ctx context.Context) error {
-		if err := s.parse(args, 0, 0); err != nil {
-			return err
-		}
-		store, err := s.open()
+		store, err := s.parseAndOpen(args, 0, 0)
 		if err != nil {
 			return err
 		}
--- a/daemon/ctl/session.go
+++ b/daemon/ctl/session.go
@@ -104,6 +104,14 @@
 	}), nil
 }
 
+// parseAndOpen parses the arguments of a command that only needs the store.
+func (s *session) parseAndOpen(args []string, least, most int) (*kv.Client, error) {
+	if err := s.parse(args, least, most); err != nil {
+		return nil, err
+	}
+	return s.open()
+}
+
 // inForce reads the configuration in the store, which must hold one.
 func inForce(ctx context.Context, store kv.Store) (distribute.Stored, error) {
 	base, err := distribute.ReadStored(ctx, store)
