Take the ports of a fleet from below the outgoing range

Ruled out: a slow configuration (the process was not running). Change: ports are chosen at random from 10000 to 31999.

--- a/daemon/fleet/fleet.go
+++ b/daemon/fleet/fleet.go
@@ -9,6 +9,8 @@
 	"crypto/rand"
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
+	mathrand "math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -135,7 +137,7 @@
 		}
 	}()
 	for _, name := range f.names() {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := listenFree()
 		if err != nil {
 			return trace.Wrap(err)
 		}
@@ -145,6 +147,27 @@
 	return nil
 }
 
+// Ports of processes are below the range from which systems take the ports of
+// outgoing connections, so that a process that is down finds its port free again.
+const (
+	firstPort = 10_000
+	portCount = 22_000
+	portTries = 100
+)
+
+// listenFree listens on a random free port.
+func listenFree() (net.Listener, error) {
+	var l net.Listener
+	var err error
+	for range portTries {
+		port := firstPort + mathrand.IntN(portCount)
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return l, nil
+		}
+	}
+	return nil, trace.Wrap(err)
+}
+
 // Callers returns the base URL of a router for callers.
 func (f *Fleet) Callers(vm string) string { return "http://" + f.addresses[vm+suffixCallers] }
 
