--- a/daemon/result/result.go
+++ b/daemon/result/result.go
@@ -92,7 +92,6 @@
 	WrongHome     = add(3006, "wrong_home", http.StatusConflict, NotRun, false, "The idempotency key names another agent incarnation.")
 	BackendDown   = add(3007, "backend_down", http.StatusServiceUnavailable, NotRun, true, "The backend server refused the connection.")
 	RecordsFull   = add(3008, "records_full", http.StatusServiceUnavailable, NotRun, true, "The agent has no room for another at-most-once record.")
-	AttemptPassed = add(3009, "attempt_superseded", http.StatusConflict, NotRun, false, "The attempt was cancelled before it was dispatched.")
 )
 
 // Codes 4xxx: after dispatch.
