--- a/daemon/result/result.go
+++ b/daemon/result/result.go
@@ -84,14 +84,14 @@
 
 // Codes 3xxx: refusals of an agent to a router.
 var (
-	AgentFull     = add(3001, "agent_full", http.StatusServiceUnavailable, NotRun, true, "The backend server has no free permit.")
-	AgentCold     = add(3002, "agent_cold", http.StatusServiceUnavailable, NotRun, true, "The backend server is in its cold start and its ramp is full.")
-	AgentLeaving  = add(3003, "agent_leaving", http.StatusServiceUnavailable, NotRun, true, "The backend server, its VM or its data centre is leaving.")
-	AgentBehind   = add(3004, "agent_behind", http.StatusServiceUnavailable, NotRun, true, "The agent knows of a newer configuration that it doesn't hold yet.")
-	NotLoaded     = add(3005, "version_not_loaded", http.StatusServiceUnavailable, NotRun, true, "The backend server has not loaded the version.")
-	WrongHome     = add(3006, "wrong_home", http.StatusConflict, NotRun, false, "The idempotency key names another agent incarnation.")
-	BackendDown   = add(3007, "backend_down", http.StatusServiceUnavailable, NotRun, true, "The backend server refused the connection.")
-	RecordsFull   = add(3008, "records_full", http.StatusServiceUnavailable, NotRun, true, "The agent has no room for another at-most-once record.")
+	AgentFull    = add(3001, "agent_full", http.StatusServiceUnavailable, NotRun, true, "The backend server has no free permit.")
+	AgentCold    = add(3002, "agent_cold", http.StatusServiceUnavailable, NotRun, true, "The backend server is in its cold start and its ramp is full.")
+	AgentLeaving = add(3003, "agent_leaving", http.StatusServiceUnavailable, NotRun, true, "The backend server, its VM or its data centre is leaving.")
+	AgentBehind  = add(3004, "agent_behind", http.StatusServiceUnavailable, NotRun, true, "The agent knows of a newer configuration that it doesn't hold yet.")
+	NotLoaded    = add(3005, "version_not_loaded", http.StatusServiceUnavailable, NotRun, true, "The backend server has not loaded the version.")
+	WrongHome    = add(3006, "wrong_home", http.StatusConflict, NotRun, false, "The idempotency key names another agent incarnation.")
+	BackendDown  = add(3007, "backend_down", http.StatusServiceUnavailable, NotRun, true, "The backend server refused the connection.")
+	RecordsFull  = add(3008, "records_full", http.StatusServiceUnavailable, NotRun, true, "The agent has no room for another at-most-once record.")
 )
 
 // Codes 4xxx: after dispatch.
