Remove what the change did twice

Cause: a read of the whole change. Each step of a model request built the whole prompt twice to hash its beginning; a booking passed the agent's gate twice; the agent kept a field that nothing read; demo and soak each prepared a scratch directory. Change: the prefix is hashed once when the request is decoded; the run of a booking starts with admission after the gate; the field is gone; withScratch serves both commands.

--- a/daemon/agent/execute.go
+++ b/daemon/agent/execute.go
@@ -27,11 +27,10 @@
 	in    *rpc.ExecuteRequest
 	view  *view
 	out   *eventWriter
-	// permit and reserved are held from admission to the end.
-	permit   *limit.Permit
-	reserved bool
-	ticket   *once.Ticket
-	started  time.Time
+	// permit is held, with room for the charge, from admission to the end.
+	permit  *limit.Permit
+	ticket  *once.Ticket
+	started time.Time
 	// firstAt is the time of the first token, and sending the time spent since then
 	// on passing the answer on.
 	firstAt time.Time
@@ -121,7 +120,6 @@
 		return refusalCode(refusal).With("%s", refusal)
 	}
 	e.permit = permit
-	e.reserved = true
 	return nil
 }
 
@@ -189,10 +187,10 @@
 	}
 }
 
-// runFirst runs the request detached from the router's connection, so that the
+// runFirst runs a request that passed the gate, detached from the router's connection, so that the
 // outcome is recorded even when router and caller have left.
 func (e *execution) runFirst(ctx context.Context) {
-	if refusal := e.start(); refusal != nil {
+	if refusal := e.admit(); refusal != nil {
 		e.ticket.Finish(once.Outcome{Kind: once.OutcomeNotRun})
 		e.refuse(refusal)
 		return
--- a/daemon/ctl/demo.go
+++ b/daemon/ctl/demo.go
@@ -4,8 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 
 	"cactusknot.example/daemon/demo"
 )
@@ -14,7 +12,6 @@
 	return []Command{{Name: "demo", Summary: "run a small deployment on this machine and show what it does", Run: runDemo}}
 }
 
-// runDemo expects the daemon's binary beside the one of cactusctl.
 func runDemo(ctx context.Context, env Env, args []string) int {
 	flags := flag.NewFlagSet("cactusctl demo", flag.ContinueOnError)
 	flags.SetOutput(env.Stderr)
@@ -22,22 +19,9 @@
 	if err := flags.Parse(args); err != nil {
 		return usageCode(err)
 	}
-	tool, err := os.Executable()
-	if err != nil {
-		fmt.Fprintln(env.Stderr, err)
-		return ExitFailed
-	}
-	dir, err := os.MkdirTemp("", "cactusknot-demo-")
-	if err != nil {
-		fmt.Fprintln(env.Stderr, err)
-		return ExitFailed
-	}
-	err = demo.Run(ctx, demo.Options{Tool: tool, Daemon: filepath.Join(filepath.Dir(tool), "cactusknot"), Dir: dir, Out: env.Stdout})
-	if *keep || err != nil {
-		fmt.Fprintln(env.Stderr, "settings and logs:", dir)
-	} else {
-		_ = os.RemoveAll(dir)
-	}
+	err := withScratch(env, "cactusknot-demo-", *keep, func(at scratch) error {
+		return demo.Run(ctx, demo.Options{Tool: at.tool, Daemon: at.daemon, Dir: at.dir, Out: env.Stdout})
+	})
 	if err != nil {
 		fmt.Fprintln(env.Stderr, err)
 		return ExitFailed
--- a/daemon/ctl/soak.go
+++ b/daemon/ctl/soak.go
@@ -4,8 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"time"
 
 	"cactusknot.example/daemon/soak"
@@ -15,8 +13,7 @@
 	return []Command{{Name: "soak", Summary: "run a deployment under load and faults and check the guarantees", Run: runSoak}}
 }
 
-// runSoak expects the daemon's binary beside the one of cactusctl. It returns
-// ExitFailed when a guarantee was violated.
+// runSoak returns ExitFailed when a guarantee was violated.
 func runSoak(ctx context.Context, env Env, args []string) int {
 	fs := flag.NewFlagSet("cactusctl soak", flag.ContinueOnError)
 	fs.SetOutput(env.Stderr)
@@ -36,17 +33,13 @@
 		soak.WriteSchedule(env.Stdout, soak.Schedule(*seed, *duration))
 		return ExitOK
 	}
-	dir, err := os.MkdirTemp("", fmt.Sprintf("cactusknot-soak-%d-", *seed))
-	if err != nil {
-		fmt.Fprintln(env.Stderr, err)
-		return ExitFailed
-	}
-	report, err := soakIn(ctx, env, dir, *seed, *duration)
-	if *keep || err != nil {
-		fmt.Fprintln(env.Stderr, "settings and logs:", dir)
-	} else {
-		_ = os.RemoveAll(dir)
-	}
+	var report *soak.Report
+	err := withScratch(env, fmt.Sprintf("cactusknot-soak-%d-", *seed), *keep, func(at scratch) (err error) {
+		report, err = soak.Run(ctx, soak.Options{
+			Tool: at.tool, Daemon: at.daemon, Dir: at.dir, Seed: *seed, Duration: *duration, Progress: env.Stderr,
+		})
+		return err
+	})
 	if err != nil {
 		fmt.Fprintln(env.Stderr, err)
 		return ExitFailed
@@ -54,17 +47,6 @@
 	return printSoak(env, report, *asJSON)
 }
 
-func soakIn(ctx context.Context, env Env, dir string, seed uint64, duration time.Duration) (*soak.Report, error) {
-	tool, err := os.Executable()
-	if err != nil {
-		return nil, err
-	}
-	return soak.Run(ctx, soak.Options{
-		Tool: tool, Daemon: filepath.Join(filepath.Dir(tool), "cactusknot"), Dir: dir,
-		Seed: seed, Duration: duration, Progress: env.Stderr,
-	})
-}
-
 func printSoak(env Env, report *soak.Report, asJSON bool) int {
 	if asJSON {
 		if code := printJSON(env, report); code != ExitOK {
--- a/daemon/router/call.go
+++ b/daemon/router/call.go
@@ -29,6 +29,7 @@
 
 	// Of model requests.
 	chat     chatRequest
+	prefix   uint64
 	route    routing.Request
 	decision routing.Decision
 
--- a/daemon/router/decode.go
+++ b/daemon/router/decode.go
@@ -159,6 +159,7 @@
 	if err := c.identify(); err != nil {
 		return err
 	}
+	c.prefix = c.prefixHash()
 	c.route = routing.Request{
 		ID:        uuid.UUID(c.id).String(),
 		Workspace: c.workspace.Name,
--- a/daemon/router/dispatch.go
+++ b/daemon/router/dispatch.go
@@ -229,7 +229,7 @@
 	return &job{
 		call:       c,
 		target:     d.Model + "@" + d.Version,
-		prefix:     c.prefixHash(),
+		prefix:     c.prefix,
 		out:        out,
 		idempotent: true,
 		in: &rpc.ExecuteRequest{
@@ -242,7 +242,7 @@
 			Stream:       c.chat.Stream,
 			PromptTokens: uint32(len(c.body) / bytesPerToken),
 			MaxTokens:    uint32(c.chat.answerTokens()),
-			PrefixHash:   c.prefixHash(),
+			PrefixHash:   c.prefix,
 			Idempotent:   true,
 		},
 	}
