--- a/daemon/cmd/cactusknot/main.go
+++ b/daemon/cmd/cactusknot/main.go
@@ -89,7 +89,7 @@
 	if err != nil || check {
 		return nil, err
 	}
-	return edge.New(settings, edgeLogger()), nil
+	return edge.New(settings, func() (*edge.Settings, error) { return platform.LoadSettings(file) }, edgeLogger()), nil
 }
 
 // logLines is the number of log lines that may wait for standard output. Further
--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -62,6 +62,7 @@
 	regainedAt atomic.Int64
 	peerMu     sync.Mutex
 	peerList   []string
+	seeds      []string
 }
 
 // serverState is a backend server with the time from which it is gone.
@@ -77,7 +78,7 @@
 	}
 	c.routers = newRouters(e)
 	c.rollouts = newRollouts(e, c.routers)
-	c.peerList = e.settings.SeedPeers
+	c.seeds = e.settings.SeedPeers
 	return c
 }
 
@@ -106,9 +107,19 @@
 func (c *control) peers() []string {
 	c.peerMu.Lock()
 	defer c.peerMu.Unlock()
+	if len(c.peerList) == 0 {
+		return c.seeds
+	}
 	return c.peerList
 }
 
+// setSeeds replaces the peers that are asked while no router is known.
+func (c *control) setSeeds(seeds []string) {
+	c.peerMu.Lock()
+	defer c.peerMu.Unlock()
+	c.seeds = seeds
+}
+
 // observe takes a sample from the request path.
 func (c *control) observe(s gateway.Sample) { c.rollouts.observe(s) }
 
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -117,6 +117,7 @@
 // Edge runs the role.
 type Edge struct {
 	settings *Settings
+	reload   func() (*Settings, error)
 	log      zerolog.Logger
 	gateway  *gateway.Gateway
 	mirror   *mirror.Mirror
@@ -125,9 +126,9 @@
 	stopping atomic.Bool
 }
 
-// New builds the role; it connects nowhere yet.
-func New(settings *Settings, log zerolog.Logger) *Edge {
-	e := &Edge{settings: settings, log: log.With().Str("vm", settings.VM).Logger(), mirror: mirror.New()}
+// New builds the role; it connects nowhere yet. reload reads the settings again.
+func New(settings *Settings, reload func() (*Settings, error), log zerolog.Logger) *Edge {
+	e := &Edge{settings: settings, reload: reload, log: log.With().Str("vm", settings.VM).Logger(), mirror: mirror.New()}
 	e.control = newControl(e)
 	e.gateway = gateway.New(gateway.Config{
 		Wire: settings.Wire, View: e.view.Load, Observe: e.control.observe,
@@ -156,6 +157,7 @@
 	}
 	go e.synchronise(background)
 	go e.control.run(background)
+	go e.watchSettings(background)
 	e.log.Info().Str("listen", e.settings.Frontend).Msg("edge started")
 	<-ctx.Done()
 	e.stop(front)
--- a/daemon/edge/routers.go
+++ b/daemon/edge/routers.go
@@ -90,7 +90,7 @@
 	return changed
 }
 
-// addresses returns the other routers' addresses, or the seeds while none is known.
+// addresses returns the other routers' addresses.
 func (r *routers) addresses() []string {
 	var list []string
 	for name, address := range r.present {
@@ -98,9 +98,6 @@
 			list = append(list, address)
 		}
 	}
-	if len(list) == 0 {
-		return r.edge.settings.SeedPeers
-	}
 	sort.Strings(list)
 	return list
 }
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -50,7 +50,10 @@
 	excluded := make(map[string]bool)
 	g.firstModel(x)
 	for {
-		choice, err := g.choose(ctx, x, x.model, excluded)
+		if err := g.refresh(x); err != nil {
+			return g.verdict(ctx, x, err)
+		}
+		choice, err := g.choose(ctx, x, excluded)
 		if err != nil {
 			return err
 		}
@@ -74,10 +77,10 @@
 }
 
 // choose waits for a server that may take the request.
-func (g *Gateway) choose(ctx context.Context, x *requestState, model string, excluded map[string]bool) (*selection.Choice, *result.Error) {
+func (g *Gateway) choose(ctx context.Context, x *requestState, excluded map[string]bool) (*selection.Choice, *result.Error) {
 	request := selection.Request{
 		PromptTokens: x.call.PromptTokens,
-		Prefixes:     selection.Prefixes(model, x.call.PartIDs, x.call.PartTokens),
+		Prefixes:     selection.Prefixes(x.model, x.call.PartIDs, x.call.PartTokens),
 		Routers:      x.view.Routers,
 		Excluded:     excluded,
 	}
@@ -96,6 +99,9 @@
 			return nil, g.verdict(ctx, x, result.NoBackend.With("%v", ctx.Err()))
 		case <-time.After(retryWait):
 		}
+		if err := g.refresh(x); err != nil {
+			return nil, g.verdict(ctx, x, err)
+		}
 	}
 }
 
--- a/daemon/gateway/split.go
+++ b/daemon/gateway/split.go
@@ -20,6 +20,14 @@
 	}
 	x.budget = g.budgetOf(name)
 	x.budget.First(x.began)
+	return g.refresh(x)
+}
+
+// refresh reads the backend servers that may be used now. Every attempt does so:
+// a server may have begun to leave since the request arrived.
+func (g *Gateway) refresh(x *requestState) *result.Error {
+	x.view = g.View()
+	name := x.service.Name
 	x.candidates = versionServers(x.view.Servers[name], x.view.Splits[name], sessionOf(x.call))
 	if len(x.candidates) == 0 {
 		return result.NoBackend.With("no backend server is available")
