Expect delays in time and keep a small model's answer where a larger one is late

Cause: servers were compared by prompt tokens, although the largest model needs ten times as long for a token as the smallest, and prompts that the engines had dropped from memory long ago still counted as cached. Escalation used one threshold, also where the larger model's answer would come too late.

Change: reading speed is learnt per model from first bytes; the work that other routers have sent is estimated from the own; the confidence from which an answer is kept falls as the expected first byte passes the latency target.

--- a/daemon/gateway/cascade.go
+++ b/daemon/gateway/cascade.go
@@ -1,10 +1,21 @@
 package gateway
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
-	// leastConfidence is the confidence from which a small model's answer is kept.
-	leastConfidence = 60
+	// timelyConfidence is the confidence from which a small model's answer is kept
+	// although the largest model's would come within the latency target.
+	timelyConfidence = 50
+	// lateConfidence is the same where the largest model's answer would be late and
+	// so worth about a third.
+	lateConfidence = 20
+	// lateFactor times the remaining time is where an answer is certainly late.
+	lateFactor = 1.5
+	// leastAnswer is the time that a large model's answer needs after its first byte.
+	leastAnswer = 2 * time.Second
 )
 
 // firstModel chooses the model of the first attempt: the caller's, or the
@@ -16,6 +27,16 @@
 	}
 }
 
+// modelRank returns the model's place by size: 0 for the smallest, 1 for the
+// largest or only one.
+func modelRank(models []string, model string) float64 {
+	i := slices.Index(models, model)
+	if i < 0 || len(models) < 2 {
+		return 1
+	}
+	return float64(i) / float64(len(models)-1)
+}
+
 // shouldEscalate decides whether the answer that has just begun is dropped for
 // that of the largest model. Nothing of it was passed on yet.
 func (g *Gateway) shouldEscalate(a *attempt) bool {
@@ -26,8 +47,31 @@
 	if len(models) < 2 || a.model == models[len(models)-1] || a.started || !a.route.MayRepeat() {
 		return false
 	}
-	if a.reply.Confidence < 0 || a.reply.Confidence >= leastConfidence || a.attempts >= a.route.MaxAttempts {
+	if a.reply.Confidence < 0 || a.attempts >= a.route.MaxAttempts {
+		return false
+	}
+	now := time.Now()
+	expected, ok := g.Chooser.Expect(now, a.candidates, g.selectionRequest(a.requestState, models[len(models)-1], nil))
+	if !ok || a.reply.Confidence >= enough(expected, a.route.LatencyTarget-now.Sub(a.began), a.deadline.Sub(now)) {
 		return false
 	}
-	return a.budget.Take(time.Now(), a.view.Routers)
+	return a.budget.Take(now, a.view.Routers)
+}
+
+// enough returns the confidence from which an answer is kept, when the largest
+// model's first byte is expected after a time, toTarget is left until the latency
+// target and left until the deadline.
+func enough(expected, toTarget, left time.Duration) int {
+	if expected+leastAnswer > left {
+		return 0
+	}
+	if expected <= toTarget {
+		return timelyConfidence
+	}
+	late := time.Duration(lateFactor * float64(toTarget))
+	if expected >= late || toTarget <= 0 {
+		return lateConfidence
+	}
+	part := float64(expected-toTarget) / float64(late-toTarget)
+	return timelyConfidence - int(part*(timelyConfidence-lateConfidence))
 }
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -78,15 +78,7 @@
 
 // choose waits for a server that may take the request.
 func (g *Gateway) choose(ctx context.Context, x *requestState, excluded map[string]bool) (*selection.Choice, *result.Error) {
-	request := selection.Request{
-		PromptTokens: x.call.PromptTokens,
-		Prefixes:     selection.Prefixes(x.model, x.call.PartIDs, x.call.PartTokens),
-		Routers:      x.view.Routers,
-		Excluded:     excluded,
-	}
-	if x.service.ColdPerSecond > 0 {
-		request.ColdBound = x.service.ColdPerSecond*g.ColdFactor + g.ColdExtra
-	}
+	request := g.selectionRequest(x, x.model, excluded)
 	for {
 		if choice, ok := g.Chooser.Choose(time.Now(), x.candidates, request); ok {
 			return choice, nil
@@ -105,6 +97,21 @@
 	}
 }
 
+// selectionRequest describes the request for the choice of a server.
+func (g *Gateway) selectionRequest(x *requestState, model string, excluded map[string]bool) selection.Request {
+	r := selection.Request{
+		Service: x.service.Name, Model: model, ModelRank: modelRank(x.route.Models, model),
+		PromptTokens: x.call.PromptTokens,
+		Prefixes:     selection.Prefixes(model, x.call.PartIDs, x.call.PartTokens),
+		Routers:      x.view.Routers,
+		Excluded:     excluded,
+	}
+	if x.service.ColdPerSecond > 0 {
+		r.ColdBound = x.service.ColdPerSecond*g.ColdFactor + g.ColdExtra
+	}
+	return r
+}
+
 func allTried(candidates []*topology.Server, excluded map[string]bool) bool {
 	for _, s := range candidates {
 		if !excluded[s.ID] {
--- a/daemon/selection/selection.go
+++ b/daemon/selection/selection.go
@@ -27,16 +27,20 @@
 	loadAge = 3 * time.Second
 	// errorWeight is the weight of the newest answer in the error rate.
 	errorWeight = 0.15
-	// runningTokens is the prefill that a running request's decoding costs, in
-	// tokens.
-	runningTokens = 120
+	// runningDelay is what a running request adds to the time of another's first
+	// byte at a model engine.
+	runningDelay = 2 * time.Millisecond
+	// serviceDelay is the same for a plain service whose slots are all taken.
+	serviceDelay = 120 * time.Millisecond
 	// homeCached is the part of a shared prompt assumed to be in the memory of the
 	// server that the prompt's hash prefers, before this router has used it there.
 	homeCached = 0.95
-	// errorTokens is the cost of a certain failure in tokens.
-	errorTokens = 40_000
+	// errorDelay is the delay that a certain failure is worth.
+	errorDelay = 2500 * time.Millisecond
 	// maxPrefixes bounds the remembered prompts of a server.
 	maxPrefixes = 2048
+	// prefixAge is how long a prompt is assumed to stay in a server's memory.
+	prefixAge = 20 * time.Second
 )
 
 // Prefix is a shared part of a prompt, identified with all parts before it.
@@ -63,6 +67,12 @@
 
 // Request is what a choice depends on.
 type Request struct {
+	// Service and Model select the reading speed.
+	Service string
+	Model   string
+	// ModelRank is the model's place by size, from 0 for the smallest to 1 for the
+	// largest.
+	ModelRank float64
 	// PromptTokens is the length of the prompt; 0 for plain services.
 	PromptTokens int
 	// Prefixes lists the parts of the prompt; the last one is the request's own.
@@ -87,13 +97,16 @@
 	Server *topology.Server
 	// Missing is the estimated number of prompt tokens that it has to read.
 	Missing int
-	// Backlog is the estimated number of tokens before them.
-	Backlog int
+	// Estimate is the expected time until the first byte.
+	Estimate time.Duration
 
 	chooser  *Chooser
 	state    *state
 	prefixes []Prefix
+	speed    *speed
+	work     time.Duration
 	reading  bool
+	sent     time.Time
 }
 
 // Chooser remembers what was seen of the backend servers. It is safe for
@@ -101,12 +114,13 @@
 type Chooser struct {
 	mu      sync.Mutex
 	servers map[string]*state
+	speeds  map[speedKey]*speed
 }
 
 type state struct {
 	inFlight int
-	// reading is the number of prompt tokens sent and not yet answered.
-	reading  int
+	// reading is the time that prompts sent and not yet answered take to read.
+	reading  time.Duration
 	load     Load
 	loadAt   time.Time
 	failures int
@@ -118,7 +132,9 @@
 }
 
 // New returns a Chooser that has seen nothing.
-func New() *Chooser { return &Chooser{servers: make(map[string]*state)} }
+func New() *Chooser {
+	return &Chooser{servers: make(map[string]*state), speeds: make(map[speedKey]*speed)}
+}
 
 func (c *Chooser) state(id string) *state {
 	s := c.servers[id]
@@ -129,31 +145,66 @@
 	return s
 }
 
-// Choose returns the server with the lowest cost, or false when none may take
-// the request now.
+// Choose returns the server with the lowest expected delay, or false when none
+// may take the request now.
 func (c *Chooser) Choose(now time.Time, candidates []*topology.Server, r Request) (*Choice, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	best := c.best(now, candidates, r)
+	if best == nil {
+		return nil, false
+	}
+	best.start(now)
+	return best, true
+}
+
+// Expect returns the time until the first byte that the best server would need,
+// or false when none may take the request now.
+func (c *Chooser) Expect(now time.Time, candidates []*topology.Server, r Request) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	best := c.best(now, candidates, r)
+	if best == nil {
+		return 0, false
+	}
+	return best.Estimate, true
+}
+
+func (c *Chooser) best(now time.Time, candidates []*topology.Server, r Request) *Choice {
 	home := homeOf(candidates, r)
+	others := c.othersReading(candidates, r.Routers)
+	speed := c.speedOf(r)
 	var best *Choice
-	bestCost := math.Inf(1)
+	bestDelay := time.Duration(math.MaxInt64)
 	for _, server := range candidates {
 		s := c.state(server.ID)
 		if r.Excluded[server.ID] || !s.mayTake(now, r) {
 			continue
 		}
-		missing := s.missing(r, server == home)
-		cost := s.cost(now, server, missing, r)
-		if cost < bestCost {
-			bestCost = cost
-			best = &Choice{Server: server, Missing: missing, Backlog: s.reading, chooser: c, state: s, prefixes: r.Prefixes}
+		missing := s.missing(now, r, server == home)
+		work := speed.work(missing)
+		expected := work + s.reading + s.queue(now, server, r)
+		if delay := expected + s.risk(now); delay < bestDelay {
+			bestDelay = delay
+			best = &Choice{
+				Server: server, Missing: missing, Estimate: expected + others,
+				chooser: c, state: s, prefixes: r.Prefixes, speed: speed, work: work,
+			}
 		}
 	}
-	if best == nil {
-		return nil, false
+	return best
+}
+
+// othersReading estimates the reading time that the other routers have sent to a
+// server: as much as this one to the average server, for each of them.
+func (c *Chooser) othersReading(candidates []*topology.Server, routers int) time.Duration {
+	var own time.Duration
+	for _, server := range candidates {
+		if s := c.servers[server.ID]; s != nil {
+			own += s.reading
+		}
 	}
-	best.start(now)
-	return best, true
+	return own * time.Duration(max(routers-1, 0)) / time.Duration(max(len(candidates), 1))
 }
 
 // mayTake applies the fleet-wide bound for cold servers. It holds at any time,
@@ -165,9 +216,9 @@
 	return s.sent.Count(now) < limit.PerMember(r.ColdBound, coldMargin, r.Routers)
 }
 
-func (s *state) missing(r Request, home bool) int {
+func (s *state) missing(now time.Time, r Request, home bool) int {
 	for i := len(r.Prefixes) - 1; i >= 0; i-- {
-		if _, known := s.prefixes[r.Prefixes[i].Hash]; known {
+		if at, known := s.prefixes[r.Prefixes[i].Hash]; known && now.Sub(at) < prefixAge {
 			return max(0, r.PromptTokens-r.Prefixes[i].Tokens)
 		}
 	}
@@ -177,22 +228,25 @@
 	return r.PromptTokens
 }
 
-// cost estimates the work before the first byte, in prompt tokens.
-func (s *state) cost(now time.Time, server *topology.Server, missing int, r Request) float64 {
+// queue estimates the delay by other requests, beside the prompts being read.
+func (s *state) queue(now time.Time, server *topology.Server, r Request) time.Duration {
 	running := s.inFlight
 	if now.Sub(s.loadAt) < loadAge {
 		running = max(running, s.load.Running+2*s.load.Waiting)
 	}
-	cost := float64(missing+2*s.reading) + s.errors*errorTokens
-	if server.Slots > 0 && r.PromptTokens == 0 {
-		cost += float64(running) / float64(server.Slots) * runningTokens * 10
-	} else {
-		cost += float64(running) * runningTokens
+	if r.PromptTokens == 0 {
+		return serviceDelay * time.Duration(running) / time.Duration(max(server.Slots, 1))
 	}
+	return runningDelay * time.Duration(running)
+}
+
+// risk is the delay that failures are worth.
+func (s *state) risk(now time.Time) time.Duration {
+	risk := time.Duration(s.errors * float64(errorDelay))
 	if now.Before(s.avoid) {
-		cost += errorTokens * float64(1+s.failures)
+		risk += errorDelay * time.Duration(1+s.failures)
 	}
-	return cost
+	return risk
 }
 
 // homeOf returns the server that the shared part of the prompt prefers. All
@@ -226,8 +280,9 @@
 	c.state.sent.Count(now)
 	c.state.sent.Add(now)
 	c.state.inFlight++
-	c.state.reading += c.Missing
+	c.state.reading += c.work
 	c.reading = true
+	c.sent = now
 	if len(c.state.prefixes) > maxPrefixes {
 		clear(c.state.prefixes)
 	}
@@ -236,7 +291,7 @@
 func (c *Choice) stopReading() {
 	if c.reading {
 		c.reading = false
-		c.state.reading -= c.Missing
+		c.state.reading -= c.work
 	}
 }
 
@@ -244,6 +299,9 @@
 func (c *Choice) Answered(now time.Time) {
 	c.chooser.mu.Lock()
 	defer c.chooser.mu.Unlock()
+	if c.reading {
+		c.speed.learn(c.Estimate, now.Sub(c.sent))
+	}
 	c.stopReading()
 	c.state.heard = now
 	for _, p := range c.prefixes {
@@ -323,17 +381,3 @@
 		}
 	}
 }
-
-// Totals returns the requests in flight and the prompt tokens being read by the
-// given servers.
-func (c *Chooser) Totals(servers []*topology.Server) (inFlight, reading int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, server := range servers {
-		if s := c.servers[server.ID]; s != nil {
-			inFlight += s.inFlight
-			reading += s.reading
-		}
-	}
-	return inFlight, reading
-}
