--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Common tasks; each works on a machine with only Go and make.
 GO ?= go
-MODULES := coord daemon
+MODULES := coord daemon platform
 SEED ?= 1
 DURATION ?= 30s
 # Tests that fail because of a known fault; "test" passes over them and prints them.
@@ -22,12 +22,12 @@
 	cd tools && GOWORK=off $(GO) build -o ../bin/ tool
 
 lint: tools
-	@out=$$(bin/gofumpt -l coord daemon | grep -v -E '\.(pb|twirp)\.go$$'); \
+	@out=$$(bin/gofumpt -l coord daemon platform | grep -v -E '\.(pb|twirp)\.go$$'); \
 	if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 	@for m in $(MODULES); do (cd $$m && $(GO) vet ./... && ../bin/staticcheck ./...) || exit 1; done
 
 fmt: tools
-	bin/gofumpt -w coord daemon
+	bin/gofumpt -w coord daemon platform
 
 generate: tools
 	cd daemon && PATH=$(CURDIR)/bin:$$PATH ../bin/buf generate
--- /dev/null
+++ b/coord/limit/window_test.go
@@ -0,0 +1,66 @@
+package limit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Repeats of all members together stay within the fleet's bound in any window,
+// however uneven the members' traffic is.
+func TestRepeatsOfAllMembersStayInBound(t *testing.T) {
+	cfg := RepeatConfig{Ratio: 0.9, Extra: 56, Window: 10 * time.Second}
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		members := 1 + random.IntN(8)
+		budgets := make([]*RepeatBudget, members)
+		for i := range budgets {
+			budgets[i] = NewRepeatBudget(cfg)
+		}
+		now := time.Unix(1_700_000_000, 0)
+		var firsts, repeats []time.Time
+		for range 4000 {
+			now = now.Add(time.Duration(random.IntN(10)) * time.Millisecond)
+			i := min(random.IntN(members), random.IntN(members))
+			if random.IntN(3) == 0 {
+				budgets[i].First(now)
+				firsts = append(firsts, now)
+			}
+			if budgets[i].Take(now, members) {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, end := range repeats {
+			f, r := within(firsts, end, cfg.Window), within(repeats, end, cfg.Window)
+			if float64(r) > cfg.Ratio*float64(f)+cfg.Extra {
+				t.Fatalf("seed %d, %d members: %d repeats of %d requests in a window", seed, members, r, f)
+			}
+		}
+	}
+}
+
+func within(times []time.Time, end time.Time, window time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if !at.After(end) && end.Sub(at) < window {
+			n++
+		}
+	}
+	return n
+}
+
+// A budget that was used up refills as its window moves on.
+func TestRepeatBudgetRefills(t *testing.T) {
+	b := NewRepeatBudget(RepeatConfig{Extra: 10, Window: time.Second})
+	now := time.Unix(1_700_000_000, 0)
+	taken := 0
+	for b.Take(now, 1) {
+		taken++
+	}
+	if taken != 8 {
+		t.Errorf("%d repeats of 10 with the margin, want 8", taken)
+	}
+	if !b.Take(now.Add(1100*time.Millisecond), 1) {
+		t.Error("the budget does not refill")
+	}
+}
--- /dev/null
+++ b/daemon/edge/rig_test.go
@@ -0,0 +1,364 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cactusknot.example/coord/kv"
+	"cactusknot.example/coord/limit"
+	"cactusknot.example/daemon/gateway"
+	"cactusknot.example/daemon/mirror"
+	"cactusknot.example/daemon/rollout"
+	"cactusknot.example/daemon/topology"
+)
+
+// memoryStore is a store with revisions, watches and leases that expire only when
+// a test says so.
+type memoryStore struct {
+	mu       sync.Mutex
+	revision kv.Revision
+	entries  map[string]kv.Entry
+	history  []mirror.Change
+	dropped  kv.Revision
+	changed  chan struct{}
+	leases   kv.LeaseID
+	commits  map[string]int
+	calls    int
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{revision: 1, entries: make(map[string]kv.Entry), changed: make(chan struct{}), commits: make(map[string]int)}
+}
+
+func (s *memoryStore) put(key string, value any) {
+	raw, ok := value.([]byte)
+	if !ok {
+		raw, _ = json.Marshal(value)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kv.Entry{Key: key, Value: raw})
+}
+
+func (s *memoryStore) write(e kv.Entry) {
+	s.revision++
+	e.Revision = s.revision
+	s.entries[e.Key] = e
+	s.note(mirror.Change{Entry: e})
+}
+
+func (s *memoryStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.entries, key)
+	s.note(mirror.Change{Entry: kv.Entry{Key: key, Revision: s.revision}, Deleted: true})
+}
+
+func (s *memoryStore) note(c mirror.Change) {
+	s.history = append(s.history, c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// compact drops the history, so that watches end with ErrCompacted.
+func (s *memoryStore) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.dropped = nil, s.revision
+}
+
+// client is one router's access to the store, with its own faults.
+type client struct {
+	store *memoryStore
+	// refused makes every call fail at once, silent makes it hang.
+	refused, silent atomic.Bool
+	// loseAnswers makes commits succeed without an answer.
+	loseAnswers atomic.Bool
+}
+
+func (c *client) fault(ctx context.Context) error {
+	c.store.mu.Lock()
+	c.store.calls++
+	c.store.mu.Unlock()
+	if c.silent.Load() {
+		<-ctx.Done()
+		return errors.Join(kv.ErrUnavailable, ctx.Err())
+	}
+	if c.refused.Load() {
+		return kv.ErrUnavailable
+	}
+	return nil
+}
+
+func (c *client) Range(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
+	if err := c.fault(ctx); err != nil {
+		return nil, 0, err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	var list []kv.Entry
+	for key, e := range c.store.entries {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, e)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	return list, c.store.revision, nil
+}
+
+func (c *client) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) ([]mirror.Change, kv.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+100*time.Millisecond)
+	defer cancel()
+	end := time.After(min(wait, 200*time.Millisecond))
+	for {
+		if err := c.fault(ctx); err != nil {
+			return nil, 0, err
+		}
+		c.store.mu.Lock()
+		if after < c.store.dropped {
+			c.store.mu.Unlock()
+			return nil, 0, ErrCompacted
+		}
+		var list []mirror.Change
+		for _, change := range c.store.history {
+			if change.Revision > after {
+				list = append(list, change)
+			}
+		}
+		at, changed := c.store.revision, c.store.changed
+		c.store.mu.Unlock()
+		if len(list) > 0 {
+			return list, at, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, at, nil
+		}
+	}
+}
+
+func (c *client) Commit(ctx context.Context, t Txn) (kv.Revision, error) {
+	if err := c.fault(ctx); err != nil {
+		return 0, errors.Join(kv.ErrUnknownOutcome, err)
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	for _, condition := range t.Conditions {
+		if c.store.entries[condition.Key].Revision != condition.Revision {
+			return 0, kv.ErrConflict
+		}
+	}
+	for _, w := range t.Writes {
+		c.store.write(kv.Entry{Key: w.Key, Value: w.Value, Lease: w.Lease})
+		c.store.commits[w.Key]++
+	}
+	if c.loseAnswers.Load() {
+		return 0, kv.ErrUnknownOutcome
+	}
+	return c.store.revision, nil
+}
+
+func (c *client) Grant(ctx context.Context, _ time.Duration) (kv.LeaseID, error) {
+	if err := c.fault(ctx); err != nil {
+		return 0, err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.store.leases++
+	return c.store.leases, nil
+}
+
+func (c *client) KeepAlive(ctx context.Context, _ kv.LeaseID) error { return c.fault(ctx) }
+
+func (c *client) Revoke(ctx context.Context, id kv.LeaseID) error {
+	if err := c.fault(ctx); err != nil {
+		return err
+	}
+	c.store.mu.Lock()
+	var keys []string
+	for key, e := range c.store.entries {
+		if e.Lease == id {
+			keys = append(keys, key)
+		}
+	}
+	c.store.mu.Unlock()
+	for _, key := range keys {
+		c.store.remove(key)
+	}
+	return nil
+}
+
+// testDecoder reads entries written by tests.
+type testDecoder struct{}
+
+type testConfig struct{ Version uint64 }
+
+type testServer struct {
+	Service, Version, DataCentre string
+	Draining                     bool
+	ColdMS, Started              int64
+}
+
+func (testDecoder) Config(e kv.Entry) (*topology.Config, bool, error) {
+	if e.Key != "config" {
+		return nil, false, nil
+	}
+	var c testConfig
+	if err := json.Unmarshal(e.Value, &c); err != nil {
+		return nil, true, err
+	}
+	services := []*topology.Service{{Name: "svc", ColdPerSecond: 5, ColdStart: time.Second}}
+	return topology.NewConfig(c.Version, nil, services, nil, topology.Limits{}), true, nil
+}
+
+func (d testDecoder) Server(e kv.Entry) (*topology.Server, bool, error) {
+	id, ok := d.ServerID(e.Key)
+	if !ok {
+		return nil, false, nil
+	}
+	var s testServer
+	if err := json.Unmarshal(e.Value, &s); err != nil {
+		return nil, true, err
+	}
+	return &topology.Server{
+		ID: id, Service: s.Service, Version: s.Version, DataCentre: s.DataCentre, Draining: s.Draining,
+		Cold: time.Duration(s.ColdMS) * time.Millisecond, Started: s.Started,
+	}, true, nil
+}
+
+func (testDecoder) ServerID(key string) (string, bool) { return strings.CutPrefix(key, "servers/") }
+
+func (testDecoder) Evacuation(e kv.Entry) (string, bool) {
+	return strings.CutPrefix(e.Key, "evacuate/")
+}
+
+func (testDecoder) Order(e kv.Entry) (*topology.Order, bool, error) {
+	service, ok := strings.CutPrefix(e.Key, "order/")
+	if !ok {
+		return nil, false, nil
+	}
+	var o topology.Order
+	if err := json.Unmarshal(e.Value, &o); err != nil {
+		return nil, true, err
+	}
+	o.Service, o.Revision = service, uint64(e.Revision)
+	return &o, true, nil
+}
+
+func (testDecoder) Status(service, target string, phase rollout.Phase) (string, []byte, error) {
+	return "status/" + service, []byte(target + " " + string(phase)), nil
+}
+
+// testEdge is a running role without callers.
+type testEdge struct {
+	*Edge
+	client *client
+}
+
+// refusedFromStart begins the name of a router that the store turns away.
+const refusedFromStart = "refused-"
+
+func startEdge(t *testing.T, store *memoryStore, name string, seeds ...string) *testEdge {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &client{store: store}
+	c.refused.Store(strings.HasPrefix(name, refusedFromStart))
+	settings := &Settings{
+		VM: name, Peer: l.Addr().String(), SeedPeers: seeds, Store: c, Decoder: testDecoder{}, ExposureShare: 0.15,
+		Repeats: limit.RepeatConfig{Ratio: 0.5, Extra: 10, Window: 10 * time.Second}, ColdFactor: 1,
+	}
+	e := &testEdge{Edge: New(settings, func() (*Settings, error) { return settings, nil }, zerolog.Nop()), client: c}
+	peers := &http.Server{Handler: e.peerHandler()}
+	go func() { _ = peers.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		peers.Close()
+	})
+	go e.synchronise(ctx)
+	go e.control.run(ctx)
+	return e
+}
+
+// usable returns the identities of the backend servers that requests may use.
+func (e *testEdge) usable() string {
+	v := e.view.Load()
+	if v == nil {
+		return ""
+	}
+	var ids []string
+	for _, s := range v.Servers["svc"] {
+		ids = append(ids, s.ID)
+	}
+	sort.Strings(ids)
+	return strings.Join(ids, " ")
+}
+
+func (e *testEdge) version() uint64 {
+	if v := e.view.Load(); v != nil && v.Config != nil {
+		return v.Config.Version
+	}
+	return 0
+}
+
+func (e *testEdge) phase(service string) string {
+	v := e.view.Load()
+	if v == nil {
+		return ""
+	}
+	split := v.Splits[service]
+	switch {
+	case split.Final:
+		return "final"
+	case split.Share == 1:
+		return "full"
+	case split.Share > 0:
+		return "part"
+	case split.Target != "":
+		return "none"
+	}
+	return ""
+}
+
+func (e *testEdge) feed(version string, bad bool, n int) {
+	for range n {
+		e.control.observe(gateway.Sample{Service: "svc", Version: version, Failed: bad})
+	}
+}
+
+func eventually(t *testing.T, within time.Duration, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(within)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %s: %s", within, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// never fails when something holds at any moment of a time.
+func never(t *testing.T, during time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(during); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			t.Fatalf("within %s: %s", during, what)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/gateway/access_test.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cactusknot.example/daemon/topology"
+)
+
+// Before a configuration is known a request is refused as not run: a 404 would be
+// taken as final.
+func TestNoConfigurationIsNotNotFound(t *testing.T) {
+	r := newRig(t, topology.Route{})
+	r.view.Store(nil)
+	if got := r.call(http.MethodGet, "/x", ""); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("got %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
+	}
+}
+
+// Keys decide the workspace; the one that the caller claims does not count.
+func TestKeys(t *testing.T) {
+	a := newServer(t, "a", whole(200, "ok"))
+	r := newRig(t, topology.Route{Kind: topology.Idempotent, MaxAttempts: 1}, a)
+	r.keys = map[string]*topology.Workspace{"k1": {Name: "w1"}}
+	r.publish(topology.Route{Kind: topology.Idempotent, MaxAttempts: 1, Prefix: "/a/"}, a)
+	cases := []struct {
+		path, key string
+		want      int
+	}{{"/a/x", "k1", 200}, {"/a/x", "k2", 401}, {"/a/x", "", 401}, {"/b/x", "k1", 404}}
+	for _, c := range cases {
+		if got := r.call(http.MethodGet, c.path, "", "Key", c.key, "Workspace", "other"); got.status != c.want {
+			t.Errorf("%s with %q: got %d, want %d", c.path, c.key, got.status, c.want)
+		}
+	}
+	if seen := a.seen(); len(seen) != 1 || seen[0].head.Get("Workspace") != "w1" {
+		t.Errorf("arrivals %+v", a.seen())
+	}
+	r.publish(topology.Route{Kind: topology.Idempotent, MaxAttempts: 1, Anonymous: true}, a)
+	if got := r.call(http.MethodGet, "/x", ""); got.status != 200 {
+		t.Errorf("anonymous: got %d", got.status)
+	}
+}
+
+// The longest prefix of the host wins, whatever the order of the routes.
+func TestLongestPrefix(t *testing.T) {
+	routes := []*topology.Route{
+		{Name: "short", Host: "h", Prefix: "/a/"},
+		{Name: "long", Host: "H", Prefix: "/a/b/"},
+		{Name: "other", Host: "g", Prefix: "/a/b/c/"},
+	}
+	c := topology.NewConfig(1, routes, nil, nil, topology.Limits{})
+	for path, want := range map[string]string{"/a/x": "short", "/a/b/x": "long", "/a/b/c/x": "long"} {
+		if r := c.Match("h", path); r == nil || r.Name != want {
+			t.Errorf("%s: got %v, want %s", path, r, want)
+		}
+	}
+	if c.Match("h", "/a") != nil || c.Match("x", "/a/x") != nil {
+		t.Error("a path outside all prefixes matched")
+	}
+}
+
+// A body over the bound is refused before it is read whole.
+func TestTooLargeBody(t *testing.T) {
+	a := newServer(t, "a", whole(200, "ok"))
+	r := newRig(t, topology.Route{Kind: topology.Idempotent, MaxAttempts: 1}, a)
+	r.view.Load().Config.Limits.BodyBytes = 100
+	if got := r.call(http.MethodPost, "/x", strings.Repeat("x", 101)); got.status != http.StatusRequestEntityTooLarge {
+		t.Errorf("got %d", got.status)
+	}
+	if len(a.seen()) != 0 {
+		t.Error("the request reached a backend server")
+	}
+}
+
+// exchangeRaw sends bytes on one connection and returns the status lines.
+func exchangeRaw(t *testing.T, r *rig, raw string, answers int) []int {
+	t.Helper()
+	c, err := net.Dial("tcp", r.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+	fmt.Fprint(c, raw)
+	reader := bufio.NewReader(c)
+	var statuses []int
+	for i := range answers + 1 {
+		if i == answers {
+			// Nothing more may come.
+			_ = c.SetDeadline(time.Now().Add(150 * time.Millisecond))
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			break
+		}
+		_, _ = reader.Discard(int(response.ContentLength))
+		statuses = append(statuses, response.StatusCode)
+	}
+	return statuses
+}
+
+// Requests that are framed in unusual ways reach the backend server once, with
+// their own body, and nothing is smuggled inside another.
+func TestFraming(t *testing.T) {
+	smuggled := "GET /smuggled HTTP/1.1\r\nHost: 127.0.0.1\r\nId: s\r\n\r\n"
+	cases := map[string]struct {
+		raw    string
+		bodies []string
+	}{
+		"chunked with extension": {
+			"POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: q\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\nTrailer: t\r\n\r\n",
+			[]string{"abc"},
+		},
+		"request inside a body": {
+			fmt.Sprintf("POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: q\r\nContent-Length: %d\r\n\r\n%s", len(smuggled), smuggled),
+			[]string{smuggled},
+		},
+		"pipelined": {
+			"POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: q\r\nContent-Length: 1\r\n\r\n1" +
+				"POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: q2\r\nContent-Length: 1\r\n\r\n2",
+			[]string{"1", "2"},
+		},
+		"expect": {
+			"POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: q\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nab",
+			[]string{"ab"},
+		},
+		"both framings": {
+			"POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: q\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+			nil,
+		},
+		"two lengths": {
+			"POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: q\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+			nil,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := newServer(t, "a", whole(200, "ok"))
+			r := newRig(t, topology.Route{Kind: topology.NonIdempotent, MaxAttempts: 1}, a)
+			exchangeRaw(t, r, c.raw, max(1, len(c.bodies)))
+			seen := a.seen()
+			if c.bodies != nil && len(seen) != len(c.bodies) {
+				t.Fatalf("%d arrivals, want %d", len(seen), len(c.bodies))
+			}
+			for i, x := range seen {
+				if !strings.HasPrefix(x.line, "POST /x") || i < len(c.bodies) && x.body != c.bodies[i] {
+					t.Errorf("arrival %d: %q %q", i, x.line, x.body)
+				}
+			}
+			if len(seen) > max(1, len(c.bodies)) {
+				t.Errorf("%d arrivals from one request", len(seen))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/daemon/gateway/cascade_test.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"cactusknot.example/daemon/topology"
+)
+
+// confident answers with a confidence per model; the body names the model.
+func confident(confidence map[string]int) func(int, arrival, net.Conn) bool {
+	return func(_ int, a arrival, c net.Conn) bool {
+		model := a.head.Get("Model")
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nMark: m\r\nConfidence: %d\r\nContent-Length: %d\r\n\r\n%s",
+			a.head.Get("Id"), confidence[model], len(model), model)
+		return true
+	}
+}
+
+// The smallest model's answer is kept when it is confident; a doubtful one is
+// dropped for the largest model's before the caller got any of it.
+func TestCascade(t *testing.T) {
+	route := topology.Route{Kind: topology.Stream, Resumable: true, MaxAttempts: 3, Models: []string{"s", "m", "l"}}
+	for _, c := range []struct {
+		confidence int
+		want       string
+	}{{90, "s"}, {timelyConfidence, "s"}, {timelyConfidence - 1, "l"}, {0, "l"}} {
+		a := newServer(t, "a", confident(map[string]int{"s": c.confidence, "l": 1}))
+		r := newRig(t, route, a)
+		if got := r.call(http.MethodPost, "/x", "p"); got.body != c.want {
+			t.Errorf("confidence %d: answer of %q, want %q", c.confidence, got.body, c.want)
+		}
+	}
+}
+
+// Every run counts as an attempt: with one attempt there is no second model, and a
+// request that may run once is never answered twice.
+func TestCascadeKeepsToAttempts(t *testing.T) {
+	for _, route := range []topology.Route{
+		{Kind: topology.Stream, Resumable: true, MaxAttempts: 1, Models: []string{"s", "l"}},
+		{Kind: topology.Stream, MaxAttempts: 3, Models: []string{"s", "l"}},
+	} {
+		a := newServer(t, "a", confident(map[string]int{"s": 0}))
+		r := newRig(t, route, a)
+		if got := r.call(http.MethodPost, "/x", "p"); got.body != "s" || len(a.seen()) != 1 {
+			t.Errorf("answer of %q after %d runs", got.body, len(a.seen()))
+		}
+	}
+}
+
+// Waiting for the largest model is worth less the later its answer comes.
+func TestEnough(t *testing.T) {
+	second := time.Second
+	cases := []struct {
+		expected, toTarget, left time.Duration
+		want                     int
+	}{
+		{second, 2 * second, 10 * second, timelyConfidence},
+		{4 * second, 2 * second, 10 * second, lateConfidence},
+		{second, -second, 10 * second, lateConfidence},
+		{9 * second, 2 * second, 10 * second, 0},
+	}
+	for _, c := range cases {
+		if got := enough(c.expected, c.toTarget, c.left); got != c.want {
+			t.Errorf("enough(%s, %s, %s) = %d, want %d", c.expected, c.toTarget, c.left, got, c.want)
+		}
+	}
+	last := timelyConfidence
+	for expected := second; expected < 4*second; expected += second / 10 {
+		got := enough(expected, 2*second, 20*second)
+		if got > last {
+			t.Fatalf("a later answer needs more confidence: %d after %d", got, last)
+		}
+		last = got
+	}
+}
+
+// A session's set only grows with the share, so that it never changes back.
+func TestSessionsJoinOnce(t *testing.T) {
+	in := 0
+	for i := range 2000 {
+		session := fmt.Sprint("s", i)
+		was := false
+		for share := 0.0; share <= 1; share += 0.05 {
+			now := InTarget("v2", session, share)
+			if was && !now {
+				t.Fatalf("%s left the target at share %.2f", session, share)
+			}
+			was = now
+		}
+		if InTarget("v2", session, 0.1) {
+			in++
+		}
+	}
+	if in < 150 || in > 250 {
+		t.Errorf("%d of 2000 sessions at a share of 0.1", in)
+	}
+}
+
+// A session must not be exposed to an unproven version because the old one has no
+// server, nor stay without one because the new one has none.
+func TestVersionServers(t *testing.T) {
+	old, target := &topology.Server{ID: "o", Version: "v1"}, &topology.Server{ID: "t", Version: "v2"}
+	split := topology.Split{Target: "v2", Share: 0}
+	if got := versionServers([]*topology.Server{target}, split, "s"); len(got) != 0 {
+		t.Error("a share of 0 reached the target")
+	}
+	split.Share = 1
+	if got := versionServers([]*topology.Server{old}, split, "s"); len(got) != 1 {
+		t.Error("no server although the old version has one")
+	}
+	split.Final = true
+	if got := versionServers([]*topology.Server{old, target}, split, "s"); len(got) != 1 || got[0] != target {
+		t.Error("the old version is used after the end")
+	}
+}
--- /dev/null
+++ b/daemon/gateway/rig_test.go
@@ -0,0 +1,251 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cactusknot.example/coord/limit"
+	"cactusknot.example/daemon/topology"
+)
+
+// testWire is a minimal set of headers.
+type testWire struct{}
+
+func (testWire) Decode(r *http.Request) *Call {
+	c := &Call{
+		ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host,
+		Header: r.Header, Key: r.Header.Get("Key"), ResumeAfter: -1,
+	}
+	if ms, err := strconv.Atoi(r.Header.Get("Wait")); err == nil {
+		c.Wait = time.Duration(ms) * time.Millisecond
+	}
+	return c
+}
+
+func (testWire) Encode(call *Call, d Dispatch) http.Header {
+	h := http.Header{"Id": {call.ID}, "Server": {d.ServerID}, "Left": {strconv.FormatInt(d.Left.Milliseconds(), 10)}}
+	h.Set("Model", d.Model)
+	h.Set("Workspace", d.Workspace)
+	h.Set("After", strconv.FormatInt(d.ResumeAfter, 10))
+	return h
+}
+
+func (testWire) Own(call *Call, h http.Header) bool { return h.Get("Id") == call.ID }
+
+func (testWire) Reply(_ int, h http.Header) Reply {
+	confidence, err := strconv.Atoi(h.Get("Confidence"))
+	if err != nil {
+		confidence = -1
+	}
+	return Reply{
+		NotRun: h.Get("Not-Run") != "", Signed: h.Get("Mark") != "", Confidence: confidence,
+		Events: h.Get("Content-Type") == "text/event-stream",
+	}
+}
+
+func (testWire) Answer(_ *Call, h http.Header) http.Header {
+	out := http.Header{"Mark": h["Mark"]}
+	out.Set("Content-Type", h.Get("Content-Type"))
+	return out
+}
+
+func (testWire) Refusal(_ *Call, pause time.Duration) http.Header {
+	h := http.Header{}
+	if pause > 0 {
+		h.Set("Retry-After", pause.String())
+	}
+	return h
+}
+
+// arrival is a request as a backend server read it.
+type arrival struct {
+	head http.Header
+	line string
+	body string
+	conn int
+}
+
+// server is a scripted backend server on raw connections.
+type server struct {
+	*topology.Server
+	listener net.Listener
+	mu       sync.Mutex
+	arrivals []arrival
+	conns    int
+	// answer gets the connection after a request was read; false ends it.
+	answer func(n int, a arrival, c net.Conn) bool
+	// gone counts connections that the router closed while an answer was due.
+	gone atomic.Int32
+}
+
+func newServer(t *testing.T, id string, answer func(n int, a arrival, c net.Conn) bool) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{listener: l, answer: answer, Server: &topology.Server{ID: id, Service: "svc", Address: l.Addr().String(), Version: "v1", Slots: 8}}
+	t.Cleanup(func() { l.Close() })
+	go s.run()
+	return s
+}
+
+func (s *server) run() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns++
+		n := s.conns
+		s.mu.Unlock()
+		go s.serve(c, n)
+	}
+}
+
+func (s *server) serve(c net.Conn, conn int) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		a := arrival{head: r.Header, line: r.Method + " " + r.RequestURI, body: string(body), conn: conn}
+		s.mu.Lock()
+		s.arrivals = append(s.arrivals, a)
+		n := len(s.arrivals)
+		s.mu.Unlock()
+		if !s.answer(n, a, c) {
+			return
+		}
+	}
+}
+
+func (s *server) seen() []arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]arrival(nil), s.arrivals...)
+}
+
+// whole answers with a body and its length.
+func whole(status int, body string) func(int, arrival, net.Conn) bool {
+	return func(_ int, a arrival, c net.Conn) bool {
+		fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\nMark: m\r\nContent-Length: %d\r\n\r\n%s", status, a.head.Get("Id"), len(body), body)
+		return true
+	}
+}
+
+// refuse states that the request was not run.
+func refuse(_ int, a arrival, c net.Conn) bool {
+	fmt.Fprintf(c, "HTTP/1.1 503 X\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", a.head.Get("Id"))
+	return true
+}
+
+// vanish closes the connection without an answer.
+func vanish(int, arrival, net.Conn) bool { return false }
+
+type rig struct {
+	*Gateway
+	view    atomic.Pointer[topology.View]
+	front   *httptest.Server
+	samples atomic.Int32
+	keys    map[string]*topology.Workspace
+}
+
+func newRig(t *testing.T, route topology.Route, servers ...*server) *rig {
+	t.Helper()
+	r := &rig{}
+	r.Gateway = New(Config{
+		Name: "r1", Wire: testWire{}, View: r.view.Load, Observe: func(Sample) { r.samples.Add(1) },
+		Repeats: limit.RepeatConfig{Ratio: 0.9, Extra: 50, Window: 10 * time.Second}, Log: zerolog.Nop(),
+	})
+	r.publish(route, servers...)
+	r.front = httptest.NewServer(r.Gateway)
+	t.Cleanup(r.front.Close)
+	return r
+}
+
+// publish puts a view in force with one route and the servers.
+func (r *rig) publish(route topology.Route, servers ...*server) {
+	if route.Prefix == "" {
+		route.Prefix = "/"
+	}
+	route.Host = "127.0.0.1"
+	if route.Timeout == 0 {
+		route.Timeout = 5 * time.Second
+	}
+	if route.LatencyTarget == 0 {
+		route.LatencyTarget = time.Second
+	}
+	route.Shares = []topology.Share{{Service: "svc", Weight: 1}}
+	var list []*topology.Server
+	for _, s := range servers {
+		list = append(list, s.Server)
+	}
+	config := topology.NewConfig(1, []*topology.Route{&route}, []*topology.Service{{Name: "svc"}}, r.keys,
+		topology.Limits{BodyBytes: 1 << 20})
+	r.view.Store(&topology.View{Config: config, Servers: map[string][]*topology.Server{"svc": list}, Routers: []string{"r1"}})
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r *rig) call(method, path, body string, headers ...string) reply {
+	request, err := http.NewRequestWithContext(context.Background(), method, r.front.URL+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	request.Header.Set("Id", "q1")
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header, string(raw), err}
+}
+
+func total(servers ...*server) int {
+	n := 0
+	for _, s := range servers {
+		n += len(s.seen())
+	}
+	return n
+}
+
+func eventually(t *testing.T, within time.Duration, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(within)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %s: %s", within, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/daemon/mirror/mirror_test.go
@@ -0,0 +1,106 @@
+package mirror
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"cactusknot.example/coord/kv"
+)
+
+func entry(key string, revision int, value string) Change {
+	return Change{Entry: kv.Entry{Key: key, Revision: kv.Revision(revision), Value: []byte(value)}}
+}
+
+func removed(key string, revision int) Change {
+	return Change{Entry: kv.Entry{Key: key, Revision: kv.Revision(revision)}, Deleted: true}
+}
+
+// An answer that arrives late must not bring an older value back.
+func TestOlderChangesAreIgnored(t *testing.T) {
+	m := New()
+	m.Apply([]Change{entry("a", 5, "new")}, 5)
+	if news := m.Apply([]Change{entry("a", 3, "old"), removed("a", 4)}, 4); len(news) != 0 {
+		t.Errorf("news %v", news)
+	}
+	if e, ok := m.Get("a"); !ok || string(e.Value) != "new" || m.At() != 5 {
+		t.Errorf("got %v %v at %d", e, ok, m.At())
+	}
+}
+
+// A listing tells of removals by what it lacks, but not of keys that are newer
+// than it.
+func TestResetRemovesWhatIsMissing(t *testing.T) {
+	m := New()
+	m.Apply([]Change{entry("a", 1, "1"), entry("b", 2, "2"), entry("c", 9, "3")}, 9)
+	m.Reset([]kv.Entry{{Key: "a", Revision: 1}}, 5)
+	if _, ok := m.Get("b"); ok {
+		t.Error("b is still there")
+	}
+	if _, ok := m.Get("c"); !ok {
+		t.Error("c was written after the listing and is gone")
+	}
+}
+
+// Copies that merge the same changes in any order, in parts and from each other
+// end up equal, and none ever goes back.
+func TestCopiesConverge(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		truth := New()
+		var history []Change
+		for revision := 1; revision <= 200; revision++ {
+			key := fmt.Sprint("k", random.IntN(12))
+			c := entry(key, revision, fmt.Sprint(revision))
+			if random.IntN(3) == 0 {
+				c = removed(key, revision)
+			}
+			history = append(history, c)
+			truth.Apply([]Change{c}, kv.Revision(revision))
+		}
+		a, b := New(), New()
+		for _, i := range random.Perm(len(history)) {
+			a.Apply(history[i:i+1], 0)
+			if random.IntN(9) == 0 {
+				changes, at, complete := a.Since(b.At())
+				if !complete {
+					b.Apply(changes, at)
+				}
+			}
+		}
+		changes, _, _ := a.Since(0)
+		b.Apply(changes, 200)
+		for i := range 12 {
+			key := fmt.Sprint("k", i)
+			want, ok := truth.Get(key)
+			for name, m := range map[string]*Mirror{"a": a, "b": b} {
+				got, has := m.Get(key)
+				if name == "b" && !ok {
+					continue // A complete copy tells of removals only through Reset.
+				}
+				if has != ok || string(got.Value) != string(want.Value) {
+					t.Fatalf("seed %d, copy %s: %s is %q (%v), want %q (%v)", seed, name, key, got.Value, has, want.Value, ok)
+				}
+			}
+		}
+	}
+}
+
+// Removed keys are remembered in bounded memory, and a removed key does not come
+// back from a copy that is behind.
+func TestTombstonesAreBounded(t *testing.T) {
+	m := New()
+	for i := 1; i <= 3*maxTombstones; i++ {
+		m.Apply([]Change{removed(fmt.Sprint("k", i), i)}, kv.Revision(i))
+	}
+	if len(m.entries) > maxTombstones+1 {
+		t.Errorf("%d tombstones", len(m.entries))
+	}
+	m.Apply([]Change{entry("k1", 1, "old")}, 1)
+	if _, ok := m.Get("k1"); ok {
+		t.Error("a removed key came back")
+	}
+	if _, _, complete := m.Since(1); !complete {
+		t.Error("a copy that is far behind got a difference with removals missing")
+	}
+}
--- /dev/null
+++ b/daemon/rollout/rollout_test.go
@@ -0,0 +1,115 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const duration = 24 * time.Second
+
+// run plays a roll-out with a rate of requests and of bad answers of the target
+// from a part of the time on, heard of with a delay. It returns the requests that
+// the target got before the deadline, all requests, and the last phase.
+func run(seed uint64, perSecond int, badRate, baseRate, badFrom float64, delay time.Duration) (exposed, all int, phase Phase) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	plan := Plan{Phase: Hold}
+	var heard, present Evidence
+	var queue []Evidence
+	step := 250 * time.Millisecond
+	for elapsed := time.Duration(0); elapsed < duration; elapsed += step {
+		for range perSecond / 4 {
+			all++
+			if random.Float64() >= Share(plan.Phase, 0.15) {
+				count(&present.Base, random.Float64() < baseRate)
+				continue
+			}
+			exposed++
+			bad := float64(elapsed)/float64(duration) >= badFrom && random.Float64() < badRate
+			count(&present.Target, bad || random.Float64() < baseRate)
+		}
+		queue = append(queue, present)
+		if n := int(delay / step); len(queue) > n {
+			heard = queue[len(queue)-1-n]
+		}
+		plan.Phase = Next(plan, heard, elapsed, duration)
+	}
+	return exposed, all, plan.Phase
+}
+
+func count(c *Counts, bad bool) {
+	if bad {
+		c.Bad++
+	} else {
+		c.Good++
+	}
+}
+
+// A bad version gets at most the bounded share of requests, plus the tolerance,
+// whenever it turns bad and with evidence that is a second old.
+func TestExposureOfABadVersion(t *testing.T) {
+	const bound, tolerance = 0.15, 30
+	reverted := 0
+	for seed := range uint64(60) {
+		for _, from := range []float64{0, 0.6, 0.7} {
+			exposed, all, phase := run(seed, 32, 0.4, 0.03, from, time.Second)
+			if float64(exposed) > bound*float64(all)+tolerance {
+				t.Errorf("seed %d, bad from %.1f: %d of %d requests", seed, from, exposed, all)
+			}
+			if phase == Reverted {
+				reverted++
+			}
+			if phase == Completed {
+				t.Errorf("seed %d, bad from %.1f: completed", seed, from)
+			}
+		}
+	}
+	if reverted < 170 {
+		t.Errorf("%d of 180 bad versions reverted", reverted)
+	}
+}
+
+// A good version completes before its deadline, also where answers fail at times.
+func TestGoodVersionCompletes(t *testing.T) {
+	completed := 0
+	for seed := range uint64(60) {
+		if _, _, phase := run(seed, 32, 0, 0.04, 0, time.Second); phase == Completed {
+			completed++
+		}
+	}
+	if completed < 57 {
+		t.Errorf("%d of 60 good versions completed", completed)
+	}
+}
+
+// Sessions keep their version through the first half of the time.
+func TestNoExposureInTheFirstHalf(t *testing.T) {
+	plan := Plan{Phase: Hold}
+	for elapsed := time.Duration(0); elapsed <= duration/2; elapsed += 100 * time.Millisecond {
+		plan.Phase = Next(plan, Evidence{}, elapsed, duration)
+		if Share(plan.Phase, 0.15) > 0 {
+			t.Fatalf("a share of %.2f at %s", Share(plan.Phase, 0.15), elapsed)
+		}
+	}
+}
+
+// Without evidence a version never gets all requests.
+func TestNoEvidenceNoFullShare(t *testing.T) {
+	plan := Plan{Phase: Hold}
+	for elapsed := time.Duration(0); elapsed <= 4*duration; elapsed += time.Second {
+		plan.Phase = Next(plan, Evidence{Target: Counts{Good: 3}}, elapsed, duration)
+	}
+	if plan.Phase == Full || plan.Phase == Completed {
+		t.Errorf("phase %s after 3 answers", plan.Phase)
+	}
+}
+
+// A final phase stays: a reverted version is not tried again by itself.
+func TestFinalPhasesStay(t *testing.T) {
+	for _, phase := range []Phase{Completed, Reverted} {
+		e := Evidence{Target: Counts{Good: 100, Bad: 100}}
+		if got := Next(Plan{Phase: phase}, e, duration, duration); got != phase {
+			t.Errorf("%s became %s", phase, got)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/selection/selection_test.go
@@ -0,0 +1,220 @@
+package selection
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cactusknot.example/daemon/topology"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func servers(n int) []*topology.Server {
+	var list []*topology.Server
+	for i := range n {
+		list = append(list, &topology.Server{ID: fmt.Sprint("s", i), Slots: 8})
+	}
+	return list
+}
+
+func names(n int) []string {
+	var list []string
+	for i := range n {
+		list = append(list, fmt.Sprint("r", i))
+	}
+	return list
+}
+
+// A cold server falls over when all routers together send more than it bears. The
+// bound holds for any number of routers, however uneven their traffic is.
+func TestColdBoundHoldsOverAllRouters(t *testing.T) {
+	const bound = 15.35
+	for _, routers := range []int{1, 2, 5, 13, 14, 25, 60, 350} {
+		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, uint64(routers)))
+			list := servers(1)
+			list[0].ColdUntil = start.Add(time.Hour)
+			all := names(routers)
+			choosers := make([]*Chooser, routers)
+			for i := range choosers {
+				choosers[i] = New()
+			}
+			var sent []time.Time
+			now := start
+			for range 6000 {
+				now = now.Add(time.Duration(random.IntN(4)) * time.Millisecond)
+				// Half of the traffic comes to one router.
+				i := random.IntN(2 * routers)
+				if i >= routers {
+					i = 0
+				}
+				choice, ok := choosers[i].Choose(now, list, Request{ColdBound: bound, Self: all[i], Routers: all})
+				if ok {
+					sent = append(sent, now)
+					choice.End(now, Succeeded)
+				}
+			}
+			if len(sent) == 0 {
+				t.Fatal("the cold server gets nothing at all")
+			}
+			for i := range sent {
+				in := 0
+				for _, at := range sent[i:] {
+					if at.Sub(sent[i]) < time.Second {
+						in++
+					}
+				}
+				if float64(in) > bound {
+					t.Fatalf("%d requests in one second, bound %.1f", in, bound)
+				}
+			}
+		})
+	}
+}
+
+// A server that broke a connection may have crashed and be cold again before its
+// entry says so.
+func TestBrokenConnectionMakesCold(t *testing.T) {
+	c, list := New(), servers(1)
+	r := Request{ColdBound: 8, Self: "r0", Routers: names(1)}
+	count := func(at time.Time) int {
+		n := 0
+		for {
+			choice, ok := c.Choose(at, list, r)
+			if !ok {
+				return n
+			}
+			choice.End(at, Succeeded)
+			n++
+		}
+	}
+	warm := count(start)
+	choice, ok := c.Choose(start.Add(2*time.Second), list, r)
+	if !ok {
+		t.Fatal("no choice")
+	}
+	choice.End(start.Add(2*time.Second), Unreachable)
+	if cold := count(start.Add(4 * time.Second)); cold >= warm || cold == 0 {
+		t.Errorf("%d requests in a second after the break, %d before", cold, warm)
+	}
+	if again := count(start.Add(10 * time.Second)); again != warm {
+		t.Errorf("%d requests in a second once it is warm, want %d", again, warm)
+	}
+}
+
+// All routers prefer the same server for a shared prompt without a message, and
+// prompts spread over the servers.
+func TestRoutersAgreeOnTheHomeOfAPrompt(t *testing.T) {
+	list := servers(12)
+	homes := make(map[string]int)
+	for i := range 120 {
+		prefixes := Prefixes("m", []string{fmt.Sprint("p", i), "own"}, []int{10_000, 100})
+		r := Request{PromptTokens: 10_100, Prefixes: prefixes, ModelRank: 1, Routers: names(5)}
+		first, ok := New().Choose(start, list, r)
+		second, ok2 := New().Choose(start, list, r)
+		if !ok || !ok2 || first.Server != second.Server {
+			t.Fatalf("prompt %d: routers disagree", i)
+		}
+		homes[first.Server.ID]++
+	}
+	for id, n := range homes {
+		if n > 24 {
+			t.Errorf("%s is the home of %d of 120 prompts", id, n)
+		}
+	}
+}
+
+// A popular prompt must not make one server the only one that is used: once its
+// queue outweighs reading the prompt anew, others take over.
+func TestPopularPromptSpreads(t *testing.T) {
+	c, list := New(), servers(6)
+	used := make(map[string]int)
+	for range 60 {
+		prefixes := Prefixes("m", []string{"hot", "own"}, []int{10_000, 500})
+		choice, ok := c.Choose(start, list, Request{PromptTokens: 10_500, Prefixes: prefixes, ModelRank: 1, Routers: names(1)})
+		if !ok {
+			t.Fatal("no choice")
+		}
+		used[choice.Server.ID]++
+	}
+	if len(used) < 4 {
+		t.Errorf("60 requests at once use %d of 6 servers", len(used))
+	}
+}
+
+// A prompt that was read stays preferred there, but not longer than it is kept.
+func TestReadPromptIsPreferredWhileItIsKept(t *testing.T) {
+	c, list := New(), servers(8)
+	prefixes := Prefixes("m", []string{"a", "own"}, []int{8000, 100})
+	r := Request{PromptTokens: 8100, Prefixes: prefixes, ModelRank: 1, Routers: names(1)}
+	first, _ := c.Choose(start, list, r)
+	first.Answered(start.Add(time.Second))
+	first.End(start.Add(time.Second), Succeeded)
+	again, _ := c.Choose(start.Add(2*time.Second), list, r)
+	if again.Server != first.Server || again.Missing != 0 {
+		t.Errorf("%s with %d missing tokens, want %s with 0", again.Server.ID, again.Missing, first.Server.ID)
+	}
+	again.End(start.Add(2*time.Second), Cancelled)
+	late, _ := c.Choose(start.Add(time.Minute), list, r)
+	if late.Missing == 0 {
+		t.Error("a prompt read a minute ago still counts as kept")
+	}
+}
+
+// A server that fails is avoided for a time that grows, and tried again.
+func TestFailingServerIsAvoidedAndTriedAgain(t *testing.T) {
+	c, list := New(), servers(2)
+	r := Request{Routers: names(1)}
+	now := start
+	pick := func(outcome Outcome) string {
+		choice, ok := c.Choose(now, list, r)
+		if !ok {
+			t.Fatal("no choice")
+		}
+		choice.End(now, outcome)
+		return choice.Server.ID
+	}
+	bad := pick(Unreachable)
+	for range 10 {
+		if pick(Succeeded) == bad {
+			t.Fatal("the unreachable server is used at once")
+		}
+	}
+	now = now.Add(maxSuspicion)
+	r.Excluded = map[string]bool{"s0": bad != "s0", "s1": bad != "s1"}
+	if pick(Succeeded) != bad {
+		t.Error("the server is not tried again")
+	}
+}
+
+// When every server has failed, requests still go to one of them.
+func TestAllSuspectedServersStillServe(t *testing.T) {
+	c, list := New(), servers(3)
+	for range 9 {
+		choice, ok := c.Choose(start, list, Request{Routers: names(1)})
+		if !ok {
+			t.Fatal("no server is used although all are suspected")
+		}
+		choice.End(start, Unreachable)
+	}
+}
+
+// The expected delay follows what is observed, so that escalation knows when the
+// large model's answer would be late.
+func TestExpectedDelayFollowsObservation(t *testing.T) {
+	c, list := New(), servers(1)
+	r := Request{Service: "svc", Model: "l", ModelRank: 1, PromptTokens: 10_000, Routers: names(1)}
+	now := start
+	for range 100 {
+		choice, _ := c.Choose(now, list, r)
+		now = now.Add(1500 * time.Millisecond)
+		choice.Answered(now)
+		choice.End(now, Succeeded)
+	}
+	expected, ok := c.Expect(now, list, r)
+	if !ok || expected < 1200*time.Millisecond || expected > 1800*time.Millisecond {
+		t.Errorf("expected %s, observed 1.5 s", expected)
+	}
+}
