--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -55,7 +55,6 @@
 	evacuations map[string]bool
 	rollouts    *rollouts
 	routers     *routers
-	graceUntil  time.Time
 	pruned      time.Time
 	dirty       bool
 	// listed is set after the first batch: later servers have just started.
--- a/daemon/gateway/rig_test.go
+++ b/daemon/gateway/rig_test.go
@@ -87,8 +87,6 @@
 	conns    int
 	// answer gets the connection after a request was read; false ends it.
 	answer func(n int, a arrival, c net.Conn) bool
-	// gone counts connections that the router closed while an answer was due.
-	gone atomic.Int32
 }
 
 func newServer(t *testing.T, id string, answer func(n int, a arrival, c net.Conn) bool) *server {
