Exchange load and evidence between routers through a few of them

Change: a Twirp service between routers; the first routers by name pool evidence and sum up load (one call of each router per 200 ms). Watches pause 150 ms after changes.

--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -68,6 +68,7 @@
 	peerMu     sync.Mutex
 	peerList   []string
 	seeds      []string
+	summerList []string
 }
 
 // serverState is a backend server with the time from which it is gone.
@@ -118,6 +119,14 @@
 	return c.peerList
 }
 
+// summers returns the addresses of the routers that sum up the load; the empty
+// one is this router.
+func (c *control) summers() []string {
+	c.peerMu.Lock()
+	defer c.peerMu.Unlock()
+	return c.summerList
+}
+
 // setSeeds replaces the peers that are asked while no router is known.
 func (c *control) setSeeds(seeds []string) {
 	c.peerMu.Lock()
@@ -310,6 +319,7 @@
 	c.dirty = false
 	c.peerMu.Lock()
 	c.peerList = c.routers.addresses()
+	c.summerList = c.routers.summers()
 	c.peerMu.Unlock()
 	view := &topology.View{
 		Config: c.config, Servers: make(map[string][]*topology.Server),
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -124,11 +124,14 @@
 	control  *control
 	view     atomic.Pointer[topology.View]
 	stopping atomic.Bool
+	peerHTTP *http.Client
+	load     loadSums
 }
 
 // New builds the role; it connects nowhere yet. reload reads the settings again.
 func New(settings *Settings, reload func() (*Settings, error), log zerolog.Logger) *Edge {
 	e := &Edge{settings: settings, reload: reload, log: log.With().Str("vm", settings.VM).Logger(), mirror: mirror.New()}
+	e.peerHTTP = &http.Client{Timeout: peerTimeout}
 	e.control = newControl(e)
 	e.gateway = gateway.New(gateway.Config{
 		Name: settings.VM, Wire: settings.Wire, View: e.view.Load, Observe: e.control.observe,
@@ -157,6 +160,7 @@
 	}
 	go e.synchronise(background)
 	go e.control.run(background)
+	go e.exchangeLoad(background)
 	go e.watchSettings(background)
 	e.log.Info().Str("listen", e.settings.Frontend).Msg("edge started")
 	<-ctx.Done()
--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -242,7 +242,9 @@
 			edges[1].client.loseAnswers.Store(true)
 			eventually(t, soon, "all routers are known", func() bool { return len(edges[0].control.peers()) == 2 })
 			store.put("order/svc", topology.Order{Target: "v2", Duration: 6 * time.Second})
-			eventually(t, soon, "the order is taken up", func() bool { return edges[2].phase("svc") == "none" })
+			eventually(t, soon, "the order is taken up", func() bool {
+				return edges[0].phase("svc") == "none" && edges[2].phase("svc") == "none"
+			})
 			never(t, 2*time.Second, "a session moves in the first half", func() bool { return edges[0].phase("svc") != "none" })
 			status := func() string {
 				store.mu.Lock()
--- /dev/null
+++ b/daemon/edge/load.go
@@ -0,0 +1,115 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/selection"
+)
+
+const (
+	// loadInterval is the pause between exchanges of load.
+	loadInterval = 200 * time.Millisecond
+	// loadAge is how long a router's report counts at the router that sums them.
+	loadAge = 2 * time.Second
+	// loadTimeout bounds one exchange; later it would be stale.
+	loadTimeout = 300 * time.Millisecond
+	// summers is the number of routers, the first ones by name, of which the first
+	// that answers sums up the load.
+	summers = 2
+)
+
+// loadSums collects the routers' reports of their work.
+type loadSums struct {
+	mu      sync.Mutex
+	reports map[string]loadReport
+}
+
+type loadReport struct {
+	at      time.Time
+	servers map[string]selection.Work
+}
+
+// exchange takes a router's report and returns the sum of the others.
+func (l *loadSums) exchange(now time.Time, router string, servers map[string]selection.Work) map[string]selection.Work {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reports == nil {
+		l.reports = make(map[string]loadReport)
+	}
+	l.reports[router] = loadReport{at: now, servers: servers}
+	sum := make(map[string]selection.Work)
+	for name, report := range l.reports {
+		if now.Sub(report.at) > loadAge {
+			delete(l.reports, name)
+			continue
+		}
+		if name == router {
+			continue
+		}
+		for id, work := range report.servers {
+			sum[id] = sum[id].Plus(work)
+		}
+	}
+	return sum
+}
+
+// ExchangeLoad sums up the load for a peer.
+func (p peerServer) ExchangeLoad(_ context.Context, in *rpc.LoadReport) (*rpc.LoadReply, error) {
+	sum := p.edge.load.exchange(time.Now(), in.GetRouter(), decodeLoad(in.GetServers()))
+	return &rpc.LoadReply{Servers: encodeLoad(sum)}, nil
+}
+
+func decodeLoad(servers []*rpc.ServerLoad) map[string]selection.Work {
+	load := make(map[string]selection.Work, len(servers))
+	for _, s := range servers {
+		load[s.GetServer()] = selection.Work{
+			InFlight: int(s.GetInFlight()), Reading: time.Duration(s.GetReadingMs()) * time.Millisecond,
+		}
+	}
+	return load
+}
+
+func encodeLoad(load map[string]selection.Work) []*rpc.ServerLoad {
+	servers := make([]*rpc.ServerLoad, 0, len(load))
+	for id, work := range load {
+		servers = append(servers, &rpc.ServerLoad{
+			Server: id, InFlight: uint32(work.InFlight), ReadingMs: uint32(work.Reading.Milliseconds()),
+		})
+	}
+	return servers
+}
+
+// exchangeLoad tells one router of this one's work and learns that of the others.
+// While no router answers, choices rest on this router's own work.
+func (e *Edge) exchangeLoad(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, loadInterval)
+		for _, address := range e.control.summers() {
+			if e.exchangeWith(ctx, address) {
+				break
+			}
+		}
+	}
+}
+
+// exchangeWith makes one exchange; the empty address is this process.
+func (e *Edge) exchangeWith(ctx context.Context, address string) bool {
+	own := e.gateway.Chooser.Own()
+	if address == "" {
+		now := time.Now()
+		e.gateway.Chooser.SetOthers(now, e.load.exchange(now, e.settings.VM, own))
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	reply, err := e.peerClient(address).ExchangeLoad(ctx, &rpc.LoadReport{Router: e.settings.VM, Servers: encodeLoad(own)})
+	if err != nil {
+		e.log.Debug().Err(err).Str("peer", address).Msg("load not exchanged")
+		return false
+	}
+	e.gateway.Chooser.SetOthers(time.Now(), decodeLoad(reply.GetServers()))
+	return true
+}
--- a/daemon/edge/peers.go
+++ b/daemon/edge/peers.go
@@ -1,55 +1,65 @@
 package edge
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/labstack/echo/v4"
 
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/mirror"
+	"cactusknot.example/daemon/rollout"
+	"cactusknot.example/daemon/rpc"
 )
 
 const (
 	// pullInterval is the pause between questions to peers while the store is away.
 	pullInterval = 700 * time.Millisecond
-	// pullTimeout bounds one question.
-	pullTimeout = 800 * time.Millisecond
-	// maxPull bounds a peer's answer in bytes.
-	maxPull = 16 << 20
+	// peerTimeout bounds one call to a peer.
+	peerTimeout = 800 * time.Millisecond
 )
 
-// peerCopy is a peer's answer: its changes after a revision.
-type peerCopy struct {
-	Changes  []mirror.Change `json:"changes"`
-	At       kv.Revision     `json:"at"`
-	Complete bool            `json:"complete"`
+// peerServer offers this process's mirror and takes evidence. It implements
+// rpc.EdgePeer.
+type peerServer struct{ edge *Edge }
+
+// Changes returns what the mirror has learnt after a revision.
+func (p peerServer) Changes(_ context.Context, in *rpc.ChangesRequest) (*rpc.ChangesReply, error) {
+	changes, at, complete := p.edge.mirror.Since(kv.Revision(in.GetAfterRevision()))
+	reply := &rpc.ChangesReply{AtRevision: uint64(at), Complete: complete}
+	for _, c := range changes {
+		reply.Changes = append(reply.Changes, &rpc.MirrorChange{
+			Key: c.Key, Value: c.Value, Revision: uint64(c.Revision), Lease: uint64(c.Lease), Deleted: c.Deleted,
+		})
+	}
+	return reply, nil
 }
 
-// peerHandler serves the mirror to peers.
-func (e *Edge) peerHandler() http.Handler {
-	router := echo.New()
-	router.GET("/mirror", func(c echo.Context) error {
-		after, err := strconv.ParseUint(c.QueryParam("after"), 10, 64)
-		if err != nil {
-			return c.NoContent(http.StatusBadRequest)
-		}
-		changes, at, complete := e.mirror.Since(kv.Revision(after))
-		return c.JSON(http.StatusOK, peerCopy{Changes: changes, At: at, Complete: complete})
-	})
-	return router
+// Report takes a peer's evidence.
+func (p peerServer) Report(_ context.Context, in *rpc.EvidenceReport) (*rpc.EvidenceReply, error) {
+	reports := make(map[string]ownCounts)
+	for _, s := range in.GetServices() {
+		reports[s.GetService()] = ownCounts{Order: s.GetOrderRevision(), Evidence: rollout.Evidence{
+			Target: rollout.Counts{Good: int(s.GetTargetGood()), Bad: int(s.GetTargetBad())},
+			Base:   rollout.Counts{Good: int(s.GetBaseGood()), Bad: int(s.GetBaseBad())},
+		}}
+	}
+	p.edge.control.rollouts.hear(in.GetRouter(), reports)
+	return &rpc.EvidenceReply{}, nil
+}
+
+// peerHandler serves the calls of peers.
+func (e *Edge) peerHandler() http.Handler { return rpc.NewEdgePeerServer(peerServer{e}) }
+
+// peerClient returns a client of the peer at address.
+func (e *Edge) peerClient(address string) rpc.EdgePeer {
+	return rpc.NewEdgePeerProtobufClient("http://"+address, e.peerHTTP)
 }
 
 // pullFromPeers asks a random peer for changes while the store does not answer.
 func (e *Edge) pullFromPeers(ctx context.Context) {
-	client := &http.Client{Timeout: pullTimeout}
 	for ctx.Err() == nil {
 		sleep(ctx, pullInterval)
 		if e.control.storeAway() < peersAfter {
@@ -60,7 +70,7 @@
 			continue
 		}
 		peer := peers[rand.IntN(len(peers))]
-		news, err := e.pull(ctx, client, peer)
+		news, err := e.pull(ctx, peer)
 		switch {
 		case err != nil:
 			e.log.Debug().Err(err).Str("peer", peer).Msg("peer did not answer")
@@ -70,24 +80,16 @@
 	}
 }
 
-func (e *Edge) pull(ctx context.Context, client *http.Client, peer string) (news int, err error) {
-	url := "http://" + peer + "/mirror?after=" + strconv.FormatUint(uint64(e.mirror.At()), 10)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+func (e *Edge) pull(ctx context.Context, peer string) (news int, err error) {
+	reply, err := e.peerClient(peer).Changes(ctx, &rpc.ChangesRequest{AfterRevision: uint64(e.mirror.At())})
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
-	response, err := client.Do(request)
-	if err != nil {
-		return 0, trace.Wrap(err)
-	}
-	defer response.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(response.Body, maxPull))
-	if err != nil {
-		return 0, trace.Wrap(err)
-	}
-	var copied peerCopy
-	if err := json.NewDecoder(bytes.NewReader(raw)).Decode(&copied); err != nil {
-		return 0, trace.Wrap(err)
+	changes := make([]mirror.Change, 0, len(reply.GetChanges()))
+	for _, c := range reply.GetChanges() {
+		changes = append(changes, mirror.Change{Deleted: c.GetDeleted(), Entry: kv.Entry{
+			Key: c.GetKey(), Value: c.GetValue(), Revision: kv.Revision(c.GetRevision()), Lease: kv.LeaseID(c.GetLease()),
+		}})
 	}
-	return e.mergeFromPeer(copied.Changes, copied.At, copied.Complete), nil
+	return e.mergeFromPeer(changes, kv.Revision(reply.GetAtRevision()), reply.GetComplete()), nil
 }
--- a/daemon/edge/rollouts.go
+++ b/daemon/edge/rollouts.go
@@ -14,6 +14,7 @@
 	"cactusknot.example/daemon/gateway"
 	"cactusknot.example/daemon/mirror"
 	"cactusknot.example/daemon/rollout"
+	"cactusknot.example/daemon/rpc"
 	"cactusknot.example/daemon/topology"
 )
 
@@ -22,6 +23,9 @@
 	rankDelay = 400 * time.Millisecond
 	// evidenceInterval is the shortest pause between this router's reports.
 	evidenceInterval = 600 * time.Millisecond
+	// poolers is the number of routers, the first ones by name, that get the evidence
+	// of all and decide on it. Several do, because any of them may be gone.
+	poolers = 3
 )
 
 // rollouts takes part in the roll-outs of all services.
@@ -33,7 +37,9 @@
 
 	mu sync.Mutex
 	// counts is this router's own evidence.
-	counts  map[string]*ownCounts
+	counts map[string]*ownCounts
+	// heard is the evidence of the other routers, by service and router.
+	heard   map[string]map[string]ownCounts
 	pending bool
 	wroteAt time.Time
 	changed bool
@@ -54,8 +60,6 @@
 	plan     rollout.Plan
 	revision kv.Revision
 	seenAt   time.Time
-	// peers is the evidence of the other routers.
-	peers map[string]ownCounts
 	// condemned is the order whose target this router has given up already.
 	condemned uint64
 	// wantedAt is since when this router wants the phase wanted.
@@ -66,14 +70,14 @@
 func newRollouts(e *Edge, r *routers) *rollouts {
 	return &rollouts{
 		edge: e, routers: r, byService: make(map[string]*serviceRollout),
-		counts: make(map[string]*ownCounts), committing: make(map[string]bool),
+		counts: make(map[string]*ownCounts), heard: make(map[string]map[string]ownCounts), committing: make(map[string]bool),
 	}
 }
 
 func (r *rollouts) of(service string) *serviceRollout {
 	s := r.byService[service]
 	if s == nil {
-		s = &serviceRollout{peers: make(map[string]ownCounts)}
+		s = &serviceRollout{}
 		r.byService[service] = s
 	}
 	return s
@@ -146,19 +150,35 @@
 	}
 }
 
+// mergeEvidence takes evidence that a router wrote to the store because it reached
+// none of the routers that pool it.
 func (r *rollouts) mergeEvidence(router string, change mirror.Change) {
-	if router == r.edge.settings.VM {
+	if router == r.edge.settings.VM || change.Deleted {
 		return
 	}
 	reports := make(map[string]ownCounts)
-	if !change.Deleted {
-		if err := json.Unmarshal(change.Value, &reports); err != nil {
-			r.edge.log.Error().Err(err).Str("key", change.Key).Msg("evidence can't be read: skipped")
-			return
-		}
+	if err := json.Unmarshal(change.Value, &reports); err != nil {
+		r.edge.log.Error().Err(err).Str("key", change.Key).Msg("evidence can't be read: skipped")
+		return
 	}
+	r.hear(router, reports)
+}
+
+// hear takes another router's evidence. Counts of one order only grow, so an older
+// report that arrives late has no effect.
+func (r *rollouts) hear(router string, reports map[string]ownCounts) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for service, counts := range reports {
-		r.of(service).peers[router] = counts
+		heard := r.heard[service]
+		if heard == nil {
+			heard = make(map[string]ownCounts)
+			r.heard[service] = heard
+		}
+		old := heard[router]
+		if counts.Order > old.Order || counts.Order == old.Order && counts.Evidence.Total() >= old.Evidence.Total() {
+			heard[router] = counts
+		}
 	}
 }
 
@@ -190,11 +210,11 @@
 		return sum
 	}
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if own := r.counts[service]; own != nil && own.Order == s.order.Revision {
 		sum = own.Evidence
 	}
-	r.mu.Unlock()
-	for _, p := range s.peers {
+	for _, p := range r.heard[service] {
 		if p.Order == s.order.Revision {
 			sum = sum.Plus(p.Evidence)
 		}
@@ -228,6 +248,9 @@
 			s.wanted = ""
 			continue
 		}
+		if needsEvidence(next) && r.routers.rank() >= poolers {
+			continue
+		}
 		r.propose(ctx, now, service, s, next)
 	}
 	if active {
@@ -236,6 +259,12 @@
 	return changed
 }
 
+// needsEvidence tells whether a phase is entered because of pooled evidence, which
+// only some routers have.
+func needsEvidence(next rollout.Phase) bool {
+	return next == rollout.Wide || next == rollout.Full || next == rollout.Completed
+}
+
 // propose writes the next phase once this router's turn has come.
 func (r *rollouts) propose(ctx context.Context, now time.Time, service string, s *serviceRollout, next rollout.Phase) {
 	if s.wanted != next {
@@ -295,7 +324,7 @@
 	line.Err(err).Str("service", service).Str("phase", string(plan.Phase)).Msg("roll-out step written")
 }
 
-// report writes this router's evidence.
+// report sends this router's evidence to the routers that pool it.
 func (r *rollouts) report(ctx context.Context, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -307,20 +336,40 @@
 		r.edge.log.Error().Err(err).Msg("evidence can't be encoded")
 		return
 	}
+	report := &rpc.EvidenceReport{Router: r.edge.settings.VM}
+	for service, c := range r.counts {
+		report.Services = append(report.Services, &rpc.ServiceEvidence{
+			Service: service, OrderRevision: c.Order,
+			TargetGood: uint64(c.Evidence.Target.Good), TargetBad: uint64(c.Evidence.Target.Bad),
+			BaseGood: uint64(c.Evidence.Base.Good), BaseBad: uint64(c.Evidence.Base.Bad),
+		})
+	}
 	r.changed, r.pending, r.wroteAt = false, true, now
-	go r.writeEvidence(ctx, value)
+	go r.sendEvidence(ctx, report, r.routers.pooling(), value)
 }
 
-func (r *rollouts) writeEvidence(ctx context.Context, value []byte) {
-	key := evidencePrefix + r.edge.settings.VM
-	_, err := r.edge.settings.Store.Commit(ctx, Txn{Writes: []Write{{Key: key, Value: value}}})
+// sendEvidence reports to each pooling router, and writes to the store where none
+// takes the report.
+func (r *rollouts) sendEvidence(ctx context.Context, report *rpc.EvidenceReport, addresses []string, value []byte) {
+	var failed error
+	taken := false
+	for _, address := range addresses {
+		if _, err := r.edge.peerClient(address).Report(ctx, report); err != nil {
+			failed = err
+			continue
+		}
+		taken = true
+	}
+	if !taken && len(addresses) > 0 {
+		key := evidencePrefix + r.edge.settings.VM
+		_, err := r.edge.settings.Store.Commit(ctx, Txn{Writes: []Write{{Key: key, Value: value}}})
+		r.edge.log.Warn().AnErr("peers", failed).AnErr("store", err).Msg("evidence not taken by a peer: written to the store")
+		taken = err == nil
+	}
 	r.mu.Lock()
 	r.pending = false
-	r.changed = r.changed || err != nil
+	r.changed = r.changed || !taken && len(addresses) > 0
 	r.mu.Unlock()
-	if err != nil {
-		r.edge.log.Warn().Err(err).Msg("evidence not written")
-	}
 }
 
 // splits returns the present split of each service with a roll-out.
--- a/daemon/edge/routers.go
+++ b/daemon/edge/routers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -121,6 +123,36 @@
 	return rank
 }
 
+// first returns the names of the first n routers.
+func (r *routers) first(n int) []string {
+	names := slices.Sorted(maps.Keys(r.present))
+	return names[:min(n, len(names))]
+}
+
+// pooling returns the addresses of the routers that pool evidence, without this one.
+func (r *routers) pooling() []string {
+	var list []string
+	for _, name := range r.first(poolers) {
+		if name != r.edge.settings.VM {
+			list = append(list, r.present[name])
+		}
+	}
+	return list
+}
+
+// summers returns the addresses of the routers that sum up the load, in the order
+// in which they are asked; the empty one is this router.
+func (r *routers) summers() []string {
+	var list []string
+	for _, name := range r.first(summers) {
+		if name == r.edge.settings.VM {
+			return append(list, "")
+		}
+		list = append(list, r.present[name])
+	}
+	return list
+}
+
 // register keeps this router's entry in the store.
 func (r *routers) register(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -11,9 +11,12 @@
 )
 
 const (
-	// watchWait is how long one watch waits. A connection that goes silent is
-	// noticed soon after.
+	// watchWait is how long one watch waits. With 10 s a router missed changes past
+	// their bound while the store's watches heard nothing before a compaction.
 	watchWait = 2 * time.Second
+	// watchPause is the pause after a watch that returned changes, so that changes in
+	// quick succession cost one call.
+	watchPause = 150 * time.Millisecond
 	// everything is the prefix of all keys.
 	everything = ""
 	// firstBackoff and maxBackoff bound the pause after a failed call.
@@ -74,6 +77,9 @@
 	}
 	l.up()
 	l.edge.control.apply(l.edge.mirror.Apply(changes, at), fromStore)
+	if len(changes) > 0 {
+		sleep(ctx, watchPause)
+	}
 	return nil
 }
 
--- a/daemon/rollout/rollout.go
+++ b/daemon/rollout/rollout.go
@@ -92,6 +92,9 @@
 	return Evidence{Target: e.Target.Plus(o.Target), Base: e.Base.Plus(o.Base)}
 }
 
+// Total is the number of answers of both versions.
+func (e Evidence) Total() int { return e.Target.Total() + e.Base.Total() }
+
 // Condemned tells whether the target is worse than the old version. A wrong
 // verdict costs a repeated roll-out, a missed one costs callers' answers, so the
 // test needs little evidence.
--- /dev/null
+++ b/daemon/selection/others.go
@@ -0,0 +1,47 @@
+package selection
+
+import "time"
+
+// othersAge is how long the other routers' work counts after it was reported.
+const othersAge = 1500 * time.Millisecond
+
+// Work is what routers have sent to a backend server and is not finished.
+type Work struct {
+	InFlight int
+	// Reading is the time that prompts without an answer take to read.
+	Reading time.Duration
+}
+
+// Plus adds work.
+func (w Work) Plus(o Work) Work {
+	return Work{InFlight: w.InFlight + o.InFlight, Reading: w.Reading + o.Reading}
+}
+
+// Own returns this router's work by backend server, without idle ones.
+func (c *Chooser) Own() map[string]Work {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	own := make(map[string]Work)
+	for id, s := range c.servers {
+		if s.inFlight > 0 {
+			own[id] = Work{InFlight: s.inFlight, Reading: s.reading}
+		}
+	}
+	return own
+}
+
+// SetOthers replaces the work of the other routers by backend server.
+func (c *Chooser) SetOthers(now time.Time, others map[string]Work) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.others, c.othersAt = others, now
+}
+
+// othersOf returns the other routers' work at a server. While no report is fresh,
+// each of them is assumed to have sent as much as this one to the average server.
+func (c *Chooser) othersOf(now time.Time, id string, average time.Duration) Work {
+	if now.Sub(c.othersAt) < othersAge {
+		return c.others[id]
+	}
+	return Work{Reading: average}
+}
--- a/daemon/selection/selection.go
+++ b/daemon/selection/selection.go
@@ -123,6 +123,9 @@
 	mu      sync.Mutex
 	servers map[string]*state
 	speeds  map[speedKey]*speed
+	// others is the work of the other routers as of othersAt.
+	others   map[string]Work
+	othersAt time.Time
 }
 
 type state struct {
@@ -182,7 +185,7 @@
 
 func (c *Chooser) best(now time.Time, candidates []*topology.Server, r Request) *Choice {
 	home := homeOf(candidates, r)
-	others := c.othersReading(candidates, len(r.Routers))
+	average := c.averageReading(candidates, len(r.Routers))
 	speed := c.speedOf(r)
 	var best *Choice
 	bestDelay := time.Duration(math.MaxInt64)
@@ -193,11 +196,12 @@
 		}
 		missing := s.missing(now, r, server == home)
 		work := speed.work(missing)
-		expected := work + s.reading + s.queue(now, server, r)
+		others := c.othersOf(now, server.ID, average)
+		expected := work + s.reading + others.Reading + s.queue(now, server, r, others.InFlight)
 		if delay := expected + s.risk(now); delay < bestDelay {
 			bestDelay = delay
 			best = &Choice{
-				Server: server, Missing: missing, Estimate: expected + others,
+				Server: server, Missing: missing, Estimate: expected,
 				chooser: c, state: s, prefixes: r.Prefixes, speed: speed, work: work,
 			}
 		}
@@ -205,9 +209,9 @@
 	return best
 }
 
-// othersReading estimates the reading time that the other routers have sent to a
-// server: as much as this one to the average server, for each of them.
-func (c *Chooser) othersReading(candidates []*topology.Server, routers int) time.Duration {
+// averageReading is the reading time that the other routers have sent to a server,
+// if each has sent as much as this one to the average server.
+func (c *Chooser) averageReading(candidates []*topology.Server, routers int) time.Duration {
 	var own time.Duration
 	for _, server := range candidates {
 		if s := c.servers[server.ID]; s != nil {
@@ -247,8 +251,8 @@
 }
 
 // queue estimates the delay by other requests, beside the prompts being read.
-func (s *state) queue(now time.Time, server *topology.Server, r Request) time.Duration {
-	running := s.inFlight
+func (s *state) queue(now time.Time, server *topology.Server, r Request, others int) time.Duration {
+	running := s.inFlight + others
 	if now.Sub(s.loadAt) < loadAge {
 		running = max(running, s.load.Running+2*s.load.Waiting)
 	}
