--- a/daemon/edge/rollouts.go
+++ b/daemon/edge/rollouts.go
@@ -52,6 +52,9 @@
 	Order    uint64           `json:"order"`
 	Evidence rollout.Evidence `json:"evidence"`
 	target   string
+	// exposed is set while the target gets requests; only answers of that time are
+	// compared, because the old version may have failed for a reason of its own before.
+	exposed bool
 }
 
 // serviceRollout is what is known of one service's roll-out.
@@ -134,6 +137,7 @@
 	}
 	s.plan = plan
 	r.adjustStart(s)
+	r.setExposed(service, s.order != nil && plan.Order == s.order.Revision && rollout.Exposed(plan.Phase))
 	r.edge.log.Info().Str("service", service).Str("target", plan.Target).Str("phase", string(plan.Phase)).
 		Uint64("revision", uint64(change.Revision)).Interface("evidence", r.pooled(service)).Msg("roll-out phase")
 }
@@ -187,7 +191,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	counts := r.counts[sample.Service]
-	if counts == nil {
+	if counts == nil || !counts.exposed {
 		return
 	}
 	of := &counts.Evidence.Base
@@ -233,7 +237,9 @@
 		if current && s.plan.Final() {
 			continue
 		}
-		active = active || (current && s.plan.Phase != rollout.Hold)
+		exposed := current && rollout.Exposed(s.plan.Phase)
+		active = active || exposed
+		r.setExposed(service, exposed)
 		evidence := r.pooled(service)
 		if evidence.Condemned() && s.condemned != s.order.Revision {
 			s.condemned, changed = s.order.Revision, true
@@ -259,6 +265,14 @@
 	return changed
 }
 
+func (r *rollouts) setExposed(service string, exposed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if own := r.counts[service]; own != nil {
+		own.exposed = exposed
+	}
+}
+
 // needsEvidence tells whether a phase is entered because of pooled evidence, which
 // only some routers have.
 func needsEvidence(next rollout.Phase) bool {
--- a/daemon/rollout/rollout.go
+++ b/daemon/rollout/rollout.go
@@ -29,8 +29,9 @@
 const (
 	canaryFrom   = 0.52
 	wideFrom     = 0.64
-	fullFrom     = 0.78
-	completeFrom = 0.96
+	fullFrom     = 0.74
+	// completeFrom leaves time for an order that was heard of late.
+	completeFrom = 0.89
 )
 
 const (
@@ -45,6 +46,8 @@
 	// baseFactor and baseMargin relate it to the rate of the old version.
 	baseFactor = 1.3
 	baseMargin = 0.08
+	// mostBadRate condemns a version however bad the old one's answers are.
+	mostBadRate = 0.45
 	// leastSamples is the evidence without which a version does not get all requests.
 	leastSamples = 12
 )
@@ -81,7 +84,7 @@
 	return float64(c.Bad) / float64(c.Total())
 }
 
-// Evidence is what is known of both versions.
+// Evidence is what is known of both versions since the target gets requests.
 type Evidence struct {
 	Target Counts `json:"target"`
 	Base   Counts `json:"base"`
@@ -99,7 +102,7 @@
 // verdict costs a repeated roll-out, a missed one costs callers' answers, so the
 // test needs little evidence.
 func (e Evidence) Condemned() bool {
-	bound := max(leastBadRate, e.Base.rate()*baseFactor+baseMargin)
+	bound := min(max(leastBadRate, e.Base.rate()*baseFactor+baseMargin), mostBadRate)
 	return e.Target.Bad >= leastBad && e.Target.rate() > bound
 }
 
@@ -126,6 +129,9 @@
 	return p.Phase
 }
 
+// Exposed tells whether the target gets requests in a phase.
+func Exposed(phase Phase) bool { return phase == Canary || phase == Wide || phase == Full }
+
 // Share returns the part of the sessions that the target gets in a phase, for a
 // bound on the part of the requests that a bad version may get.
 func Share(phase Phase, bound float64) float64 {
--- a/daemon/rollout/rollout_test.go
+++ b/daemon/rollout/rollout_test.go
@@ -104,6 +104,27 @@
 	}
 }
 
+// A bad version is condemned also while the old one fails for reasons of its own:
+// on scale-1 of petitspas-diary-grown half of the old one's answers were bad.
+func TestBadVersionBesideABadBase(t *testing.T) {
+	e := Evidence{Target: Counts{Good: 10, Bad: 14}, Base: Counts{Good: 100, Bad: 90}}
+	if !e.Condemned() {
+		t.Error("not condemned")
+	}
+}
+
+// A roll-out whose order was heard of late still ends before its deadline.
+func TestCompletesWhenHeardLate(t *testing.T) {
+	const late = 1500 * time.Millisecond
+	plan := Plan{Phase: Hold}
+	for elapsed := time.Duration(0); elapsed < duration-late; elapsed += 250 * time.Millisecond {
+		plan.Phase = Next(plan, Evidence{Target: Counts{Good: 100}}, elapsed, duration)
+	}
+	if plan.Phase != Completed {
+		t.Errorf("phase %s at the deadline", plan.Phase)
+	}
+}
+
 // A final phase stays: a reverted version is not tried again by itself.
 func TestFinalPhasesStay(t *testing.T) {
 	for _, phase := range []Phase{Completed, Reverted} {
