--- a/daemon/gateway/cascade.go
+++ b/daemon/gateway/cascade.go
@@ -14,8 +14,10 @@
 	lateConfidence = 20
 	// lateFactor times the remaining time is where an answer is certainly late.
 	lateFactor = 1.5
-	// leastAnswer is the time that a large model's answer needs after its first byte.
-	leastAnswer = 2 * time.Second
+	// answerFactor allows for estimates of an answer's length and pace that are low.
+	answerFactor = 1.3
+	// unknownAnswer is the number of events assumed where the caller states no length.
+	unknownAnswer = 20
 )
 
 // firstModel chooses the model of the first attempt: the caller's, or the
@@ -51,18 +53,27 @@
 		return false
 	}
 	now := time.Now()
-	expected, ok := g.Chooser.Expect(now, a.candidates, g.selectionRequest(a.requestState, models[len(models)-1], nil))
-	if !ok || a.reply.Confidence >= enough(expected, a.route.LatencyTarget-now.Sub(a.began), a.deadline.Sub(now)) {
+	expected, event, ok := g.Chooser.Expect(now, a.candidates, g.selectionRequest(a.requestState, models[len(models)-1], nil))
+	if !ok || a.reply.Confidence >= enough(expected, a.answerTime(event), a.route.LatencyTarget-now.Sub(a.began), a.deadline.Sub(now)) {
 		return false
 	}
 	return a.budget.Take(now, len(a.view.Routers))
 }
 
+// answerTime estimates the time from the first to the last event of the answer.
+func (x *requestState) answerTime(event time.Duration) time.Duration {
+	events := unknownAnswer
+	if x.call.AnswerTokens > 0 && x.service.EventTokens > 0 {
+		events = x.call.AnswerTokens / x.service.EventTokens
+	}
+	return time.Duration(answerFactor * float64(events) * float64(event))
+}
+
 // enough returns the confidence from which an answer is kept, when the largest
-// model's first byte is expected after a time, toTarget is left until the latency
-// target and left until the deadline.
-func enough(expected, toTarget, left time.Duration) int {
-	if expected+leastAnswer > left {
+// model's first byte is expected after a time and its last one an answer's time
+// later, toTarget is left until the latency target and left until the deadline.
+func enough(expected, answer, toTarget, left time.Duration) int {
+	if expected+answer > left {
 		return 0
 	}
 	if expected <= toTarget {
--- a/daemon/gateway/cascade_test.go
+++ b/daemon/gateway/cascade_test.go
@@ -55,22 +55,24 @@
 func TestEnough(t *testing.T) {
 	second := time.Second
 	cases := []struct {
-		expected, toTarget, left time.Duration
-		want                     int
+		expected, answer, toTarget, left time.Duration
+		want                             int
 	}{
-		{second, 2 * second, 10 * second, timelyConfidence},
-		{4 * second, 2 * second, 10 * second, lateConfidence},
-		{second, -second, 10 * second, lateConfidence},
-		{9 * second, 2 * second, 10 * second, 0},
+		{second, second, 2 * second, 10 * second, timelyConfidence},
+		{4 * second, second, 2 * second, 10 * second, lateConfidence},
+		{second, second, -second, 10 * second, lateConfidence},
+		{9 * second, 2 * second, 2 * second, 10 * second, 0},
+		// A long answer would be cut by the deadline although it begins in time.
+		{second, 10 * second, 2 * second, 10 * second, 0},
 	}
 	for _, c := range cases {
-		if got := enough(c.expected, c.toTarget, c.left); got != c.want {
-			t.Errorf("enough(%s, %s, %s) = %d, want %d", c.expected, c.toTarget, c.left, got, c.want)
+		if got := enough(c.expected, c.answer, c.toTarget, c.left); got != c.want {
+			t.Errorf("enough(%s, %s, %s, %s) = %d, want %d", c.expected, c.answer, c.toTarget, c.left, got, c.want)
 		}
 	}
 	last := timelyConfidence
 	for expected := second; expected < 4*second; expected += second / 10 {
-		got := enough(expected, 2*second, 20*second)
+		got := enough(expected, second, 2*second, 20*second)
 		if got > last {
 			t.Fatalf("a later answer needs more confidence: %d after %d", got, last)
 		}
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -116,11 +116,16 @@
 func (g *Gateway) receiveEvents(ctx context.Context, a *attempt) (bool, *result.Error) {
 	reader := bufio.NewReaderSize(a.exchange, readBuffer)
 	flusher := http.NewResponseController(a.out)
-	for {
+	var firstEvent time.Time
+	for events := 0; ; events++ {
 		event, id, err := readEvent(reader)
 		if errors.Is(err, io.EOF) {
+			a.choice.Streamed(events, time.Since(firstEvent))
 			return g.endEvents(a, event)
 		}
+		if events == 0 {
+			firstEvent = time.Now()
+		}
 		if err != nil {
 			a.exchange.Abort()
 			return false, a.broken(ctx, err)
--- a/daemon/gateway/wire.go
+++ b/daemon/gateway/wire.go
@@ -27,7 +27,7 @@
 	Wait time.Duration
 	// Model is the model the caller asks for.
 	Model string
-	// PromptTokens and AnswerTokens are the lengths that the caller states.
+	// PromptTokens is the length that the caller states, AnswerTokens its estimate.
 	PromptTokens int
 	AnswerTokens int
 	// PartIDs and PartTokens list the parts of the prompt in order.
--- a/daemon/rollout/rollout.go
+++ b/daemon/rollout/rollout.go
@@ -27,9 +27,9 @@
 // Parts of the time between order and deadline at which phases begin. Sessions
 // keep their version through the first half.
 const (
-	canaryFrom   = 0.52
-	wideFrom     = 0.64
-	fullFrom     = 0.74
+	canaryFrom = 0.52
+	wideFrom   = 0.64
+	fullFrom   = 0.74
 	// completeFrom leaves time for an order that was heard of late.
 	completeFrom = 0.89
 )
--- a/daemon/selection/selection.go
+++ b/daemon/selection/selection.go
@@ -171,16 +171,16 @@
 	return best, true
 }
 
-// Expect returns the time until the first byte that the best server would need,
-// or false when none may take the request now.
-func (c *Chooser) Expect(now time.Time, candidates []*topology.Server, r Request) (time.Duration, bool) {
+// Expect returns the time until the first byte that the best server would need and
+// the time between events, or false when none may take the request now.
+func (c *Chooser) Expect(now time.Time, candidates []*topology.Server, r Request) (firstByte, event time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	best := c.best(now, candidates, r)
 	if best == nil {
-		return 0, false
+		return 0, 0, false
 	}
-	return best.Estimate, true
+	return best.Estimate, best.speed.event, true
 }
 
 func (c *Chooser) best(now time.Time, candidates []*topology.Server, r Request) *Choice {
@@ -331,6 +331,14 @@
 	}
 }
 
+// Streamed records the events of a finished stream and the time from the first to
+// the last.
+func (c *Choice) Streamed(events int, took time.Duration) {
+	c.chooser.mu.Lock()
+	defer c.chooser.mu.Unlock()
+	c.speed.learnEvents(events, took)
+}
+
 // Heard records any sign of life of the server.
 func (c *Choice) Heard(now time.Time) {
 	c.chooser.mu.Lock()
--- a/daemon/selection/selection_test.go
+++ b/daemon/selection/selection_test.go
@@ -213,7 +213,7 @@
 		choice.Answered(now)
 		choice.End(now, Succeeded)
 	}
-	expected, ok := c.Expect(now, list, r)
+	expected, _, ok := c.Expect(now, list, r)
 	if !ok || expected < 1200*time.Millisecond || expected > 1800*time.Millisecond {
 		t.Errorf("expected %s, observed 1.5 s", expected)
 	}
--- a/daemon/selection/speed.go
+++ b/daemon/selection/speed.go
@@ -9,6 +9,10 @@
 	largestToken  = 60 * time.Microsecond
 	// firstByte is the time of an answer without a prompt.
 	firstByte = 25 * time.Millisecond
+	// smallestEvent and largestEvent are the first assumptions on the time between
+	// events of a stream.
+	smallestEvent = 15 * time.Millisecond
+	largestEvent  = 90 * time.Millisecond
 	// learnWeight is the weight of the newest observation.
 	learnWeight = 0.06
 	// leastRatio and mostRatio bound the effect of one observation.
@@ -26,6 +30,8 @@
 type speed struct {
 	assumed time.Duration
 	factor  float64
+	// event is the time between events of a stream.
+	event time.Duration
 }
 
 // speedOf returns the speed for the request's service and model.
@@ -34,7 +40,8 @@
 	s := c.speeds[key]
 	if s == nil {
 		assumed := smallestToken + time.Duration(r.ModelRank*float64(largestToken-smallestToken))
-		s = &speed{assumed: assumed, factor: 1}
+		event := smallestEvent + time.Duration(r.ModelRank*float64(largestEvent-smallestEvent))
+		s = &speed{assumed: assumed, factor: 1, event: event}
 		c.speeds[key] = s
 	}
 	return s
@@ -52,3 +59,11 @@
 	s.factor *= 1 + learnWeight*(ratio-1)
 	s.factor = min(max(s.factor, fastest), slowest)
 }
+
+// learnEvents adapts the time between events to a finished stream.
+func (s *speed) learnEvents(events int, took time.Duration) {
+	if events < 2 {
+		return
+	}
+	s.event += time.Duration(learnWeight * float64(took/time.Duration(events-1)-s.event))
+}
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -84,6 +84,8 @@
 	CacheTokens int
 	// Slots is the number of requests that one engine runs at once.
 	Slots int
+	// EventTokens is the number of tokens in an event of a stream; 0 when unknown.
+	EventTokens int
 }
 
 // Workspace is a customer with API keys.
