Log each failed or dropped attempt with what decided it; bound the lines

One line for each attempt that failed or was dropped (server, version, model, expected delay, age of the view, outcome) and one for each request.

--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -322,7 +322,7 @@
 	c.summerList = c.routers.summers()
 	c.peerMu.Unlock()
 	view := &topology.View{
-		Config: c.config, Servers: make(map[string][]*topology.Server),
+		At: now, Config: c.config, Servers: make(map[string][]*topology.Server),
 		Routers: c.routers.names(now),
 	}
 	for _, s := range c.servers {
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -62,6 +62,7 @@
 		done, failure := g.try(ctx, a)
 		choice.End(time.Now(), a.outcome)
 		g.observe(a, failure)
+		g.recordAttempt(a, failure)
 		if done {
 			return failure
 		}
@@ -127,7 +128,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a.target = upstream.Target{ID: a.choice.Server.ID, Address: a.choice.Server.Address}
-	a.servers += a.target.ID + " "
+	a.servers = append(a.servers, a.target.ID)
 	if a.route.MayRepeat() {
 		defer g.watchSilence(a, cancel)()
 	}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -61,6 +61,7 @@
 	budgets map[string]*limit.RepeatBudget
 	metrics *metricSet
 	filters []filter
+	lines   lineBudget
 }
 
 // New returns a Gateway.
@@ -106,7 +107,8 @@
 	lastEvent int64
 	firstByte time.Duration
 	lastError error
-	servers   string
+	// servers names the backend servers that were tried, in order.
+	servers []string
 }
 
 // ServeHTTP handles a request of a caller.
--- a/daemon/gateway/observe.go
+++ b/daemon/gateway/observe.go
@@ -37,9 +37,9 @@
 		g.metrics.set.GetOrCreateHistogram(fmt.Sprintf("cactusknot_first_byte_seconds{kind=%q}", kind)).Update(x.firstByte.Seconds())
 		g.metrics.set.GetOrCreateHistogram(fmt.Sprintf("cactusknot_answer_seconds{kind=%q}", kind)).Update(took.Seconds())
 	}
-	line := g.Log.Info().Str("request", x.call.ID).Str("kind", kind).Str("outcome", outcome)
+	line := g.line(g.Log.Info().Str("request", x.call.ID).Str("kind", kind).Str("outcome", outcome))
 	if x.view != nil && x.view.Config != nil {
-		line = line.Uint64("config", x.view.Config.Version)
+		line = line.Uint64("config", x.view.Config.Version).Dur("view_age_ms", time.Since(x.view.At))
 	}
 	if x.route != nil {
 		line = line.Str("route", x.route.Name)
@@ -47,6 +47,27 @@
 	if failure != nil {
 		line = line.Int("code", failure.Code.Number).Str("detail", failure.Detail)
 	}
-	line.Str("workspace", x.workspace).Str("servers", x.servers).Int("attempts", x.attempts).Str("model", x.model).Ints("confidence", x.confidences).
+	line.Str("workspace", x.workspace).Strs("servers", x.servers).Int("attempts", x.attempts).Str("model", x.model).Ints("confidence", x.confidences).
+		Int64("last_event", x.lastEvent).
 		Dur("first_byte_ms", x.firstByte).Dur("took_ms", took).Msg("request")
 }
+
+// recordAttempt writes one line on an attempt that is not the end of its request or
+// that failed: what was expected of the server, and what became of it.
+func (g *Gateway) recordAttempt(a *attempt, failure *result.Error) {
+	message, outcome, detail := "attempt failed", "", ""
+	switch {
+	case a.escalate:
+		message = "answer dropped for a larger model"
+	case failure == nil:
+		return
+	default:
+		outcome, detail = failure.Code.Name, failure.Detail
+	}
+	g.metrics.set.GetOrCreateCounter(fmt.Sprintf("cactusknot_attempts_repeated_total{reason=%q}", outcome)).Inc()
+	g.line(g.Log.Info()).Str("request", a.call.ID).Str("server", a.target.ID).Str("version", a.choice.Server.Version).
+		Str("model", a.model).Ints("confidence", a.confidences).Int("attempt", a.attempts).
+		Dur("expected_ms", a.choice.Estimate).Int("missing_tokens", a.choice.Missing).Dur("view_age_ms", time.Since(a.view.At)).
+		Dur("since_sent_ms", time.Since(a.sentAt)).Int64("last_event", a.lastEvent).
+		Str("outcome", outcome).Str("detail", detail).Msg(message)
+}
--- a/daemon/gateway/rig_test.go
+++ b/daemon/gateway/rig_test.go
@@ -161,8 +161,27 @@
 // vanish closes the connection without an answer.
 func vanish(int, arrival, net.Conn) bool { return false }
 
+// lockedBuffer collects log lines.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 type rig struct {
 	*Gateway
+	out     lockedBuffer
 	view    atomic.Pointer[topology.View]
 	front   *httptest.Server
 	samples atomic.Int32
@@ -174,7 +193,7 @@
 	r := &rig{}
 	r.Gateway = New(Config{
 		Name: "r1", Wire: testWire{}, View: r.view.Load, Observe: func(Sample) { r.samples.Add(1) },
-		Repeats: limit.RepeatConfig{Ratio: 0.9, Extra: 50, Window: 10 * time.Second}, Log: zerolog.Nop(),
+		Repeats: limit.RepeatConfig{Ratio: 0.9, Extra: 50, Window: 10 * time.Second}, Log: zerolog.New(&r.out),
 	})
 	r.publish(route, servers...)
 	r.front = httptest.NewServer(r.Gateway)
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -177,6 +177,8 @@
 
 // View is what the request path sees.
 type View struct {
+	// At is when the view was made.
+	At     time.Time
 	Config *Config
 	// Servers lists the usable backend servers of each service: not draining, not
 	// gone, not in an evacuated data centre.
