--- a/daemon/gateway/cascade.go
+++ b/daemon/gateway/cascade.go
@@ -16,6 +16,9 @@
 	lateFactor = 1.5
 	// answerFactor allows for estimates of an answer's length and pace that are low.
 	answerFactor = 1.3
+	// backlogScale is the reading time at the average server at which half the
+	// confidence is enough.
+	backlogScale = time.Second
 	// unknownAnswer is the number of events assumed where the caller states no length.
 	unknownAnswer = 20
 )
@@ -54,12 +57,19 @@
 	}
 	now := time.Now()
 	expected, event, ok := g.Chooser.Expect(now, a.candidates, g.selectionRequest(a.requestState, models[len(models)-1], nil))
-	if !ok || a.reply.Confidence >= enough(expected, a.answerTime(event), a.route.LatencyTarget-now.Sub(a.began), a.deadline.Sub(now)) {
+	backlog := g.Chooser.Backlog(now, a.candidates, len(a.view.Routers))
+	if !ok || a.reply.Confidence >= underLoad(backlog, enough(expected, a.answerTime(event), a.route.LatencyTarget-now.Sub(a.began), a.deadline.Sub(now))) {
 		return false
 	}
 	return a.budget.Take(now, len(a.view.Routers))
 }
 
+// underLoad lowers the confidence from which an answer is kept by what escalation
+// costs the other requests: a large model's prompts delay every stream beside them.
+func underLoad(backlog time.Duration, confidence int) int {
+	return int(float64(confidence) / (1 + float64(backlog)/float64(backlogScale)))
+}
+
 // answerTime estimates the time from the first to the last event of the answer.
 func (x *requestState) answerTime(event time.Duration) time.Duration {
 	events := unknownAnswer
--- a/daemon/gateway/cascade_test.go
+++ b/daemon/gateway/cascade_test.go
@@ -119,3 +119,19 @@
 		t.Error("the old version is used after the end")
 	}
 }
+
+// Many users at once: the more prompts wait, the fewer answers are asked for a
+// second time, so that streams beside them keep their pace.
+func TestEscalationFallsUnderLoad(t *testing.T) {
+	last := timelyConfidence + 1
+	for backlog := time.Duration(0); backlog < 5*time.Second; backlog += 500 * time.Millisecond {
+		got := underLoad(backlog, timelyConfidence)
+		if got >= last {
+			t.Fatalf("backlog %s: confidence %d, %d with less", backlog, got, last)
+		}
+		last = got
+	}
+	if underLoad(0, timelyConfidence) != timelyConfidence {
+		t.Error("idle servers change the decision")
+	}
+}
--- a/daemon/selection/others.go
+++ b/daemon/selection/others.go
@@ -1,6 +1,10 @@
 package selection
 
-import "time"
+import (
+	"time"
+
+	"cactusknot.example/daemon/topology"
+)
 
 // othersAge is how long the other routers' work counts after it was reported.
 const othersAge = 1500 * time.Millisecond
@@ -37,6 +41,22 @@
 	c.others, c.othersAt = others, now
 }
 
+// Backlog returns the time that prompts take to read which all routers have sent to
+// the average server.
+func (c *Chooser) Backlog(now time.Time, servers []*topology.Server, routers int) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	average := c.averageReading(servers, routers)
+	var sum time.Duration
+	for _, server := range servers {
+		sum += c.othersOf(now, server.ID, average).Reading
+		if s := c.servers[server.ID]; s != nil {
+			sum += s.reading
+		}
+	}
+	return sum / time.Duration(max(len(servers), 1))
+}
+
 // othersOf returns the other routers' work at a server. While no report is fresh,
 // each of them is assumed to have sent as much as this one to the average server.
 func (c *Chooser) othersOf(now time.Time, id string, average time.Duration) Work {
