Count slow answers of a version while they are still awaited

Cause: samples were taken at the end of requests, so a slow version looked good as long as its slow answers took, and an answer of the smallest model can be eight times slower and still within the latency target. Ruled out: evidence that was lost or late (pooled every 0.6 s, all routers reachable). Change: an attempt is a sample at its first byte, or as soon as it is three times later than expected. Test: TestSlowAnswerIsEvidenceBeforeItEnds. The first byte is the head of the response.

--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -15,7 +15,7 @@
 // leastAlone and leastBadAlone are the answers and the bad ones that a router would
 // need by itself to complete or to revert a roll-out.
 const (
-	leastAlone    = 12
+	leastAlone    = 16
 	leastBadAlone = 4
 )
 
--- a/daemon/gateway/attempt_test.go
+++ b/daemon/gateway/attempt_test.go
@@ -175,3 +175,25 @@
 		t.Errorf("%d arrivals: the request was sent again", len(a.seen()))
 	}
 }
+
+// The slow answers of a bad version count while they are still awaited: at the end
+// of the requests only the fast ones would be known. On a day of zones.toml
+// (petitspas-diary, seed 370464580251) a slow version was completed that way.
+func TestSlowAnswerIsEvidenceBeforeItEnds(t *testing.T) {
+	release := make(chan struct{})
+	a := newServer(t, "a", func(n int, x arrival, c net.Conn) bool {
+		<-release
+		return whole(200, "ok")(n, x, c)
+	})
+	r := newRig(t, topology.Route{Kind: topology.Idempotent, MaxAttempts: 1}, a)
+	done := make(chan reply, 1)
+	go func() { done <- r.call(http.MethodGet, "/x", "") }()
+	eventually(t, 1500*time.Millisecond, "the request counts as late", func() bool { return r.late.Load() == 1 })
+	close(release)
+	if got := <-done; got.body != "ok" {
+		t.Errorf("got %d %q", got.status, got.body)
+	}
+	if n := r.samples.Load(); n != 1 {
+		t.Errorf("%d samples of one answer", n)
+	}
+}
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"cactusknot.example/daemon/result"
@@ -38,6 +39,8 @@
 	sentAt   time.Time
 	// escalate is set when the answer is dropped for that of a larger model.
 	escalate bool
+	// sampled is set once the attempt counts as evidence.
+	sampled atomic.Bool
 }
 
 // errSilent: the backend server gave no sign of life.
@@ -61,7 +64,7 @@
 		a := &attempt{requestState: x, choice: choice, sentAt: time.Now()}
 		done, failure := g.try(ctx, a)
 		choice.End(time.Now(), a.outcome)
-		g.observe(a, failure)
+		g.observeEnd(a)
 		g.recordAttempt(a, failure)
 		if done {
 			return failure
@@ -148,9 +151,10 @@
 		sent.Abort()
 		return false, result.AgentFull.With("status %d", sent.Status)
 	}
+	// The head comes with the first token: the prompt has been read.
+	a.choice.Answered(time.Now())
 	if g.shouldEscalate(a) {
 		a.escalate, a.outcome = true, selection.Cancelled
-		a.choice.Answered(time.Now())
 		sent.Abort()
 		return false, nil
 	}
@@ -185,6 +189,9 @@
 			case <-ended:
 				return
 			case now := <-timer.C:
+				if a.slow(now) {
+					g.observe(a, Sample{Late: true})
+				}
 				if now.Sub(a.sentAt) > bound && now.Sub(a.choice.LastHeard()) > bound {
 					cancel(errSilent)
 					return
@@ -273,15 +280,3 @@
 	}
 	return failure
 }
-
-// observe hands the attempt to the evidence on versions.
-func (g *Gateway) observe(a *attempt, failure *result.Error) {
-	if a.outcome == selection.Cancelled || a.outcome == selection.Refused {
-		return
-	}
-	g.Observe(Sample{
-		Service: a.service.Name, Version: a.choice.Server.Version,
-		Failed: a.outcome != selection.Succeeded,
-		Late:   a.outcome == selection.Succeeded && a.firstByte > a.route.LatencyTarget,
-	})
-}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -31,7 +31,9 @@
 // Sample is an observation for the evidence on a version.
 type Sample struct {
 	Service, Version string
-	Failed, Late     bool
+	// Failed: the attempt failed. Late: its first byte came or will come much later
+	// than expected.
+	Failed, Late bool
 }
 
 // Config wires a Gateway.
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -59,6 +59,9 @@
 		return false, a.broken(ctx, err)
 	}
 	a.answered()
+	if a.exchange.Status < http.StatusInternalServerError {
+		g.observe(a, Sample{Late: a.slow(time.Now())})
+	}
 	g.writeHead(a)
 	if len(body) == maxHeld {
 		return g.receiveLong(ctx, a, body)
@@ -131,6 +134,7 @@
 			return false, a.broken(ctx, err)
 		}
 		a.answered()
+		g.observe(a, Sample{Late: a.slow(time.Now())})
 		if id >= 0 && id <= a.lastEvent {
 			continue
 		}
--- a/daemon/gateway/rig_test.go
+++ b/daemon/gateway/rig_test.go
@@ -185,6 +185,7 @@
 	view    atomic.Pointer[topology.View]
 	front   *httptest.Server
 	samples atomic.Int32
+	late    atomic.Int32
 	keys    map[string]*topology.Workspace
 }
 
@@ -192,7 +193,7 @@
 	t.Helper()
 	r := &rig{}
 	r.Gateway = New(Config{
-		Name: "r1", Wire: testWire{}, View: r.view.Load, Observe: func(Sample) { r.samples.Add(1) },
+		Name: "r1", Wire: testWire{}, View: r.view.Load, Observe: r.observe,
 		Repeats: limit.RepeatConfig{Ratio: 0.9, Extra: 50, Window: 10 * time.Second}, Log: zerolog.New(&r.out),
 	})
 	r.publish(route, servers...)
@@ -201,6 +202,13 @@
 	return r
 }
 
+func (r *rig) observe(s Sample) {
+	r.samples.Add(1)
+	if s.Late {
+		r.late.Add(1)
+	}
+}
+
 // publish puts a view in force with one route and the servers.
 func (r *rig) publish(route topology.Route, servers ...*server) {
 	if route.Prefix == "" {
--- a/daemon/rollout/rollout.go
+++ b/daemon/rollout/rollout.go
@@ -49,7 +49,7 @@
 	// mostBadRate condemns a version however bad the old one's answers are.
 	mostBadRate = 0.45
 	// leastSamples is the evidence without which a version does not get all requests.
-	leastSamples = 12
+	leastSamples = 16
 )
 
 // Plan is the state of a roll-out in the store.
