Bound the time of a request's body and of a caller that does not read

A body that never arrives whole is answered 408 at the deadline (not run); an event is given up 250 ms after the deadline when the caller does not read it. Tests: TestSlowBodyEndsAtTheDeadline, TestSlowReaderIsLetGo, TestConnectionAfterAStream.

--- a/daemon/gateway/access_test.go
+++ b/daemon/gateway/access_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -158,3 +159,70 @@
 		})
 	}
 }
+
+// A body that never arrives whole must not hold its connection for ever; the
+// request has not run, and the answer says so.
+func TestSlowBodyEndsAtTheDeadline(t *testing.T) {
+	a := newServer(t, "a", whole(200, "ok"))
+	r := newRig(t, topology.Route{Kind: topology.NonIdempotent, MaxAttempts: 1, Timeout: 300 * time.Millisecond}, a)
+	began := time.Now()
+	got := exchangeRaw(t, r, "POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: q\r\nContent-Length: 10\r\n\r\nhalf", 1)
+	if len(got) != 1 || got[0] != http.StatusRequestTimeout || time.Since(began) > time.Second {
+		t.Errorf("got %v after %s", got, time.Since(began))
+	}
+	if len(a.seen()) != 0 {
+		t.Error("half a request reached a backend server")
+	}
+}
+
+// Callers who don't read must not hold memory or an engine past their deadline, and
+// a connection serves further requests after a stream.
+func TestSlowReaderIsLetGo(t *testing.T) {
+	released := make(chan struct{})
+	big := strings.Repeat("x", 60_000)
+	a := newServer(t, "a", func(_ int, x arrival, c net.Conn) bool {
+		defer close(released)
+		fmt.Fprint(c, streamHead)
+		for i := 1; ; i++ {
+			if _, err := fmt.Fprint(c, chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", i, big))); err != nil {
+				return false
+			}
+		}
+	})
+	r := newRig(t, topology.Route{Kind: topology.Stream, Resumable: true, MaxAttempts: 1, Timeout: 500 * time.Millisecond}, a)
+	c, err := net.Dial("tcp", r.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: q1\r\nContent-Length: 1\r\n\r\n1")
+	select {
+	case <-released:
+	case <-time.After(2 * time.Second):
+		t.Error("the engine still sends to a caller who doesn't read")
+	}
+}
+
+// A kept connection serves requests after a stream whose deadline has passed since.
+func TestConnectionAfterAStream(t *testing.T) {
+	a := newServer(t, "a", stream(1, 2, "0\r\n\r\n"))
+	r := newRig(t, topology.Route{Kind: topology.Stream, Resumable: true, MaxAttempts: 1, Timeout: 200 * time.Millisecond}, a)
+	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	for range 3 {
+		request, err := http.NewRequest(http.MethodPost, r.front.URL+"/x", strings.NewReader("1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Id", "q1")
+		response, err := client.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		if err != nil || string(body) != event(1)+event(2) {
+			t.Errorf("got %q %v", body, err)
+		}
+		time.Sleep(600 * time.Millisecond)
+	}
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -124,6 +125,10 @@
 		}
 	}
 	g.record(x, nil)
+	// The connection may carry another request.
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Time{}); err != nil {
+		g.Log.Debug().Err(err).Str("request", x.call.ID).Msg("connection ended after its answer")
+	}
 }
 
 // match finds the route.
@@ -175,11 +180,21 @@
 	if x.in.Body == nil || x.in.ContentLength == 0 {
 		return nil
 	}
+	conn := http.NewResponseController(x.out)
+	if err := conn.SetReadDeadline(x.deadline); err != nil {
+		return result.Internal.With("%v", err)
+	}
 	body := make([]byte, 0, max(x.in.ContentLength, 512))
 	body, err := appendAll(body, io.LimitReader(x.in.Body, bound+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return result.RequestTimeout.With("%d bytes in time", len(body))
+	}
 	if err != nil {
 		return result.CallerGone.With("%v", err)
 	}
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		return result.CallerGone.With("%v", err)
+	}
 	if int64(len(body)) > bound {
 		return result.TooLarge.With("over %d bytes", bound)
 	}
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -20,6 +20,8 @@
 	maxHeld = 256 << 10
 	// copyBuffer is the size in bytes of the buffer for longer answers.
 	copyBuffer = 16 << 10
+	// readSlack is how long after its deadline a caller may take to read an event.
+	readSlack = 250 * time.Millisecond
 	// maxEvent bounds one event of a stream in bytes.
 	maxEvent = 1 << 20
 )
@@ -144,6 +146,10 @@
 			a.out.WriteHeader(a.exchange.Status)
 			a.started = true
 		}
+		if err := flusher.SetWriteDeadline(a.deadline.Add(readSlack)); err != nil {
+			a.exchange.Abort()
+			return true, a.broken(ctx, err)
+		}
 		if _, err := a.out.Write(event); err != nil {
 			a.exchange.Abort()
 			return true, a.broken(ctx, err)
