Choose the larger model's server before dropping an answer; trace command

Test first: TestAnswerIsKeptWhenNoServerMayTakeTheNext. cactusctl trace shows what the logs say of a request or of a roll-out.

--- a/daemon/ctl/command.go
+++ b/daemon/ctl/command.go
@@ -54,7 +54,7 @@
 	emulateCommands,
 	demoCommands,
 	benchCommands,
-	bundleCommands, operateCommands, explainCommands,
+	bundleCommands, operateCommands, explainCommands, traceCommands,
 	loadCommands,
 	soakCommands,
 }
--- a/daemon/gateway/cascade.go
+++ b/daemon/gateway/cascade.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"time"
+
+	"cactusknot.example/daemon/selection"
+	"cactusknot.example/daemon/topology"
 )
 
 const (
@@ -42,26 +45,44 @@
 	return float64(i) / float64(len(models)-1)
 }
 
-// shouldEscalate decides whether the answer that has just begun is dropped for
-// that of the largest model. Nothing of it was passed on yet.
-func (g *Gateway) shouldEscalate(a *attempt) bool {
-	models := a.route.Models
+// largest returns the largest model of a route that lists some.
+func largest(route *topology.Route) string { return route.Models[len(route.Models)-1] }
+
+// escalate decides whether the answer that has just begun is dropped for that of
+// the largest model, and returns the server that has been chosen for it, or nil.
+// Nothing of the answer was passed on yet; it is dropped only once another server
+// is sure to take the request.
+func (g *Gateway) escalate(a *attempt) *selection.Choice {
 	if a.reply.Confidence >= 0 {
 		a.confidences = append(a.confidences, a.reply.Confidence)
 	}
-	if len(models) < 2 || a.model == models[len(models)-1] || a.started || !a.route.MayRepeat() {
-		return false
-	}
-	if a.reply.Confidence < 0 || a.attempts >= a.route.MaxAttempts {
-		return false
+	if !g.mayEscalate(a) || g.refresh(a.requestState) != nil {
+		return nil
 	}
 	now := time.Now()
-	expected, event, ok := g.Chooser.Expect(now, a.candidates, g.selectionRequest(a.requestState, models[len(models)-1], nil))
+	request := g.selectionRequest(a.requestState, largest(a.route), nil)
+	expected, event, ok := g.Chooser.Expect(now, a.candidates, request)
+	if !ok {
+		return nil
+	}
+	confidence := enough(expected, a.answerTime(event), a.route.LatencyTarget-now.Sub(a.began), a.deadline.Sub(now))
 	backlog := g.Chooser.Backlog(now, a.candidates, len(a.view.Routers))
-	if !ok || a.reply.Confidence >= underLoad(backlog, enough(expected, a.answerTime(event), a.route.LatencyTarget-now.Sub(a.began), a.deadline.Sub(now))) {
+	if a.reply.Confidence >= underLoad(backlog, confidence) || !a.budget.Take(now, len(a.view.Routers)) {
+		return nil
+	}
+	choice, ok := g.Chooser.Choose(now, a.candidates, request)
+	if !ok {
+		return nil
+	}
+	return choice
+}
+
+// mayEscalate tells whether the answer of a smaller model may be dropped at all.
+func (g *Gateway) mayEscalate(a *attempt) bool {
+	if len(a.route.Models) < 2 || a.model == largest(a.route) || a.started || !a.route.MayRepeat() {
 		return false
 	}
-	return a.budget.Take(now, len(a.view.Routers))
+	return a.reply.Confidence >= 0 && a.attempts < a.route.MaxAttempts
 }
 
 // underLoad lowers the confidence from which an answer is kept by what escalation
--- a/daemon/gateway/cascade_test.go
+++ b/daemon/gateway/cascade_test.go
@@ -135,3 +135,19 @@
 		t.Error("idle servers change the decision")
 	}
 }
+
+// A small model's answer must not be dropped when no server may take the request
+// again: on scale-1 of petitspas-diary a caller was refused that way although an
+// answer had begun (request 4838673d1f7f8564).
+func TestAnswerIsKeptWhenNoServerMayTakeTheNext(t *testing.T) {
+	a := newServer(t, "a", confident(map[string]int{"s": 0}))
+	route := topology.Route{Kind: topology.Stream, Resumable: true, MaxAttempts: 3, Models: []string{"s", "l"}}
+	r := newRig(t, route, a)
+	// A cold server that bears one request in a second.
+	a.Server.ColdUntil = time.Now().Add(time.Minute)
+	r.view.Load().Config.Services["svc"].ColdPerSecond = 1
+	r.ColdFactor = 1
+	if got := r.call(http.MethodPost, "/x", "p"); got.status != http.StatusOK || got.body != "s" {
+		t.Errorf("got %d %q", got.status, got.body)
+	}
+}
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -37,8 +37,8 @@
 	reply    Reply
 	outcome  selection.Outcome
 	sentAt   time.Time
-	// escalate is set when the answer is dropped for that of a larger model.
-	escalate bool
+	// escalation is the server of the larger model for which the answer is dropped.
+	escalation *selection.Choice
 	// sampled is set once the attempt counts as evidence.
 	sampled atomic.Bool
 }
@@ -52,13 +52,13 @@
 	defer cancel()
 	excluded := make(map[string]bool)
 	g.firstModel(x)
+	var choice *selection.Choice
 	for {
-		if err := g.refresh(x); err != nil {
-			return g.verdict(ctx, x, err)
-		}
-		choice, err := g.choose(ctx, x, excluded)
-		if err != nil {
-			return err
+		if choice == nil {
+			var err *result.Error
+			if choice, err = g.choose(ctx, x, excluded); err != nil {
+				return err
+			}
 		}
 		excluded[choice.Server.ID] = true
 		a := &attempt{requestState: x, choice: choice, sentAt: time.Now()}
@@ -69,9 +69,8 @@
 		if done {
 			return failure
 		}
-		if a.escalate {
-			x.model = x.route.Models[len(x.route.Models)-1]
-			delete(excluded, choice.Server.ID)
+		if choice = a.escalation; choice != nil {
+			x.model = largest(x.route)
 			continue
 		}
 		if !g.mayRepeat(ctx, x, failure) {
@@ -84,6 +83,9 @@
 func (g *Gateway) choose(ctx context.Context, x *requestState, excluded map[string]bool) (*selection.Choice, *result.Error) {
 	request := g.selectionRequest(x, x.model, excluded)
 	for {
+		if err := g.refresh(x); err != nil {
+			return nil, g.verdict(ctx, x, err)
+		}
 		if choice, ok := g.Chooser.Choose(time.Now(), x.candidates, request); ok {
 			return choice, nil
 		}
@@ -95,9 +97,6 @@
 			return nil, g.verdict(ctx, x, result.NoBackend.With("%v", ctx.Err()))
 		case <-time.After(retryWait):
 		}
-		if err := g.refresh(x); err != nil {
-			return nil, g.verdict(ctx, x, err)
-		}
 	}
 }
 
@@ -153,8 +152,8 @@
 	}
 	// The head comes with the first token: the prompt has been read.
 	a.choice.Answered(time.Now())
-	if g.shouldEscalate(a) {
-		a.escalate, a.outcome = true, selection.Cancelled
+	if a.escalation = g.escalate(a); a.escalation != nil {
+		a.outcome = selection.Cancelled
 		sent.Abort()
 		return false, nil
 	}
--- a/daemon/gateway/observe.go
+++ b/daemon/gateway/observe.go
@@ -57,7 +57,7 @@
 func (g *Gateway) recordAttempt(a *attempt, failure *result.Error) {
 	message, outcome, detail := "attempt failed", "", ""
 	switch {
-	case a.escalate:
+	case a.escalation != nil:
 		message = "answer dropped for a larger model"
 	case failure == nil:
 		return
