--- a/daemon/gateway/rig_test.go
+++ b/daemon/gateway/rig_test.go
@@ -89,7 +89,7 @@
 	answer func(n int, a arrival, c net.Conn) bool
 }
 
-func newServer(t *testing.T, id string, answer func(n int, a arrival, c net.Conn) bool) *server {
+func newServer(t testing.TB, id string, answer func(n int, a arrival, c net.Conn) bool) *server {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -189,7 +189,7 @@
 	keys    map[string]*topology.Workspace
 }
 
-func newRig(t *testing.T, route topology.Route, servers ...*server) *rig {
+func newRig(t testing.TB, route topology.Route, servers ...*server) *rig {
 	t.Helper()
 	r := &rig{}
 	r.Gateway = New(Config{
