--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -16,7 +16,7 @@
 	watchWait = 2 * time.Second
 	// watchPause is the pause after a watch that returned changes, so that changes in
 	// quick succession cost one call.
-	watchPause = 150 * time.Millisecond
+	watchPause = 300 * time.Millisecond
 	// everything is the prefix of all keys.
 	everything = ""
 	// firstBackoff and maxBackoff bound the pause after a failed call.
--- a/daemon/gateway/cascade_test.go
+++ b/daemon/gateway/cascade_test.go
@@ -151,3 +151,19 @@
 		t.Errorf("got %d %q", got.status, got.body)
 	}
 }
+
+// A request must not reach a region that its route or its workspace does not allow;
+// where both name some, both bind.
+func TestRegions(t *testing.T) {
+	a, b := &topology.Server{ID: "a", Region: "north"}, &topology.Server{ID: "b", Region: "south"}
+	all := []*topology.Server{a, b}
+	cases := []struct {
+		route, workspace []string
+		want             int
+	}{{nil, nil, 2}, {[]string{"north"}, nil, 1}, {nil, []string{"south"}, 1}, {[]string{"north"}, []string{"south"}, 0}}
+	for _, c := range cases {
+		if got := inRegions(all, c.route, c.workspace); len(got) != c.want {
+			t.Errorf("route %v, workspace %v: %d servers, want %d", c.route, c.workspace, len(got), c.want)
+		}
+	}
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -92,8 +92,10 @@
 	budget *limit.RepeatBudget
 	// workspace is the name of the caller's workspace; empty on anonymous routes.
 	workspace string
-	urgency   int
-	service   *topology.Service
+	// regions are those that the workspace allows; empty means any.
+	regions []string
+	urgency int
+	service *topology.Service
 	// candidates are the backend servers of the version chosen for the session.
 	candidates []*topology.Server
 	// model is the model of the present attempt.
@@ -164,7 +166,7 @@
 	if workspace == nil {
 		return result.Unauthenticated.With("unknown key")
 	}
-	x.workspace = workspace.Name
+	x.workspace, x.regions = workspace.Name, workspace.Regions
 	if workspace.HasUrgency {
 		x.urgency = workspace.Urgency
 	}
--- a/daemon/gateway/split.go
+++ b/daemon/gateway/split.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -28,13 +29,31 @@
 func (g *Gateway) refresh(x *requestState) *result.Error {
 	x.view = g.View()
 	name := x.service.Name
-	x.candidates = versionServers(x.view.Servers[name], x.view.Splits[name], sessionOf(x.call))
+	servers := inRegions(x.view.Servers[name], x.route.Regions, x.regions)
+	x.candidates = versionServers(servers, x.view.Splits[name], sessionOf(x.call))
 	if len(x.candidates) == 0 {
 		return result.NoBackend.With("no backend server is available")
 	}
 	return nil
 }
 
+// inRegions returns the servers in a region of each list; an empty list allows all.
+func inRegions(servers []*topology.Server, lists ...[]string) []*topology.Server {
+	for _, allowed := range lists {
+		if len(allowed) == 0 {
+			continue
+		}
+		var kept []*topology.Server
+		for _, s := range servers {
+			if slices.Contains(allowed, s.Region) {
+				kept = append(kept, s)
+			}
+		}
+		servers = kept
+	}
+	return servers
+}
+
 func pickShare(shares []topology.Share) string {
 	total := 0.0
 	for _, s := range shares {
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -63,6 +63,8 @@
 	Anonymous bool
 	// Resumable streams may go on at another backend server.
 	Resumable bool
+	// Regions are those in which requests may run; empty means any.
+	Regions []string
 }
 
 // MayRepeat tells whether a request of the route may run more than once.
@@ -94,6 +96,8 @@
 	// Urgency replaces the route's when HasUrgency is set.
 	Urgency    int
 	HasUrgency bool
+	// Regions are those in which requests may run; empty means any.
+	Regions []string
 }
 
 // Limits bound what a caller may send.
@@ -154,6 +158,7 @@
 	Service    string
 	Address    string
 	DataCentre string
+	Region     string
 	Version    string
 	// Slots is the number of requests that it runs at once.
 	Slots    int
