--- a/daemon/cmd/cactusknot/main.go
+++ b/daemon/cmd/cactusknot/main.go
@@ -4,10 +4,14 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
+	"io"
+	"net"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -16,6 +20,7 @@
 	"cactusknot.example/daemon/agent"
 	"cactusknot.example/daemon/config"
 	"cactusknot.example/daemon/edge"
+	"cactusknot.example/daemon/hangup"
 	"cactusknot.example/daemon/router"
 	"cactusknot.example/platform"
 )
@@ -35,17 +40,20 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	if len(args) == 0 || (args[0] != "router" && args[0] != "agent" && args[0] != "edge") {
 		fmt.Fprintln(os.Stderr, "usage: cactusknot router|agent|edge -config FILE [-check]")
 		return exitSettings
 	}
 	flags := flag.NewFlagSet("cactusknot "+args[0], flag.ContinueOnError)
 	file := flags.String("config", "", "settings `file` (JSON; of an edge the platform's, by default the one that the environment names)")
+	metrics := flags.Int("metrics-port", 0, "serve the metrics of an edge on this `port` too")
 	check := flags.Bool("check", false, "check the settings and exit")
 	if err := flags.Parse(args[1:]); err != nil {
 		return exitSettings
 	}
-	role, err := build(args[0], *file, *check)
+	role, err := build(args[0], options{file: *file, metricsPort: *metrics, check: *check})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
@@ -53,8 +61,6 @@
 	if *check {
 		return exitOK
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	if err := role.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -62,10 +68,18 @@
 	return exitOK
 }
 
-func build(role, file string, check bool) (runner, error) {
+// options are what the command line says of a role.
+type options struct {
+	file        string
+	metricsPort int
+	check       bool
+}
+
+func build(role string, o options) (runner, error) {
 	if role == "edge" {
-		return buildEdge(file, check)
+		return buildEdge(o)
 	}
+	file, check := o.file, o.check
 	if role == "router" {
 		settings, err := config.LoadRouter(file)
 		if err != nil || check {
@@ -81,15 +95,36 @@
 }
 
 // buildEdge builds the role that runs on the users' platform.
-func buildEdge(file string, check bool) (runner, error) {
-	if file == "" {
-		file = os.Getenv(platform.SettingsVariable)
+func buildEdge(o options) (runner, error) {
+	if o.file == "" {
+		o.file = os.Getenv(platform.SettingsVariable)
 	}
-	settings, err := platform.LoadSettings(file)
-	if err != nil || check {
+	settings, err := platform.LoadSettings(o.file)
+	if err != nil || o.check {
 		return nil, err
 	}
-	return edge.New(settings, func() (*edge.Settings, error) { return platform.LoadSettings(file) }, edgeLogger()), nil
+	if o.metricsPort > 0 {
+		host, _, err := net.SplitHostPort(settings.Peer)
+		if err != nil {
+			return nil, err
+		}
+		settings.Metrics = net.JoinHostPort(host, strconv.Itoa(o.metricsPort))
+	}
+	load := func() (*edge.Settings, error) { return platform.LoadSettings(o.file) }
+	log, flush := edgeLogger()
+	return flushing{edge.New(settings, edge.Reload{Requests: hangup.Signals(), Load: load}, log), flush}, nil
+}
+
+// flushing writes the log lines that still wait when its role has ended.
+type flushing struct {
+	runner
+	flush io.Closer
+}
+
+// Run runs the role.
+func (f flushing) Run(ctx context.Context) error {
+	err := f.runner.Run(ctx)
+	return errors.Join(err, f.flush.Close())
 }
 
 // logLines is the number of log lines that may wait for standard output. Further
@@ -97,12 +132,12 @@
 const logLines = 2048
 
 // edgeLogger writes to standard output without ever blocking the caller.
-func edgeLogger() zerolog.Logger {
+func edgeLogger() (zerolog.Logger, io.Closer) {
 	zerolog.TimeFieldFormat = logTime
 	out := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
 		fmt.Fprintf(os.Stdout, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"count\":%d}\n", missed)
 	})
-	return zerolog.New(out).With().Timestamp().Logger()
+	return zerolog.New(out).With().Timestamp().Logger(), out
 }
 
 // logTime has the resolution that is needed to order the lines of several processes.
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -78,6 +79,8 @@
 	DataCentre string
 	// Frontend and Ready are the addresses for callers and for the balancer.
 	Frontend, Ready string
+	// Metrics is a further address for the metrics; empty for none.
+	Metrics string
 	// Peer is the address for other routers, SeedPeers those of some of them.
 	Peer      string
 	SeedPeers []string
@@ -117,7 +120,7 @@
 // Edge runs the role.
 type Edge struct {
 	settings *Settings
-	reload   func() (*Settings, error)
+	reload   Reload
 	log      zerolog.Logger
 	gateway  *gateway.Gateway
 	mirror   *mirror.Mirror
@@ -128,8 +131,15 @@
 	load     loadSums
 }
 
-// New builds the role; it connects nowhere yet. reload reads the settings again.
-func New(settings *Settings, reload func() (*Settings, error), log zerolog.Logger) *Edge {
+// Reload is how the settings are read again while the process runs.
+type Reload struct {
+	// Requests asks for it, for example by a signal.
+	Requests <-chan os.Signal
+	Load     func() (*Settings, error)
+}
+
+// New builds the role; it connects nowhere yet.
+func New(settings *Settings, reload Reload, log zerolog.Logger) *Edge {
 	e := &Edge{settings: settings, reload: reload, log: log.With().Str("vm", settings.VM).Logger(), mirror: mirror.New()}
 	e.peerHTTP = &http.Client{Timeout: peerTimeout}
 	e.control = newControl(e)
@@ -148,7 +158,7 @@
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	front, err := e.serve(e.settings.Frontend, e.frontHandler())
+	front, err := e.serve(e.settings.Frontend, e.gateway)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -158,6 +168,11 @@
 	if _, err := e.serve(e.settings.Peer, e.peerHandler()); err != nil {
 		return trace.Wrap(err)
 	}
+	if e.settings.Metrics != "" {
+		if _, err := e.serve(e.settings.Metrics, e.metricsRouter()); err != nil {
+			return trace.Wrap(err)
+		}
+	}
 	go e.synchronise(background)
 	go e.control.run(background)
 	go e.exchangeLoad(background)
@@ -200,20 +215,21 @@
 	e.log.Info().Dur("took_ms", time.Since(began)).Msg("edge stopped")
 }
 
-// frontHandler serves callers. Echo only recovers and dispatches; routes come
-// from the configuration.
-func (e *Edge) frontHandler() http.Handler { return e.gateway }
-
 // readyHandler tells the balancer whether this process takes requests, and
 // serves the metrics.
 func (e *Edge) readyHandler() http.Handler {
-	router := echo.New()
+	router := e.metricsRouter()
 	router.GET("/readyz", func(c echo.Context) error {
 		if !e.ready() {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
 		return c.NoContent(http.StatusOK)
 	})
+	return router
+}
+
+func (e *Edge) metricsRouter() *echo.Echo {
+	router := echo.New()
 	router.GET("/metrics", func(c echo.Context) error {
 		c.Response().WriteHeader(http.StatusOK)
 		e.writeMetrics(c.Response())
--- a/daemon/edge/reload.go
+++ b/daemon/edge/reload.go
@@ -1,31 +1,23 @@
 package edge
 
-import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
-)
+import "context"
 
-// watchSettings reads the settings again at each SIGHUP. Addresses and limits of
+// watchSettings reads the settings again at each request. Addresses and limits of
 // a running process stay; the seed peers are replaced. Settings that can't be
 // read leave the present ones in force.
 func (e *Edge) watchSettings(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-e.reload.Requests:
 			e.reloadSettings()
 		}
 	}
 }
 
 func (e *Edge) reloadSettings() {
-	settings, err := e.reload()
+	settings, err := e.reload.Load()
 	if err != nil {
 		e.log.Error().Err(err).Msg("settings can't be read: the present ones stay in force")
 		return
--- a/daemon/edge/rig_test.go
+++ b/daemon/edge/rig_test.go
@@ -283,7 +283,7 @@
 		VM: name, Peer: l.Addr().String(), SeedPeers: seeds, Store: c, Decoder: testDecoder{}, ExposureShare: 0.15,
 		Repeats: limit.RepeatConfig{Ratio: 0.5, Extra: 10, Window: 10 * time.Second}, ColdFactor: 1,
 	}
-	e := &testEdge{Edge: New(settings, func() (*Settings, error) { return settings, nil }, zerolog.Nop()), client: c}
+	e := &testEdge{Edge: New(settings, Reload{}, zerolog.Nop()), client: c}
 	peers := &http.Server{Handler: e.peerHandler()}
 	go func() { _ = peers.Serve(l) }()
 	ctx, cancel := context.WithCancel(context.Background())
