Leave a mute plain service after three latency targets; drop unused fields

Cause: the check of silence had one bound of 10 s and more, beyond the timeout of plain services, so a hanging server held repeatable requests to their end. Test: TestMuteServiceIsLeft.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -95,8 +95,6 @@
 	ColdFactor, ColdExtra float64
 	// ExposureShare is the part of a service's requests that a bad version may get.
 	ExposureShare float64
-	// SessionTTL is the pause after which a session has ended.
-	SessionTTL time.Duration
 }
 
 const (
--- a/daemon/gateway/attempt_test.go
+++ b/daemon/gateway/attempt_test.go
@@ -197,3 +197,21 @@
 		t.Errorf("%d samples of one answer", n)
 	}
 }
+
+// A plain service that accepts requests and says nothing is left for another one
+// while there is still time, where the request may be repeated.
+func TestMuteServiceIsLeft(t *testing.T) {
+	mute := newServer(t, "mute", func(_ int, _ arrival, c net.Conn) bool {
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	b := newServer(t, "b", whole(200, "ok"))
+	r := newRig(t, topology.Route{Kind: topology.Idempotent, MaxAttempts: 2, LatencyTarget: 200 * time.Millisecond, Timeout: 3 * time.Second}, mute, b)
+	if got := r.call(http.MethodGet, "/x", ""); got.body != "ok" {
+		t.Errorf("got %d %q", got.status, got.body)
+	}
+	r.publish(topology.Route{Kind: topology.NonIdempotent, MaxAttempts: 2, LatencyTarget: 100 * time.Millisecond, Timeout: time.Second}, mute)
+	if got := r.call(http.MethodPost, "/x", "1"); got.status != http.StatusGatewayTimeout {
+		t.Errorf("non-idempotent: got %d", got.status)
+	}
+}
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -16,11 +16,10 @@
 const (
 	// leastLeft is the time below which no further attempt is made.
 	leastLeft = 50 * time.Millisecond
-	// silence is how long a backend server may give no sign of life on any request
-	// before a repeatable request moves on.
-	silence = 20 * time.Second
-	// silenceFactor times the route's latency target is the same bound where that
-	// is shorter.
+	// engineSilence is how long a model engine may give no sign of life on any request
+	// before a repeatable request moves on; a busy engine is silent for seconds.
+	engineSilence = 8 * time.Second
+	// silenceFactor times the route's latency target is the same for a plain service.
 	silenceFactor = 3
 	// silenceCheck is the interval of that check.
 	silenceCheck = 250 * time.Millisecond
@@ -136,7 +135,6 @@
 	}
 	sent, err := g.Pool.Send(ctx, a.target, g.request(a), func(h http.Header) bool { return g.Wire.Own(a.call, h) })
 	if err != nil {
-		a.lastError = err
 		return false, a.failed(ctx, err)
 	}
 	a.attempts++
@@ -178,7 +176,10 @@
 // watchSilence ends the attempt when the backend server gives no sign of life on
 // any of this router's requests. A busy server is heard through the others.
 func (g *Gateway) watchSilence(a *attempt, cancel context.CancelCauseFunc) (stop func()) {
-	bound := min(silence, silenceFactor*max(a.route.LatencyTarget, silence/silenceFactor/2))
+	bound := engineSilence
+	if a.call.PromptTokens == 0 {
+		bound = silenceFactor * a.route.LatencyTarget
+	}
 	timer := time.NewTimer(silenceCheck)
 	ended := make(chan struct{})
 	go func() {
@@ -219,7 +220,6 @@
 // broken classifies an attempt that was cut after it may have begun to run.
 func (a *attempt) broken(ctx context.Context, err error) *result.Error {
 	a.mayHaveRun = true
-	a.lastError = err
 	switch {
 	case a.callerGone():
 		a.outcome = selection.Cancelled
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -111,7 +111,6 @@
 	started   bool
 	lastEvent int64
 	firstByte time.Duration
-	lastError error
 	// servers names the backend servers that were tried, in order.
 	servers []string
 }
--- a/daemon/selection/selection.go
+++ b/daemon/selection/selection.go
@@ -339,13 +339,6 @@
 	c.speed.learnEvents(events, took)
 }
 
-// Heard records any sign of life of the server.
-func (c *Choice) Heard(now time.Time) {
-	c.chooser.mu.Lock()
-	defer c.chooser.mu.Unlock()
-	c.state.heard = now
-}
-
 // LastHeard returns when the server last gave a sign of life on any request.
 func (c *Choice) LastHeard() time.Time {
 	c.chooser.mu.Lock()
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -49,8 +49,6 @@
 	Timeout time.Duration
 	// LatencyTarget is the time until the first byte for full value.
 	LatencyTarget time.Duration
-	// PauseTarget is the longest pause between events for full value.
-	PauseTarget time.Duration
 	// MaxAttempts bounds the backend servers that one request is sent to.
 	MaxAttempts int
 	// Urgency ranks requests; 0 is the most urgent.
@@ -80,12 +78,6 @@
 	ColdPerSecond float64
 	// ColdStart is how long a backend server is cold after its start.
 	ColdStart time.Duration
-	// Engine is true for model engines.
-	Engine bool
-	// CacheTokens is the memory of a model engine in tokens.
-	CacheTokens int
-	// Slots is the number of requests that one engine runs at once.
-	Slots int
 	// EventTokens is the number of tokens in an event of a stream; 0 when unknown.
 	EventTokens int
 }
@@ -102,10 +94,7 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Config is one version of the operators' configuration.
