Do not take servers of routes without a latency target for silent

A route that states no target had a bound of zero, so every attempt that took longer than 250 ms would have been given up. Test: TestSilenceBound.

--- a/daemon/gateway/attempt_test.go
+++ b/daemon/gateway/attempt_test.go
@@ -215,3 +215,17 @@
 		t.Errorf("non-idempotent: got %d", got.status)
 	}
 }
+
+// A route without a latency target must not make every server look silent.
+func TestSilenceBound(t *testing.T) {
+	cases := []struct {
+		target time.Duration
+		prompt int
+		want   time.Duration
+	}{{0, 0, engineSilence}, {300 * time.Millisecond, 0, 900 * time.Millisecond}, {300 * time.Millisecond, 10, engineSilence}, {time.Minute, 0, engineSilence}}
+	for _, c := range cases {
+		if got := silenceBound(&topology.Route{LatencyTarget: c.target}, &Call{PromptTokens: c.prompt}); got != c.want {
+			t.Errorf("target %s, prompt %d: %s, want %s", c.target, c.prompt, got, c.want)
+		}
+	}
+}
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -173,13 +173,18 @@
 	}
 }
 
+// silenceBound returns how long the server of a request may be silent.
+func silenceBound(route *topology.Route, call *Call) time.Duration {
+	if call.PromptTokens > 0 || route.LatencyTarget <= 0 {
+		return engineSilence
+	}
+	return min(engineSilence, silenceFactor*route.LatencyTarget)
+}
+
 // watchSilence ends the attempt when the backend server gives no sign of life on
 // any of this router's requests. A busy server is heard through the others.
 func (g *Gateway) watchSilence(a *attempt, cancel context.CancelCauseFunc) (stop func()) {
-	bound := engineSilence
-	if a.call.PromptTokens == 0 {
-		bound = silenceFactor * a.route.LatencyTarget
-	}
+	bound := silenceBound(a.route, a.call)
 	timer := time.NewTimer(silenceCheck)
 	ended := make(chan struct{})
 	go func() {
