Put comments beside the functions that were moved; drop what nothing reads

The split of rollouts.go left the comments of the evidence functions behind. The source of a batch of changes and Mirror.List had no reader; the pause of the loops calls coord/clock. No change of behaviour.

--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -29,18 +29,9 @@
 	controlQueue = 256
 )
 
-// source tells where changes come from.
-type source uint8
-
-const (
-	fromStore source = iota
-	fromPeer
-)
-
 // batch is news for the control loop.
 type batch struct {
 	news []mirror.Change
-	from source
 	at   time.Time
 }
 
@@ -89,8 +80,8 @@
 }
 
 // apply hands news to the control loop.
-func (c *control) apply(news []mirror.Change, from source) {
-	c.batches <- batch{news: news, from: from, at: time.Now()}
+func (c *control) apply(news []mirror.Change) {
+	c.batches <- batch{news: news, at: time.Now()}
 }
 
 func (c *control) storeLost() { c.lostAt.CompareAndSwap(0, time.Now().UnixNano()) }
--- a/daemon/edge/evidence.go
+++ b/daemon/edge/evidence.go
@@ -11,6 +11,7 @@
 	"cactusknot.example/daemon/rpc"
 )
 
+// ownCounts is this router's evidence on one roll-out.
 type ownCounts struct {
 	Order    uint64           `json:"order"`
 	Evidence rollout.Evidence `json:"evidence"`
@@ -20,6 +21,8 @@
 	exposed bool
 }
 
+// mergeEvidence takes evidence that a router wrote to the store because it reached
+// none of the routers that pool it.
 func (r *rollouts) mergeEvidence(router string, change mirror.Change) {
 	if router == r.edge.settings.VM || change.Deleted {
 		return
@@ -32,6 +35,8 @@
 	r.hear(router, reports)
 }
 
+// hear takes another router's evidence. Counts of one order only grow, so an older
+// report that arrives late has no effect.
 func (r *rollouts) hear(router string, reports map[string]ownCounts) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -48,6 +53,7 @@
 	}
 }
 
+// observe counts an answer of the request path.
 func (r *rollouts) observe(sample gateway.Sample) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -67,6 +73,7 @@
 	r.changed = true
 }
 
+// pooled returns the evidence of all routers on a service's roll-out.
 func (r *rollouts) pooled(service string) rollout.Evidence {
 	s := r.of(service)
 	var sum rollout.Evidence
@@ -86,6 +93,7 @@
 	return sum
 }
 
+// setExposed tells whether answers count as evidence on a service's roll-out now.
 func (r *rollouts) setExposed(service string, exposed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -94,6 +102,7 @@
 	}
 }
 
+// report sends this router's evidence to the routers that pool it.
 func (r *rollouts) report(ctx context.Context, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -117,6 +126,8 @@
 	go r.sendEvidence(ctx, report, r.routers.pooling(), value)
 }
 
+// sendEvidence reports to each pooling router, and writes to the store where none
+// takes the report.
 func (r *rollouts) sendEvidence(ctx context.Context, report *rpc.EvidenceReport, addresses []string, value []byte) {
 	var failed error
 	taken := false
--- a/daemon/edge/rollouts.go
+++ b/daemon/edge/rollouts.go
@@ -45,7 +45,6 @@
 	committing map[string]bool
 }
 
-// ownCounts is this router's evidence on one roll-out.
 // serviceRollout is what is known of one service's roll-out.
 type serviceRollout struct {
 	order    *topology.Order
@@ -143,12 +142,6 @@
 	}
 }
 
-// mergeEvidence takes evidence that a router wrote to the store because it reached
-// none of the routers that pool it.
-// hear takes another router's evidence. Counts of one order only grow, so an older
-// report that arrives late has no effect.
-// observe counts an answer of the request path.
-// pooled returns the evidence of all routers on a service's roll-out.
 // tick makes the steps that are due and tells whether the view changes.
 func (r *rollouts) tick(ctx context.Context, now time.Time) (changed bool) {
 	active := false
@@ -253,9 +246,6 @@
 	line.Err(err).Str("service", service).Str("phase", string(plan.Phase)).Msg("roll-out step written")
 }
 
-// report sends this router's evidence to the routers that pool it.
-// sendEvidence reports to each pooling router, and writes to the store where none
-// takes the report.
 // splits returns the present split of each service with a roll-out.
 func (r *rollouts) splits(servers map[string][]*topology.Server) map[string]topology.Split {
 	splits := make(map[string]topology.Split)
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cactusknot.example/coord/clock"
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/mirror"
 )
@@ -68,7 +69,7 @@
 		}
 		l.listed = true
 		l.up()
-		l.edge.control.apply(l.edge.mirror.Reset(listing, at), fromStore)
+		l.edge.control.apply(l.edge.mirror.Reset(listing, at))
 		return nil
 	}
 	changes, at, err := l.edge.settings.Store.Watch(ctx, everything, l.edge.mirror.At(), watchWait)
@@ -76,7 +77,7 @@
 		return err
 	}
 	l.up()
-	l.edge.control.apply(l.edge.mirror.Apply(changes, at), fromStore)
+	l.edge.control.apply(l.edge.mirror.Apply(changes, at))
 	if len(changes) > 0 {
 		sleep(ctx, watchPause)
 	}
@@ -114,15 +115,9 @@
 	} else {
 		news = e.mirror.Apply(changes, at)
 	}
-	e.control.apply(news, fromPeer)
+	e.control.apply(news)
 	return len(news)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
+// sleep pauses for d or until ctx ends, which the caller's loop checks.
+func sleep(ctx context.Context, d time.Duration) { _ = clock.System{}.Sleep(ctx, d) }
--- a/daemon/mirror/mirror.go
+++ b/daemon/mirror/mirror.go
@@ -4,7 +4,6 @@
 package mirror
 
 import (
-	"strings"
 	"sync"
 
 	"cactusknot.example/coord/kv"
@@ -128,16 +127,3 @@
 	c, known := m.entries[key]
 	return c.Entry, known && !c.Deleted
 }
-
-// List returns the entries whose key starts with prefix.
-func (m *Mirror) List(prefix string) []kv.Entry {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var list []kv.Entry
-	for key, c := range m.entries {
-		if !c.Deleted && strings.HasPrefix(key, prefix) {
-			list = append(list, c.Entry)
-		}
-	}
-	return list
-}
