Decide the attempts of both edges in one package, with one retry budget

A rule mended in one path stayed broken in the other: after an answer dropped for a larger model, the gateway could end with "not run" although the small model ran.

Ruled out: moving the choice of server and model at the same time; they rest on different facts (docs/decisions/platform.md).

Change: daemon/dispatch runs the attempts and decides on each further one; both paths are senders. The token bucket gives way to the sliding window of the edge. WrongHome of a call without the caller's key becomes AgentLeaving, so it is retried by the common rule.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -91,7 +91,7 @@
 	MemoryBytes int64
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace                 time.Duration
-	Repeats               limit.RepeatConfig
+	Retries               limit.RetryConfig
 	ColdFactor, ColdExtra float64
 	// ExposureShare is the part of a service's requests that a bad version may get.
 	ExposureShare float64
@@ -143,7 +143,7 @@
 	e.control = newControl(e)
 	e.gateway = gateway.New(gateway.Config{
 		Name: settings.VM, Wire: settings.Wire, View: e.view.Load, Observe: e.control.observe,
-		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Repeats: settings.Repeats, Log: e.log,
+		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Retries: settings.Retries, Log: e.log,
 	})
 	return e
 }
--- a/daemon/gateway/cascade.go
+++ b/daemon/gateway/cascade.go
@@ -67,7 +67,7 @@
 	}
 	confidence := enough(expected, a.answerTime(event), a.route.LatencyTarget-now.Sub(a.began), a.deadline.Sub(now))
 	backlog := g.Chooser.Backlog(now, a.candidates, len(a.view.Routers))
-	if a.reply.Confidence >= underLoad(backlog, confidence) || !a.budget.Take(now, len(a.view.Routers)) {
+	if a.reply.Confidence >= underLoad(backlog, confidence) || !a.dispatch.Budget.Take(now, len(a.view.Routers)) {
 		return nil
 	}
 	choice, ok := g.Chooser.Choose(now, a.candidates, request)
@@ -82,7 +82,7 @@
 	if len(a.route.Models) < 2 || a.model == largest(a.route) || a.started || !a.route.MayRepeat() {
 		return false
 	}
-	return a.reply.Confidence >= 0 && a.attempts < a.route.MaxAttempts
+	return a.reply.Confidence >= 0 && a.dispatch.Attempts() < a.route.MaxAttempts
 }
 
 // underLoad lowers the confidence from which an answer is kept by what escalation
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"cactusknot.example/coord/limit"
+	"cactusknot.example/daemon/dispatch"
 	"cactusknot.example/daemon/result"
 	"cactusknot.example/daemon/selection"
 	"cactusknot.example/daemon/topology"
@@ -50,7 +51,7 @@
 	// ColdFactor and ColdExtra give the bound on requests to a cold server in a
 	// second: factor times the service's rate, plus extra.
 	ColdFactor, ColdExtra float64
-	Repeats               limit.RepeatConfig
+	Retries               limit.RetryConfig
 	Log                   zerolog.Logger
 }
 
@@ -61,7 +62,7 @@
 	Pool    *upstream.Pool
 
 	mu      sync.Mutex
-	budgets map[string]*limit.RepeatBudget
+	budgets map[string]*limit.RetryBudget
 	metrics *metricSet
 	filters []filter
 	lines   lineBudget
@@ -71,7 +72,7 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{
 		Config: cfg, Chooser: selection.New(), Pool: upstream.NewPool(),
-		budgets: make(map[string]*limit.RepeatBudget), metrics: newMetricSet(),
+		budgets: make(map[string]*limit.RetryBudget), metrics: newMetricSet(),
 	}
 	g.filters = []filter{g.match, g.authenticate, g.readBody, g.split, g.dispatch}
 	return g
@@ -82,14 +83,15 @@
 
 // requestState is a caller's request on its way.
 type requestState struct {
-	ctx    context.Context
-	in     *http.Request
-	out    http.ResponseWriter
-	call   *Call
-	view   *topology.View
-	route  *topology.Route
-	began  time.Time
-	budget *limit.RepeatBudget
+	ctx   context.Context
+	in    *http.Request
+	out   http.ResponseWriter
+	call  *Call
+	view  *topology.View
+	route *topology.Route
+	began time.Time
+	// dispatch holds the rules on attempts and what has become of them.
+	dispatch dispatch.Request
 	// workspace is the name of the caller's workspace; empty on anonymous routes.
 	workspace string
 	// regions are those that the workspace allows; empty means any.
@@ -104,11 +106,12 @@
 	confidences []int
 	// deadline is when the final answer is due.
 	deadline time.Time
-	attempts int
-	// mayHaveRun is set once an attempt ended without saying that it did not run.
-	mayHaveRun bool
+	// excluded holds the backend servers that were tried.
+	excluded map[string]bool
 	// started is set once a byte of the answer was passed on.
-	started   bool
+	started bool
+	// answered is set once the caller got all that it will get.
+	answered  bool
 	lastEvent int64
 	firstByte time.Duration
 	// servers names the backend servers that were tried, in order.
@@ -219,13 +222,13 @@
 	}
 }
 
-// budgetOf returns the repeat budget of a service.
-func (g *Gateway) budgetOf(service string) *limit.RepeatBudget {
+// budgetOf returns the retry budget of a service.
+func (g *Gateway) budgetOf(service string) *limit.RetryBudget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
-		b = limit.NewRepeatBudget(g.Repeats)
+		b = limit.NewRetryBudget(g.Retries)
 		g.budgets[service] = b
 	}
 	return b
--- a/daemon/gateway/observe.go
+++ b/daemon/gateway/observe.go
@@ -47,7 +47,7 @@
 	if failure != nil {
 		line = line.Int("code", failure.Code.Number).Str("detail", failure.Detail)
 	}
-	line.Str("workspace", x.workspace).Strs("servers", x.servers).Int("attempts", x.attempts).Str("model", x.model).Ints("confidence", x.confidences).
+	line.Str("workspace", x.workspace).Strs("servers", x.servers).Int("attempts", x.dispatch.Attempts()).Str("model", x.model).Ints("confidence", x.confidences).
 		Int64("last_event", x.lastEvent).
 		Dur("first_byte_ms", x.firstByte).Dur("took_ms", took).Msg("request")
 }
@@ -66,7 +66,7 @@
 	}
 	g.metrics.set.GetOrCreateCounter(fmt.Sprintf("cactusknot_attempts_repeated_total{reason=%q}", outcome)).Inc()
 	g.line(g.Log.Info()).Str("request", a.call.ID).Str("server", a.target.ID).Str("version", a.choice.Server.Version).
-		Str("model", a.model).Ints("confidence", a.confidences).Int("attempt", a.attempts).
+		Str("model", a.model).Ints("confidence", a.confidences).Int("attempt", a.dispatch.Attempts()).
 		Dur("expected_ms", a.choice.Estimate).Int("missing_tokens", a.choice.Missing).Dur("view_age_ms", time.Since(a.view.At)).
 		Dur("since_sent_ms", time.Since(a.sentAt)).Int64("last_event", a.lastEvent).
 		Str("outcome", outcome).Str("detail", detail).Msg(message)
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -28,7 +28,7 @@
 
 // receive passes the answer on. done is false when another attempt may follow.
 func (g *Gateway) receive(ctx context.Context, a *attempt) (done bool, failure *result.Error) {
-	if a.exchange.Status >= http.StatusInternalServerError && a.lastOf(g) {
+	if a.exchange.Status >= http.StatusInternalServerError && !a.started && a.dispatch.Last() {
 		return g.receiveWhole(ctx, a)
 	}
 	if a.exchange.Status >= http.StatusInternalServerError {
@@ -44,15 +44,6 @@
 	return g.receiveWhole(ctx, a)
 }
 
-// lastOf tells whether a failure that the backend server stated is final.
-func (a *attempt) lastOf(g *Gateway) bool {
-	if a.started {
-		return false
-	}
-	return !a.route.MayRepeat() || a.attempts >= a.route.MaxAttempts ||
-		time.Until(a.deadline) < leastLeft || a.budget.Left(time.Now(), len(a.view.Routers)) < 1
-}
-
 // receiveWhole reads the answer and passes it on when it is complete.
 func (g *Gateway) receiveWhole(ctx context.Context, a *attempt) (bool, *result.Error) {
 	body, err := appendAll(make([]byte, 0, 1024), io.LimitReader(a.exchange, maxHeld))
@@ -60,7 +51,7 @@
 		a.exchange.Abort()
 		return false, a.broken(ctx, err)
 	}
-	a.answered()
+	a.heard()
 	if a.exchange.Status < http.StatusInternalServerError {
 		g.observe(a, Sample{Late: a.slow(time.Now())})
 	}
@@ -102,7 +93,7 @@
 	return true, nil
 }
 
-func (a *attempt) answered() {
+func (a *attempt) heard() {
 	now := time.Now()
 	a.choice.Answered(now)
 	if a.firstByte == 0 {
@@ -135,7 +126,7 @@
 			a.exchange.Abort()
 			return false, a.broken(ctx, err)
 		}
-		a.answered()
+		a.heard()
 		g.observe(a, Sample{Late: a.slow(time.Now())})
 		if id >= 0 && id <= a.lastEvent {
 			continue
--- a/daemon/gateway/split.go
+++ b/daemon/gateway/split.go
@@ -4,9 +4,11 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"cactusknot.example/daemon/dispatch"
 	"cactusknot.example/daemon/result"
 	"cactusknot.example/daemon/topology"
 )
@@ -19,8 +21,13 @@
 	if x.service == nil {
 		return result.NoBackend.With("service is not configured")
 	}
-	x.budget = g.budgetOf(name)
-	x.budget.First(x.began)
+	x.dispatch.Rules = dispatch.Rules{
+		Idempotent: x.route.MayRepeat(), Resumable: x.route.Resumable,
+		MaxAttempts: x.route.MaxAttempts, Deadline: x.deadline,
+	}
+	x.dispatch.Now = time.Now
+	x.dispatch.Budget = g.budgetOf(name)
+	x.dispatch.Budget.First(x.began)
 	return g.refresh(x)
 }
 
@@ -28,6 +35,7 @@
 // a server may have begun to leave since the request arrived.
 func (g *Gateway) refresh(x *requestState) *result.Error {
 	x.view = g.View()
+	x.dispatch.Routers = len(x.view.Routers)
 	name := x.service.Name
 	servers := inRegions(x.view.Servers[name], x.route.Regions, x.regions)
 	x.candidates = versionServers(servers, x.view.Splits[name], sessionOf(x.call))
--- a/daemon/router/log.go
+++ b/daemon/router/log.go
@@ -74,16 +74,14 @@
 
 // routerMetrics are the counters of a router.
 type routerMetrics struct {
-	set            *metrics.Set
-	requests       *metrics.Counter
-	attempts       *metrics.Counter
-	retries        *metrics.Counter
-	refusals       *metrics.Counter
-	budgetRefusals *metrics.Counter
-	droppedEvents  *metrics.Counter
-	unrated        *metrics.Counter
-	alerts         *metrics.Counter
-	duration       *metrics.Histogram
+	set           *metrics.Set
+	requests      *metrics.Counter
+	attempts      *metrics.Counter
+	refusals      *metrics.Counter
+	droppedEvents *metrics.Counter
+	unrated       *metrics.Counter
+	alerts        *metrics.Counter
+	duration      *metrics.Histogram
 }
 
 func newRouterMetrics(r *Router) *routerMetrics {
@@ -102,17 +100,23 @@
 	})
 	set.NewGauge("cactusknot_router_buffer_bytes", func() float64 { return float64(r.buffers.Used()) })
 	set.NewGauge("cactusknot_bundle_version", func() float64 { return float64(r.view.Load().version()) })
+	set.NewGauge("cactusknot_router_retries_total", func() float64 {
+		taken, _ := r.retries.Counts()
+		return float64(taken)
+	})
+	set.NewGauge("cactusknot_router_retry_budget_refusals_total", func() float64 {
+		_, denied := r.retries.Counts()
+		return float64(denied)
+	})
 	return &routerMetrics{
-		set:            set,
-		requests:       set.NewCounter("cactusknot_router_requests_total"),
-		attempts:       set.NewCounter("cactusknot_router_attempts_total"),
-		retries:        set.NewCounter("cactusknot_router_retries_total"),
-		refusals:       set.NewCounter("cactusknot_router_agent_refusals_total"),
-		budgetRefusals: set.NewCounter("cactusknot_router_retry_budget_refusals_total"),
-		droppedEvents:  set.NewCounter("cactusknot_router_dropped_events_total"),
-		unrated:        set.NewCounter("cactusknot_router_unrated_answers_total"),
-		alerts:         set.NewCounter("cactusknot_router_quality_alerts_total"),
-		duration:       set.NewHistogram("cactusknot_router_request_seconds"),
+		set:           set,
+		requests:      set.NewCounter("cactusknot_router_requests_total"),
+		attempts:      set.NewCounter("cactusknot_router_attempts_total"),
+		refusals:      set.NewCounter("cactusknot_router_agent_refusals_total"),
+		droppedEvents: set.NewCounter("cactusknot_router_dropped_events_total"),
+		unrated:       set.NewCounter("cactusknot_router_unrated_answers_total"),
+		alerts:        set.NewCounter("cactusknot_router_quality_alerts_total"),
+		duration:      set.NewHistogram("cactusknot_router_request_seconds"),
 	}
 }
 
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -111,7 +111,7 @@
 		PerWorkspace: max(r.settings.BufferBytes/workspaceBufferPart, node.StreamBufferBytes),
 		PerProcess:   r.settings.BufferBytes,
 	})
-	r.retries = limit.NewRetryBudget(limit.RetryConfig{}, r.Clock)
+	r.retries = limit.NewRetryBudget(limit.OwnRetries())
 	return err
 }
 
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -12,6 +12,7 @@
 
 	"cactusknot.example/coord/once"
 	"cactusknot.example/daemon/balance"
+	"cactusknot.example/daemon/dispatch"
 	"cactusknot.example/daemon/result"
 	"cactusknot.example/daemon/routing"
 	"cactusknot.example/daemon/rpc"
@@ -138,34 +139,31 @@
 		}
 		return r.runAtHome(ctx, j, home)
 	}
-	random := newRandom()
-	r.retries.Attempt()
-	for {
-		to, err := r.awaitServer(ctx, random, j)
-		if err != nil {
-			return attemptResult{err: err}
-		}
-		key, keyErr := r.keys.New(to.incarnation)
-		if keyErr != nil {
-			return attemptResult{err: result.NoBackend.With("%v", keyErr)}
-		}
-		j.call.key = key
-		j.call.writer.Header().Set(headerIdempotencyKey, key.String())
-		out := r.runAtHome(ctx, j, to)
-		if out.err == nil || out.err.Code.Run != result.NotRun || !r.mayRetryElsewhere(ctx, j, out) {
-			return out
-		}
-		if refused := r.pause(ctx, random, j, out); refused != nil {
-			return attemptResult{err: refused}
-		}
-	}
+	s := &onceSender{agentSender{router: r, job: j, random: newRandom()}}
+	s.last.err = dispatch.Run(ctx, r.dispatchOf(j), s)
+	return s.last
 }
 
-// mayRetryElsewhere also allows another attempt after an agent that started anew
-// refused the key of its predecessor.
-func (r *Router) mayRetryElsewhere(ctx context.Context, j *job, out attemptResult) bool {
-	restarted := out.err.Code == result.WrongHome && ctx.Err() == nil && j.attempts < maxAttempts
-	return restarted || r.mayRetry(ctx, j, out)
+// onceSender runs the attempts of a non-idempotent call, each under a key of its
+// agent. It implements dispatch.Sender.
+type onceSender struct{ agentSender }
+
+// Send makes one attempt under a new key.
+func (s *onceSender) Send(ctx context.Context, to peer) dispatch.Outcome[peer] {
+	r, j := s.router, s.job
+	key, err := r.keys.New(to.incarnation)
+	if err != nil {
+		s.last = attemptResult{err: result.NoBackend.With("%v", err)}
+		return r.outcome(s.last)
+	}
+	j.call.key = key
+	j.call.writer.Header().Set(headerIdempotencyKey, key.String())
+	s.last = r.runAtHome(ctx, j, to)
+	if s.last.err != nil && s.last.err.Code == result.WrongHome {
+		// The agent started anew after the choice; another key may run elsewhere.
+		s.last.err = result.AgentLeaving.With("%s", s.last.err)
+	}
+	return r.outcome(s.last)
 }
 
 // runAtHome runs the call at its home. After a broken connection it asks the same
