Take no lock at later events of a stream; exchange less load when idle

Cause: each event of a stream took the chooser's lock and noted the prompt's parts again; idle routers exchanged load five times a second.

Change: the first event notes the prompt, later ones are an atomic sign of life, the end notes the prompt again. A router without work that has said so exchanges load once a second.

--- a/daemon/edge/load.go
+++ b/daemon/edge/load.go
@@ -12,6 +12,10 @@
 const (
 	// loadInterval is the pause between exchanges of load.
 	loadInterval = 200 * time.Millisecond
+	// idleLoadInterval is the same for a router without work that has said so. It is
+	// shorter than the time that the others' sum counts, so that the first request
+	// after a pause finds it.
+	idleLoadInterval = time.Second
 	// loadAge is how long a router's report counts at the router that sums them.
 	loadAge = 2 * time.Second
 	// loadTimeout bounds one exchange; later it would be stale.
@@ -85,8 +89,12 @@
 // exchangeLoad tells one router of this one's work and learns that of the others.
 // While no router answers, choices rest on this router's own work.
 func (e *Edge) exchangeLoad(ctx context.Context) {
+	var pace loadPace
 	for ctx.Err() == nil {
 		sleep(ctx, loadInterval)
+		if !pace.due(time.Now(), len(e.gateway.Chooser.Own()) > 0) {
+			continue
+		}
 		for _, address := range e.control.summers() {
 			if e.exchangeWith(ctx, address) {
 				break
@@ -95,6 +103,22 @@
 	}
 }
 
+// loadPace decides when a router exchanges its load.
+type loadPace struct {
+	at   time.Time
+	idle bool
+}
+
+// due tells whether an exchange is due, and records it. A router that has become
+// idle says so at once.
+func (p *loadPace) due(now time.Time, busy bool) bool {
+	if !busy && p.idle && now.Sub(p.at) < idleLoadInterval {
+		return false
+	}
+	p.at, p.idle = now, !busy
+	return true
+}
+
 // exchangeWith makes one exchange; the empty address is this process.
 func (e *Edge) exchangeWith(ctx context.Context, address string) bool {
 	own := e.gateway.Chooser.Own()
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -95,7 +95,7 @@
 
 func (a *attempt) heard() {
 	now := time.Now()
-	a.choice.Answered(now)
+	a.choice.Heard(now)
 	if a.firstByte == 0 {
 		a.firstByte = now.Sub(a.began)
 	}
--- a/daemon/selection/selection.go
+++ b/daemon/selection/selection.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -114,6 +115,7 @@
 	speed    *speed
 	work     time.Duration
 	reading  bool
+	answered bool
 	sent     time.Time
 }
 
@@ -139,9 +141,10 @@
 	// coldUntil is until when the server may be cold because a connection broke.
 	coldUntil time.Time
 	errors    float64
-	heard     time.Time
-	sent      *limit.Rate
-	prefixes  map[uint64]time.Time
+	// heard is the Unix time in ns of the last sign of life.
+	heard    atomic.Int64
+	sent     *limit.Rate
+	prefixes map[uint64]time.Time
 }
 
 // New returns a Chooser that has seen nothing.
@@ -325,12 +328,21 @@
 		c.speed.learn(c.Estimate, now.Sub(c.sent))
 	}
 	c.stopReading()
-	c.state.heard = now
+	c.answered = true
+	c.Heard(now)
+	c.notePrompt(now)
+}
+
+// notePrompt records that the prompt is in the server's memory.
+func (c *Choice) notePrompt(now time.Time) {
 	for _, p := range c.prefixes {
 		c.state.prefixes[p.Hash] = now
 	}
 }
 
+// Heard records a sign of life of the server, such as a further event of a stream.
+func (c *Choice) Heard(now time.Time) { c.state.heard.Store(now.UnixNano()) }
+
 // Streamed records the events of a finished stream and the time from the first to
 // the last.
 func (c *Choice) Streamed(events int, took time.Duration) {
@@ -340,17 +352,14 @@
 }
 
 // LastHeard returns when the server last gave a sign of life on any request.
-func (c *Choice) LastHeard() time.Time {
-	c.chooser.mu.Lock()
-	defer c.chooser.mu.Unlock()
-	return c.state.heard
-}
+func (c *Choice) LastHeard() time.Time { return time.Unix(0, c.state.heard.Load()) }
 
 // Report records the load that an answer stated.
 func (c *Choice) Report(now time.Time, load Load) {
 	c.chooser.mu.Lock()
 	defer c.chooser.mu.Unlock()
-	c.state.load, c.state.loadAt, c.state.heard = load, now, now
+	c.state.load, c.state.loadAt = load, now
+	c.Heard(now)
 }
 
 // Outcome is what became of an attempt.
@@ -377,6 +386,10 @@
 	s := c.state
 	c.stopReading()
 	s.inFlight--
+	if c.answered {
+		// The answer was read with the prompt in memory up to its end.
+		c.notePrompt(now)
+	}
 	switch outcome {
 	case Succeeded:
 		s.failures, s.avoid = 0, time.Time{}
