Show operators the state of edge processes; explain more refusals from the logs

Of five failed requests drawn at random, refusals for a withdrawn key or route could not be told from those for unknown ones, and a line without a route had neither host nor path.

Log lines are written in batches of 50 ms.

--- a/daemon/cmd/cactusknot/main.go
+++ b/daemon/cmd/cactusknot/main.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog/diode"
 
 	"cactusknot.example/daemon/agent"
+	"cactusknot.example/daemon/batch"
 	"cactusknot.example/daemon/config"
 	"cactusknot.example/daemon/edge"
 	"cactusknot.example/daemon/hangup"
@@ -134,8 +135,9 @@
 // edgeLogger writes to standard output without ever blocking the caller.
 func edgeLogger() (zerolog.Logger, io.Closer) {
 	zerolog.TimeFieldFormat = logTime
-	out := diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
-		fmt.Fprintf(os.Stdout, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"count\":%d}\n", missed)
+	lines := batch.NewWriter(os.Stdout)
+	out := diode.NewWriter(lines, logLines, 0, func(missed int) {
+		fmt.Fprintf(lines, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"count\":%d}\n", missed)
 	})
 	return zerolog.New(out).With().Timestamp().Logger(), out
 }
--- a/daemon/ctl/command.go
+++ b/daemon/ctl/command.go
@@ -54,7 +54,7 @@
 	emulateCommands,
 	demoCommands,
 	benchCommands,
-	bundleCommands, operateCommands, explainCommands, traceCommands,
+	bundleCommands, operateCommands, explainCommands, traceCommands, edgeCommands,
 	loadCommands,
 	soakCommands,
 }
--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -40,14 +40,19 @@
 type control struct {
 	edge    *Edge
 	batches chan batch
-
-	config      *topology.Config
-	servers     map[string]*serverState
-	evacuations map[string]bool
-	rollouts    *rollouts
-	routers     *routers
-	pruned      time.Time
-	dirty       bool
+	queries chan stateQuery
+
+	config *topology.Config
+	// configRevision is the store's revision of the configuration, configAt when it
+	// came into force here.
+	configRevision uint64
+	configAt       time.Time
+	servers        map[string]*serverState
+	evacuations    map[string]bool
+	rollouts       *rollouts
+	routers        *routers
+	pruned         time.Time
+	dirty          bool
 	// listed is set after the first batch: later servers have just started.
 	listed bool
 
@@ -56,6 +61,9 @@
 	lostAt atomic.Int64
 	// regainedAt is the Unix time in nanoseconds of the end of the last outage.
 	regainedAt atomic.Int64
+	// answeredAt is the Unix time in nanoseconds of the store's last answer, or of
+	// the start.
+	answeredAt atomic.Int64
 	peerMu     sync.Mutex
 	peerList   []string
 	seeds      []string
@@ -66,13 +74,16 @@
 type serverState struct {
 	*topology.Server
 	goneFrom time.Time
+	// changedAt is when its entry last changed here.
+	changedAt time.Time
 }
 
 func newControl(e *Edge) *control {
 	c := &control{
-		edge: e, batches: make(chan batch, controlQueue), servers: make(map[string]*serverState),
+		edge: e, batches: make(chan batch, controlQueue), queries: make(chan stateQuery), servers: make(map[string]*serverState),
 		evacuations: make(map[string]bool),
 	}
+	c.storeAnswered()
 	c.routers = newRouters(e)
 	c.rollouts = newRollouts(e, c.routers)
 	c.seeds = e.settings.SeedPeers
@@ -84,6 +95,14 @@
 	c.batches <- batch{news: news, at: time.Now()}
 }
 
+// storeAnswered notes an answer of the store.
+func (c *control) storeAnswered() { c.answeredAt.Store(time.Now().UnixNano()) }
+
+// storeAnswerAge returns the time since the store last answered, or since the start.
+func (c *control) storeAnswerAge(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, c.answeredAt.Load()))
+}
+
 func (c *control) storeLost() { c.lostAt.CompareAndSwap(0, time.Now().UnixNano()) }
 
 func (c *control) storeRegained() {
@@ -143,6 +162,8 @@
 			}
 			c.dirty = c.dirty || len(b.news) > 0
 			c.listed = true
+		case answer := <-c.queries:
+			answer <- c.state(time.Now())
 		case now := <-ticker.C:
 			c.tick(ctx, now)
 		}
@@ -220,8 +241,13 @@
 		c.edge.log.Error().Uint64("version", config.Version).Uint64("in_force", c.config.Version).Msg("older configuration ignored")
 		return
 	}
-	c.config = config
+	config.Follow(c.config)
+	c.config, c.configRevision, c.configAt = config, uint64(e.Revision), time.Now()
 	c.edge.log.Info().Uint64("version", config.Version).Uint64("revision", uint64(e.Revision)).Msg("configuration in force")
+	if problems := config.Problems(); len(problems) > 0 {
+		c.edge.log.Warn().Uint64("version", config.Version).Int("count", len(problems)).Str("first", problems[0]).
+			Msg("parts of the configuration are useless")
+	}
 }
 
 func (c *control) mergeServer(server *topology.Server, err error, e kv.Entry) {
@@ -236,7 +262,7 @@
 			Msg("backend server changed")
 	}
 	server.ColdUntil = c.coldUntil(server, old, time.Now())
-	c.servers[server.ID] = &serverState{Server: server}
+	c.servers[server.ID] = &serverState{Server: server, changedAt: time.Now()}
 }
 
 // coldUntil returns until when a backend server may be cold: as long as it says,
@@ -270,7 +296,7 @@
 		if s.DataCentre == dataCentre {
 			cold := *s.Server
 			cold.ColdUntil = latest(cold.ColdUntil, now.Add(c.coldStart(cold.Service)))
-			c.servers[id] = &serverState{Server: &cold, goneFrom: s.goneFrom}
+			c.servers[id] = &serverState{Server: &cold, goneFrom: s.goneFrom, changedAt: s.changedAt}
 		}
 	}
 }
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
@@ -127,6 +128,8 @@
 	stopping atomic.Bool
 	peerHTTP *http.Client
 	load     loadSums
+	// storeCalls counts the calls to the store.
+	storeCalls *metrics.Set
 }
 
 // Reload is how the settings are read again while the process runs.
@@ -138,7 +141,9 @@
 
 // New builds the role; it connects nowhere yet.
 func New(settings *Settings, reload Reload, log zerolog.Logger) *Edge {
-	e := &Edge{settings: settings, reload: reload, log: log.With().Str("vm", settings.VM).Logger(), mirror: mirror.New()}
+	calls := metrics.NewSet()
+	settings.Store = meteredStore{settings.Store, calls}
+	e := &Edge{settings: settings, reload: reload, log: log.With().Str("vm", settings.VM).Logger(), mirror: mirror.New(), storeCalls: calls}
 	e.peerHTTP = &http.Client{Timeout: peerTimeout}
 	e.control = newControl(e)
 	e.gateway = gateway.New(gateway.Config{
@@ -233,6 +238,7 @@
 		e.writeMetrics(c.Response())
 		return nil
 	})
+	router.GET("/state", e.serveState)
 	return router
 }
 
--- a/daemon/edge/load_test.go
+++ b/daemon/edge/load_test.go
@@ -35,8 +35,7 @@
 	if n := exchanges(true, 1); n != 1 {
 		t.Error("new work was not reported")
 	}
-	const othersAge = 1500 * time.Millisecond // as in package selection
-	if idleLoadInterval+loadInterval >= othersAge {
+	if idleLoadInterval+loadInterval >= selection.OthersAge {
 		t.Error("an idle router forgets the others' work between two exchanges")
 	}
 }
--- /dev/null
+++ b/daemon/edge/metered.go
@@ -0,0 +1,85 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/mirror"
+)
+
+// meteredStore counts the calls of a store by kind and result.
+type meteredStore struct {
+	Store
+	set *metrics.Set
+}
+
+// Results of a call to the store, as labels.
+const (
+	callOK        = "ok"
+	callConflict  = "conflict"
+	callCompacted = "compacted"
+	callNotFound  = "not_found"
+	callFailed    = "failed"
+)
+
+func (m meteredStore) count(call string, err error) {
+	outcome := callFailed
+	switch {
+	case err == nil:
+		outcome = callOK
+	case errors.Is(err, kv.ErrConflict):
+		outcome = callConflict
+	case errors.Is(err, ErrCompacted):
+		outcome = callCompacted
+	case errors.Is(err, kv.ErrNotFound):
+		outcome = callNotFound
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("cactusknot_store_calls_total{call=%q,result=%q}", call, outcome)).Inc()
+}
+
+// Range implements Store.
+func (m meteredStore) Range(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
+	entries, at, err := m.Store.Range(ctx, prefix)
+	m.count("range", err)
+	return entries, at, err
+}
+
+// Watch implements Store.
+func (m meteredStore) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]mirror.Change, kv.Revision, error) {
+	changes, at, err := m.Store.Watch(ctx, prefix, after, wait)
+	m.count("watch", err)
+	return changes, at, err
+}
+
+// Commit implements Store.
+func (m meteredStore) Commit(ctx context.Context, t Txn) (kv.Revision, error) {
+	at, err := m.Store.Commit(ctx, t)
+	m.count("commit", err)
+	return at, err
+}
+
+// Grant implements Store.
+func (m meteredStore) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	id, err := m.Store.Grant(ctx, ttl)
+	m.count("grant", err)
+	return id, err
+}
+
+// KeepAlive implements Store.
+func (m meteredStore) KeepAlive(ctx context.Context, id kv.LeaseID) error {
+	err := m.Store.KeepAlive(ctx, id)
+	m.count("keep_alive", err)
+	return err
+}
+
+// Revoke implements Store.
+func (m meteredStore) Revoke(ctx context.Context, id kv.LeaseID) error {
+	err := m.Store.Revoke(ctx, id)
+	m.count("revoke", err)
+	return err
+}
--- a/daemon/edge/metrics.go
+++ b/daemon/edge/metrics.go
@@ -10,9 +10,16 @@
 func (e *Edge) writeMetrics(w io.Writer) {
 	e.gateway.WriteMetrics(w)
 	e.control.rollouts.writeMetrics(w)
+	e.storeCalls.WritePrometheus(w)
+	now := time.Now()
+	fmt.Fprintf(w, "cactusknot_store_answer_age_seconds %.3f\n", e.control.storeAnswerAge(now).Seconds())
+	if age, ok := e.gateway.Chooser.OthersAge(now); ok {
+		fmt.Fprintf(w, "cactusknot_load_report_age_seconds %.3f\n", age.Seconds())
+	}
 	fmt.Fprintf(w, "cactusknot_store_away_seconds %.3f\n", e.control.storeAway().Seconds())
 	fmt.Fprintf(w, "cactusknot_mirror_revision %d\n", e.mirror.At())
 	if v := e.view.Load(); v != nil {
+		fmt.Fprintf(w, "cactusknot_view_age_seconds %.3f\n", now.Sub(v.At).Seconds())
 		fmt.Fprintf(w, "cactusknot_routers %d\n", len(v.Routers))
 		for service, list := range v.Servers {
 			fmt.Fprintf(w, "cactusknot_usable_servers{service=%q} %d\n", service, len(list))
@@ -21,5 +28,5 @@
 			fmt.Fprintf(w, "cactusknot_config_version %d\n", v.Config.Version)
 		}
 	}
-	fmt.Fprintf(w, "cactusknot_time_seconds %d\n", time.Now().Unix())
+	fmt.Fprintf(w, "cactusknot_time_seconds %d\n", now.Unix())
 }
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -93,6 +93,7 @@
 		l.edge.control.storeRegained()
 	}
 	l.lastAnswer = time.Now()
+	l.edge.control.storeAnswered()
 }
 
 func (l *storeLink) down(err error) {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -145,7 +146,7 @@
 		host = name
 	}
 	if x.route = x.view.Config.Match(host, x.call.Path); x.route == nil {
-		return result.NotFound.With("no route")
+		return result.NotFound.With("no route%s", withdrawn(x.view.Config.RouteWithdrawn(host, x.call.Path)))
 	}
 	timeout := x.route.Timeout
 	if timeout <= 0 {
@@ -166,7 +167,7 @@
 	}
 	workspace := x.view.Config.Workspace(x.call.Key)
 	if workspace == nil {
-		return result.Unauthenticated.With("unknown key")
+		return result.Unauthenticated.With("unknown key%s", withdrawn(x.view.Config.KeyWithdrawn(x.call.Key)))
 	}
 	x.workspace, x.regions = workspace.Name, workspace.Regions
 	if workspace.HasUrgency {
@@ -175,6 +176,14 @@
 	return nil
 }
 
+// withdrawn explains a refusal by the configuration that withdrew what was asked for.
+func withdrawn(version uint64, ok bool) string {
+	if !ok {
+		return ""
+	}
+	return fmt.Sprintf(": withdrawn by configuration %d", version)
+}
+
 // readBody reads the whole request, so that it can be sent again.
 func (g *Gateway) readBody(x *requestState) *result.Error {
 	bound := x.view.Config.Limits.BodyBytes
--- a/daemon/gateway/lines.go
+++ b/daemon/gateway/lines.go
@@ -17,6 +17,15 @@
 	second int64
 	lines  int
 	left   int
+	// all counts the lines left out since the start.
+	all uint64
+}
+
+// total returns the number of lines left out since the start.
+func (b *lineBudget) total() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all
 }
 
 // take tells whether a line may be written at now, and returns how many were left
@@ -30,6 +39,7 @@
 	}
 	if b.lines >= maxLines {
 		b.left++
+		b.all++
 		return false, leftOut
 	}
 	b.lines++
--- a/daemon/gateway/observe.go
+++ b/daemon/gateway/observe.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"cactusknot.example/daemon/result"
+	"cactusknot.example/daemon/selection"
 )
 
 // metricSet counts requests by kind and outcome. Its series are bounded: kinds
@@ -19,9 +21,33 @@
 // WriteMetrics writes the gateway's metrics as text.
 func (g *Gateway) WriteMetrics(w io.Writer) {
 	g.metrics.set.WritePrometheus(w)
+	g.writeBudgets(w)
+	work := selection.Work{}
+	for _, server := range g.Chooser.Own() {
+		work = work.Plus(server)
+	}
+	fmt.Fprintf(w, "cactusknot_requests_in_flight %d\n", work.InFlight)
+	fmt.Fprintf(w, "cactusknot_unread_prompts_seconds %.3f\n", work.Reading.Seconds())
+	fmt.Fprintf(w, "cactusknot_log_lines_left_out_total %d\n", g.lines.total())
 	fmt.Fprintf(w, "cactusknot_upstream_connections_total %d\n", g.Pool.Opened())
 }
 
+// writeBudgets writes the retry budget of each service as text.
+func (g *Gateway) writeBudgets(w io.Writer) {
+	routers := 1
+	if view := g.View(); view != nil {
+		routers = len(view.Routers)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for service, budget := range g.budgets {
+		taken, denied := budget.Counts()
+		fmt.Fprintf(w, "cactusknot_retries_left{service=%q} %.1f\n", service, budget.Left(time.Now(), routers))
+		fmt.Fprintf(w, "cactusknot_retries_total{service=%q} %d\n", service, taken)
+		fmt.Fprintf(w, "cactusknot_retries_denied_total{service=%q} %d\n", service, denied)
+	}
+}
+
 // record writes one log line and counts the request.
 func (g *Gateway) record(x *requestState, failure *result.Error) {
 	kind, outcome := "unknown", "ok"
@@ -42,7 +68,10 @@
 		line = line.Uint64("config", x.view.Config.Version).Dur("view_age_ms", time.Since(x.view.At))
 	}
 	if x.route != nil {
-		line = line.Str("route", x.route.Name)
+		line = line.Str("route", x.route.Name).Dur("allowed_ms", x.deadline.Sub(x.began))
+	}
+	if x.route == nil {
+		line = line.Str("host", firstChars(x.call.Host)).Str("path", firstChars(x.call.Path))
 	}
 	if failure != nil {
 		line = line.Int("code", failure.Code.Number).Str("detail", failure.Detail)
@@ -52,6 +81,12 @@
 		Dur("first_byte_ms", x.firstByte).Dur("took_ms", took).Msg("request")
 }
 
+// firstChars returns the beginning of what a caller sent, for a line.
+func firstChars(text string) string {
+	const maxChars = 120
+	return strings.ToValidUTF8(text[:min(len(text), maxChars)], "")
+}
+
 // recordAttempt writes one line on an attempt that is not the end of its request or
 // that failed: what was expected of the server, and what became of it.
 func (g *Gateway) recordAttempt(a *attempt, failure *result.Error) {
--- a/daemon/selection/others.go
+++ b/daemon/selection/others.go
@@ -6,8 +6,8 @@
 	"cactusknot.example/daemon/topology"
 )
 
-// othersAge is how long the other routers' work counts after it was reported.
-const othersAge = 1500 * time.Millisecond
+// OthersAge is how long the other routers' work counts after it was reported.
+const OthersAge = 1500 * time.Millisecond
 
 // Work is what routers have sent to a backend server and is not finished.
 type Work struct {
@@ -41,6 +41,34 @@
 	c.others, c.othersAt = others, now
 }
 
+// OthersAge returns the age of the other routers' work; ok is false before the
+// first report.
+func (c *Chooser) OthersAge(now time.Time) (age time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.othersAt), !c.othersAt.IsZero()
+}
+
+// Seen is what this router has seen of a backend server.
+type Seen struct {
+	// InFlight is the number of this router's requests there.
+	InFlight int
+	// Failures in a row, and for how long the server is avoided because of them.
+	Failures int
+	Avoided  time.Duration
+}
+
+// Seen returns what was seen of a backend server.
+func (c *Chooser) Seen(now time.Time, id string) Seen {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[id]
+	if s == nil {
+		return Seen{}
+	}
+	return Seen{InFlight: s.inFlight, Failures: s.failures, Avoided: max(s.avoid.Sub(now), 0)}
+}
+
 // Backlog returns the time that prompts take to read which all routers have sent to
 // the average server.
 func (c *Chooser) Backlog(now time.Time, servers []*topology.Server, routers int) time.Duration {
@@ -60,7 +88,7 @@
 // othersOf returns the other routers' work at a server. While no report is fresh,
 // each of them is assumed to have sent as much as this one to the average server.
 func (c *Chooser) othersOf(now time.Time, id string, average time.Duration) Work {
-	if now.Sub(c.othersAt) < othersAge {
+	if now.Sub(c.othersAt) < OthersAge {
 		return c.others[id]
 	}
 	return Work{Reading: average}
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -107,6 +107,7 @@
 
 	byHost map[string][]*Route
 	byKey  map[string]*Workspace
+	former formerly
 }
 
 // NewConfig indexes the routes by host and the workspaces by API key.
