Apply the configuration's limits on headers, header time and idle time

Cause: the edge used fixed figures. A deployment whose callers keep connections idle for longer than 60 s would have found them closed, and a configuration without a body limit refused every body.

Change: the server's times are marks that a connection replaces by the limits in force; headers over the limit are refused with code 1012. Limits that are not stated have defaults.

Ruled out: changing http.Server's fields while it runs (a data race).

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -108,12 +108,13 @@
 	unreadyTime = 2500 * time.Millisecond
 	// stopMargin is kept free before the process is killed.
 	stopMargin = 400 * time.Millisecond
-	// headerTimeout bounds the time until a request's headers have arrived.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is longer than callers keep connections idle.
-	idleTimeout = 60 * time.Second
-	// maxHeaderBytes is above the limits of known configurations.
-	maxHeaderBytes = 64 << 10
+	// peerHeaderTimeout and peerIdleTimeout bound connections of the project's own
+	// processes and of the balancer.
+	peerHeaderTimeout = 10 * time.Second
+	peerIdleTimeout   = 60 * time.Second
+	// maxHeaderBytes bounds the headers that are read; the configuration's limit is
+	// checked afterwards and is lower.
+	maxHeaderBytes = 256 << 10
 )
 
 // Edge runs the role.
@@ -161,18 +162,18 @@
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	front, err := e.serve(e.settings.Frontend, e.gateway)
-	if err != nil {
+	front := frontServer(e.gateway)
+	if err := e.serveOn(e.settings.Frontend, front, e.limited); err != nil {
 		return trace.Wrap(err)
 	}
-	if _, err := e.serve(e.settings.Ready, e.readyHandler()); err != nil {
+	if err := e.serve(e.settings.Ready, e.readyHandler()); err != nil {
 		return trace.Wrap(err)
 	}
-	if _, err := e.serve(e.settings.Peer, e.peerHandler()); err != nil {
+	if err := e.serve(e.settings.Peer, e.peerHandler()); err != nil {
 		return trace.Wrap(err)
 	}
 	if e.settings.Metrics != "" {
-		if _, err := e.serve(e.settings.Metrics, e.metricsRouter()); err != nil {
+		if err := e.serve(e.settings.Metrics, e.metricsRouter()); err != nil {
 			return trace.Wrap(err)
 		}
 	}
@@ -186,20 +187,40 @@
 	return nil
 }
 
-func (e *Edge) serve(address string, handler http.Handler) (*http.Server, error) {
+// frontServer returns the server of callers, on a listener of limited connections.
+func frontServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerMark, IdleTimeout: idleMark, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// limited gives the connections of a listener the limits of the configuration.
+func (e *Edge) limited(l net.Listener) net.Listener {
+	return limitedListener{l, func() topology.Limits {
+		if v := e.view.Load(); v != nil && v.Config != nil {
+			return v.Config.Limits
+		}
+		return topology.DefaultLimits()
+	}}
+}
+
+// serve serves the project's own processes and the balancer.
+func (e *Edge) serve(address string, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: peerHeaderTimeout, IdleTimeout: peerIdleTimeout}
+	return e.serveOn(address, server, func(l net.Listener) net.Listener { return l })
+}
+
+func (e *Edge) serveOn(address string, server *http.Server, wrap func(net.Listener) net.Listener) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		return trace.Wrap(err)
 	}
 	go func() {
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(wrap(listener)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error().Err(err).Str("listen", address).Msg("server ended")
 		}
 	}()
-	return server, nil
+	return nil
 }
 
 // stop ends readiness, serves until the balancer has noticed, and finishes the
--- a/daemon/gateway/access_test.go
+++ b/daemon/gateway/access_test.go
@@ -78,6 +78,22 @@
 	}
 }
 
+// Headers over the configuration's limit are refused, those below it are not.
+func TestTooLargeHeaders(t *testing.T) {
+	a := newServer(t, "a", whole(200, "ok"))
+	r := newRig(t, topology.Route{Kind: topology.Idempotent, MaxAttempts: 1}, a)
+	r.view.Load().Config.Limits.HeaderBytes = 2000
+	if got := r.call(http.MethodGet, "/x", "", "Filler", strings.Repeat("x", 2000)); got.status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("got %d", got.status)
+	}
+	if len(a.seen()) != 0 {
+		t.Error("the request reached a backend server")
+	}
+	if got := r.call(http.MethodGet, "/x", "", "Filler", strings.Repeat("x", 1500)); got.status != http.StatusOK {
+		t.Errorf("below the limit: got %d", got.status)
+	}
+}
+
 // exchangeRaw sends bytes on one connection and returns the status lines.
 func exchangeRaw(t *testing.T, r *rig, raw string, answers int) []int {
 	t.Helper()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -141,6 +141,9 @@
 	if x.view == nil || x.view.Config == nil {
 		return result.NotReady.With("no configuration yet")
 	}
+	if n := headBytes(x.in); n > x.view.Config.Limits.HeaderBytes {
+		return result.HeadersTooLarge.With("%d bytes", n)
+	}
 	host := x.call.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
@@ -160,6 +163,19 @@
 	return nil
 }
 
+// headBytes returns the size of the request line and the headers as sent over
+// HTTP/1.1, up to a few bytes.
+func headBytes(r *http.Request) int64 {
+	const lineOverhead, fieldOverhead = len(" HTTP/1.1\r\n") + 1, len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + lineOverhead + len("Host") + len(r.Host) + fieldOverhead
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + fieldOverhead
+		}
+	}
+	return int64(n)
+}
+
 // authenticate finds the workspace of the key.
 func (g *Gateway) authenticate(x *requestState) *result.Error {
 	if !x.view.Config.HasWorkspaces || x.route.Anonymous {
--- a/daemon/result/result.go
+++ b/daemon/result/result.go
@@ -67,6 +67,7 @@
 	KeyReused        = add(1008, "idempotency_key_reused", http.StatusUnprocessableEntity, NotRun, false, "The idempotency key was used with another request body.")
 	VersionWithdrawn = add(1009, "version_withdrawn", http.StatusGone, NotRun, false, "The session's or request's version is withdrawn.")
 	RequestTimeout   = add(1011, "request_timeout", http.StatusRequestTimeout, NotRun, true, "The request did not arrive whole in time.")
+	HeadersTooLarge  = add(1012, "headers_too_large", http.StatusRequestHeaderFieldsTooLarge, NotRun, false, "The request line and headers are over the limit.")
 	NotFound         = add(1010, "not_found", http.StatusNotFound, NotRun, false, "The path does not exist.")
 )
 
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -95,6 +95,35 @@
 // Limits bound what a caller may send.
 type Limits struct {
 	BodyBytes int64
+	// HeaderBytes bounds the request line and the headers.
+	HeaderBytes int64
+	// HeaderTime bounds the time until all headers have arrived, IdleTime that
+	// between two requests of a connection.
+	HeaderTime time.Duration
+	IdleTime   time.Duration
+}
+
+// DefaultLimits returns the limits while no configuration states others.
+func DefaultLimits() Limits {
+	return Limits{BodyBytes: 64 << 20, HeaderBytes: 64 << 10, HeaderTime: 10 * time.Second, IdleTime: 60 * time.Second}
+}
+
+// withDefaults replaces limits that are not stated.
+func (l Limits) withDefaults() Limits {
+	d := DefaultLimits()
+	if l.BodyBytes <= 0 {
+		l.BodyBytes = d.BodyBytes
+	}
+	if l.HeaderBytes <= 0 {
+		l.HeaderBytes = d.HeaderBytes
+	}
+	if l.HeaderTime <= 0 {
+		l.HeaderTime = d.HeaderTime
+	}
+	if l.IdleTime <= 0 {
+		l.IdleTime = d.IdleTime
+	}
+	return l
 }
 
 // Config is one version of the operators' configuration.
@@ -113,7 +142,7 @@
 // NewConfig indexes the routes by host and the workspaces by API key.
 func NewConfig(version uint64, routes []*Route, services []*Service, keys map[string]*Workspace, limits Limits) *Config {
 	c := &Config{
-		Version: version, Limits: limits, byKey: keys, HasWorkspaces: keys != nil,
+		Version: version, Limits: limits.withDefaults(), byKey: keys, HasWorkspaces: keys != nil,
 		Services: make(map[string]*Service, len(services)), byHost: make(map[string][]*Route),
 	}
 	for _, s := range services {
