--- a/daemon/cmd/cactusknot/main.go
+++ b/daemon/cmd/cactusknot/main.go
@@ -21,8 +21,10 @@
 	"cactusknot.example/daemon/batch"
 	"cactusknot.example/daemon/config"
 	"cactusknot.example/daemon/edge"
+	"cactusknot.example/daemon/gateway"
 	"cactusknot.example/daemon/hangup"
 	"cactusknot.example/daemon/router"
+	"cactusknot.example/daemon/selection"
 	"cactusknot.example/platform"
 )
 
@@ -50,11 +52,13 @@
 	flags := flag.NewFlagSet("cactusknot "+args[0], flag.ContinueOnError)
 	file := flags.String("config", "", "settings `file` (JSON; of an edge the platform's, by default the one that the environment names)")
 	metrics := flags.Int("metrics-port", 0, "serve the metrics of an edge on this `port` too")
+	models := flags.String("models", "cascade", "how an edge chooses a `model`: cascade; smallest, middle and largest are baselines")
+	servers := flags.String("servers", "expected_time", "how an edge chooses a `server`: expected_time; round_robin and least_outstanding are baselines")
 	check := flags.Bool("check", false, "check the settings and exit")
 	if err := flags.Parse(args[1:]); err != nil {
 		return exitSettings
 	}
-	role, err := build(args[0], options{file: *file, metricsPort: *metrics, check: *check})
+	role, err := build(args[0], options{file: *file, metricsPort: *metrics, models: *models, servers: *servers, check: *check})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
@@ -73,6 +77,8 @@
 type options struct {
 	file        string
 	metricsPort int
+	models      string
+	servers     string
 	check       bool
 }
 
@@ -101,7 +107,13 @@
 		o.file = os.Getenv(platform.SettingsVariable)
 	}
 	settings, err := platform.LoadSettings(o.file)
-	if err != nil || o.check {
+	if err != nil {
+		return nil, err
+	}
+	if settings.Models, err = gateway.ParseModelPolicy(o.models); err != nil {
+		return nil, err
+	}
+	if settings.Servers, err = selection.ParsePolicy(o.servers); err != nil || o.check {
 		return nil, err
 	}
 	if o.metricsPort > 0 {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -23,6 +23,7 @@
 	"cactusknot.example/daemon/gateway"
 	"cactusknot.example/daemon/mirror"
 	"cactusknot.example/daemon/rollout"
+	"cactusknot.example/daemon/selection"
 	"cactusknot.example/daemon/topology"
 )
 
@@ -96,6 +97,9 @@
 	ColdFactor, ColdExtra float64
 	// ExposureShare is the part of a service's requests that a bad version may get.
 	ExposureShare float64
+	// Models and Servers choose the policies; the zero values are those in use.
+	Models  gateway.ModelPolicy
+	Servers selection.Policy
 }
 
 const (
@@ -149,7 +153,8 @@
 	e.control = newControl(e)
 	e.gateway = gateway.New(gateway.Config{
 		Name: settings.VM, Wire: settings.Wire, View: e.view.Load, Observe: e.control.observe,
-		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Retries: settings.Retries, Log: e.log,
+		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Retries: settings.Retries,
+		Models: settings.Models, Servers: settings.Servers, Log: e.log,
 	})
 	return e
 }
--- a/daemon/gateway/cascade.go
+++ b/daemon/gateway/cascade.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -31,10 +32,44 @@
 func (g *Gateway) firstModel(x *requestState) {
 	x.model = x.call.Model
 	if n := len(x.route.Models); n > 0 {
-		x.model = x.route.Models[0]
+		x.model = x.route.Models[g.Models.index(n)]
 	}
 }
 
+// ModelPolicy is how a model is chosen on routes that list several. All but Cascade
+// are baselines for measurements.
+type ModelPolicy uint8
+
+// Policies of the choice of a model.
+const (
+	// Cascade asks the smallest model and keeps its answer when it is confident.
+	Cascade ModelPolicy = iota
+	Smallest
+	Middle
+	Largest
+)
+
+var modelPolicyNames = map[string]ModelPolicy{"cascade": Cascade, "smallest": Smallest, "middle": Middle, "largest": Largest}
+
+// ParseModelPolicy returns the policy of a name.
+func ParseModelPolicy(name string) (ModelPolicy, error) {
+	if p, ok := modelPolicyNames[name]; ok {
+		return p, nil
+	}
+	return 0, fmt.Errorf("choice of models: %q is not cascade, smallest, middle or largest", name)
+}
+
+// index returns the place of the first model to ask among n.
+func (p ModelPolicy) index(n int) int {
+	switch p {
+	case Middle:
+		return n / 2
+	case Largest:
+		return n - 1
+	}
+	return 0
+}
+
 // modelRank returns the model's place by size: 0 for the smallest, 1 for the
 // largest or only one.
 func modelRank(models []string, model string) float64 {
@@ -79,7 +114,7 @@
 
 // mayEscalate tells whether the answer of a smaller model may be dropped at all.
 func (g *Gateway) mayEscalate(a *attempt) bool {
-	if len(a.route.Models) < 2 || a.model == largest(a.route) || a.started || !a.route.MayRepeat() {
+	if g.Models != Cascade || len(a.route.Models) < 2 || a.model == largest(a.route) || a.started || !a.route.MayRepeat() {
 		return false
 	}
 	return a.reply.Confidence >= 0 && a.dispatch.Attempts() < a.route.MaxAttempts
--- a/daemon/gateway/cascade_test.go
+++ b/daemon/gateway/cascade_test.go
@@ -167,3 +167,23 @@
 		}
 	}
 }
+
+// Guards against baselines that escalate, or that ask another model than named.
+func TestModelBaselines(t *testing.T) {
+	route := topology.Route{Kind: topology.Stream, Resumable: true, MaxAttempts: 3, Models: []string{"s", "m", "l"}}
+	for name, want := range map[string]string{"smallest": "s", "middle": "m", "largest": "l"} {
+		a := newServer(t, "a", confident(map[string]int{"s": 0, "m": 0, "l": 0}))
+		r := newRig(t, route, a)
+		policy, err := ParseModelPolicy(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Gateway.Models = policy
+		if got := r.call(http.MethodPost, "/x", "1"); got.body != want || len(a.seen()) != 1 {
+			t.Errorf("%s: answer of %q after %d attempts", name, got.body, len(a.seen()))
+		}
+	}
+	if _, err := ParseModelPolicy("best"); err == nil {
+		t.Error("an unknown policy is accepted")
+	}
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -54,6 +54,9 @@
 	ColdFactor, ColdExtra float64
 	Retries               limit.RetryConfig
 	Log                   zerolog.Logger
+	// Models and Servers choose the policies; the zero values are those in use.
+	Models  ModelPolicy
+	Servers selection.Policy
 }
 
 // Gateway serves callers' requests.
@@ -75,6 +78,7 @@
 		Config: cfg, Chooser: selection.New(), Pool: upstream.NewPool(),
 		budgets: make(map[string]*limit.RetryBudget), metrics: newMetricSet(),
 	}
+	g.Chooser.Policy = cfg.Servers
 	g.filters = []filter{g.match, g.authenticate, g.readBody, g.split, g.dispatch}
 	return g
 }
--- a/daemon/selection/selection.go
+++ b/daemon/selection/selection.go
@@ -122,12 +122,17 @@
 // Chooser remembers what was seen of the backend servers. It is safe for
 // concurrent use.
 type Chooser struct {
+	// Policy is set before the first choice.
+	Policy Policy
+
 	mu      sync.Mutex
 	servers map[string]*state
 	speeds  map[speedKey]*speed
 	// others is the work of the other routers as of othersAt.
 	others   map[string]Work
 	othersAt time.Time
+	// turns counts the choices.
+	turns uint64
 }
 
 type state struct {
@@ -142,8 +147,10 @@
 	coldUntil time.Time
 	errors    float64
 	// heard is the Unix time in ns of the last sign of life.
-	heard    atomic.Int64
-	sent     *limit.Rate
+	heard atomic.Int64
+	sent  *limit.Rate
+	// turn is the number of the latest choice of the server.
+	turn     uint64
 	prefixes map[uint64]time.Time
 }
 
@@ -170,6 +177,8 @@
 	if best == nil {
 		return nil, false
 	}
+	c.turns++
+	best.state.turn = c.turns
 	best.start(now)
 	return best, true
 }
@@ -191,7 +200,7 @@
 	average := c.averageReading(candidates, len(r.Routers))
 	speed := c.speedOf(r)
 	var best *Choice
-	bestDelay := time.Duration(math.MaxInt64)
+	bestCost := time.Duration(math.MaxInt64)
 	for _, server := range candidates {
 		s := c.state(server.ID)
 		if r.Excluded[server.ID] || !s.mayTake(now, server, r) {
@@ -201,8 +210,8 @@
 		work := speed.work(missing)
 		others := c.othersOf(now, server.ID, average)
 		expected := work + s.reading + others.Reading + s.queue(now, server, r, others.InFlight)
-		if delay := expected + s.risk(now); delay < bestDelay {
-			bestDelay = delay
+		if cost := c.Policy.cost(now, s, expected); cost < bestCost {
+			bestCost = cost
 			best = &Choice{
 				Server: server, Missing: missing, Estimate: expected,
 				chooser: c, state: s, prefixes: r.Prefixes, speed: speed, work: work,
--- a/daemon/selection/selection_test.go
+++ b/daemon/selection/selection_test.go
@@ -218,3 +218,37 @@
 		t.Errorf("expected %s, observed 1.5 s", expected)
 	}
 }
+
+// Guards against baselines that are not what they are called: round robin uses all
+// servers in turn, least outstanding the one with the fewest requests.
+func TestBaselines(t *testing.T) {
+	servers := []*topology.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	now := time.Unix(1_700_000_000, 0)
+	c := New()
+	c.Policy = RoundRobin
+	var order string
+	for range 6 {
+		choice, ok := c.Choose(now, servers, Request{})
+		if !ok {
+			t.Fatal("no choice")
+		}
+		order += choice.Server.ID
+	}
+	if order != "abcabc" {
+		t.Errorf("round robin: %s", order)
+	}
+	c = New()
+	c.Policy = LeastOutstanding
+	var choices []*Choice
+	for range 3 {
+		choice, _ := c.Choose(now, servers, Request{})
+		choices = append(choices, choice)
+	}
+	choices[1].End(now, Succeeded)
+	if choice, _ := c.Choose(now, servers, Request{}); choice.Server.ID != "b" {
+		t.Errorf("least outstanding: %s", choice.Server.ID)
+	}
+	if _, err := ParsePolicy("random"); err == nil {
+		t.Error("an unknown policy is accepted")
+	}
+}
