Ask the largest model more readily where it has little to read

Change: up to 30 is added to the confidence that is enough, down to 0 where the largest model reads for 800 ms; a prompt goes where it delays fewer running requests. TestCascade asserted the bound of 50 for a call without a prompt; the bound of such a call is now 79 and is asserted just as exactly.

--- a/daemon/gateway/cascade.go
+++ b/daemon/gateway/cascade.go
@@ -23,6 +23,11 @@
 	// backlogScale is the reading time at the average server at which half the
 	// confidence is enough.
 	backlogScale = time.Second
+	// cheapConfidence is added to the confidence that is asked for where the largest
+	// model has nothing to read, and less the longer it reads, down to 0 at
+	// cheapReading: the prompts of others wait for that time.
+	cheapConfidence = 30
+	cheapReading    = 800 * time.Millisecond
 	// unknownAnswer is the number of events assumed where the caller states no length.
 	unknownAnswer = 20
 )
@@ -96,11 +101,12 @@
 	}
 	now := time.Now()
 	request := g.selectionRequest(a.requestState, largest(a.route), nil)
-	expected, event, ok := g.Chooser.Expect(now, a.candidates, request)
+	expected, ok := g.Chooser.Expect(now, a.candidates, request)
 	if !ok {
 		return nil
 	}
-	confidence := enough(expected, a.answerTime(event), a.route.LatencyTarget-now.Sub(a.began), a.deadline.Sub(now))
+	confidence := enough(expected.FirstByte, a.answerTime(expected.Event), a.route.LatencyTarget-now.Sub(a.began), a.deadline.Sub(now))
+	confidence += cheapBonus(expected.Reading, confidence)
 	backlog := g.Chooser.Backlog(now, a.candidates, len(a.view.Routers))
 	if a.reply.Confidence >= underLoad(backlog, confidence) || !a.dispatch.Budget.Take(now, len(a.view.Routers)) {
 		return nil
@@ -120,6 +126,15 @@
 	return a.reply.Confidence >= 0 && a.dispatch.Attempts() < a.route.MaxAttempts
 }
 
+// cheapBonus returns what is added to a confidence that is enough where the largest
+// model reads for a time. Nothing is added where its answer would pass the deadline.
+func cheapBonus(reading time.Duration, confidence int) int {
+	if reading >= cheapReading {
+		return 0
+	}
+	return int(cheapConfidence * (1 - float64(reading)/float64(cheapReading)) * float64(confidence) / timelyConfidence)
+}
+
 // underLoad lowers the confidence from which an answer is kept by what escalation
 // costs the other requests: a large model's prompts delay every stream beside them.
 func underLoad(backlog time.Duration, confidence int) int {
--- a/daemon/gateway/cascade_test.go
+++ b/daemon/gateway/cascade_test.go
@@ -24,10 +24,12 @@
 // dropped for the largest model's before the caller got any of it.
 func TestCascade(t *testing.T) {
 	route := topology.Route{Kind: topology.Stream, Resumable: true, MaxAttempts: 3, Models: []string{"s", "m", "l"}}
+	// The rig's calls state no prompt, so the largest model has next to nothing to read.
+	bound := timelyConfidence + cheapBonus(25*time.Millisecond, timelyConfidence)
 	for _, c := range []struct {
 		confidence int
 		want       string
-	}{{90, "s"}, {timelyConfidence, "s"}, {timelyConfidence - 1, "l"}, {0, "l"}} {
+	}{{90, "s"}, {bound, "s"}, {bound - 1, "l"}, {timelyConfidence, "l"}, {0, "l"}} {
 		a := newServer(t, "a", confident(map[string]int{"s": c.confidence, "l": 1}))
 		r := newRig(t, route, a)
 		if got := r.call(http.MethodPost, "/x", "p"); got.body != c.want {
@@ -80,6 +82,27 @@
 	}
 }
 
+// The answer of a doubtful small model is dropped more readily where the largest
+// model has little to read: on days with many short prompts that costs the others
+// next to nothing. A long prompt needs more doubt, and one that would end too late is
+// never read.
+func TestCheapEscalation(t *testing.T) {
+	last := timelyConfidence + cheapConfidence + 1
+	for _, reading := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond, 799 * time.Millisecond} {
+		got := timelyConfidence + cheapBonus(reading, timelyConfidence)
+		if got >= last || got < timelyConfidence {
+			t.Errorf("reading for %s: %d after %d", reading, got, last)
+		}
+		last = got
+	}
+	if got := cheapBonus(cheapReading, timelyConfidence); got != 0 {
+		t.Errorf("a long prompt adds %d", got)
+	}
+	if got := cheapBonus(0, 0); got != 0 {
+		t.Errorf("an answer past the deadline adds %d", got)
+	}
+}
+
 // A session's set only grows with the share, so that it never changes back.
 func TestSessionsJoinOnce(t *testing.T) {
 	in := 0
--- a/daemon/selection/policy.go
+++ b/daemon/selection/policy.go
@@ -31,13 +31,14 @@
 	return 0, fmt.Errorf("choice of servers: %q is not expected_time, round_robin or least_outstanding", name)
 }
 
-// cost orders the candidates: the least one is taken, the first of equal ones.
-func (p Policy) cost(now time.Time, s *state, expected time.Duration) time.Duration {
+// cost orders the candidates: the least one is taken, the first of equal ones. delay
+// is the expected time of the request and the burden on others.
+func (p Policy) cost(now time.Time, s *state, delay time.Duration) time.Duration {
 	switch p {
 	case RoundRobin:
 		return time.Duration(s.turn)
 	case LeastOutstanding:
 		return time.Duration(s.inFlight)
 	}
-	return expected + s.risk(now)
+	return delay + s.risk(now)
 }
--- a/daemon/selection/selection.go
+++ b/daemon/selection/selection.go
@@ -43,6 +43,9 @@
 	// homeCached is the part of a shared prompt assumed to be in the memory of the
 	// server that the prompt's hash prefers, before this router has used it there.
 	homeCached = 0.95
+	// delayOthers is the weight of the time by which a prompt delays each of the
+	// requests that run beside it, against the request's own time.
+	delayOthers = 0.08
 	// errorDelay is the delay that a certain failure is worth.
 	errorDelay = 2500 * time.Millisecond
 	// maxPrefixes bounds the remembered prompts of a server.
@@ -183,16 +186,23 @@
 	return best, true
 }
 
-// Expect returns the time until the first byte that the best server would need and
-// the time between events, or false when none may take the request now.
-func (c *Chooser) Expect(now time.Time, candidates []*topology.Server, r Request) (firstByte, event time.Duration, ok bool) {
+// Expectation is what the best server would need for a request.
+type Expectation struct {
+	// FirstByte is the time until the first byte, Reading the part of it that the
+	// prompt takes to read, Event the time between two events.
+	FirstByte, Reading, Event time.Duration
+}
+
+// Expect returns what the best server would need, or false when none may take the
+// request now.
+func (c *Chooser) Expect(now time.Time, candidates []*topology.Server, r Request) (Expectation, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	best := c.best(now, candidates, r)
 	if best == nil {
-		return 0, 0, false
+		return Expectation{}, false
 	}
-	return best.Estimate, best.speed.event, true
+	return Expectation{FirstByte: best.Estimate, Reading: best.work, Event: best.speed.event}, true
 }
 
 func (c *Chooser) best(now time.Time, candidates []*topology.Server, r Request) *Choice {
@@ -210,7 +220,8 @@
 		work := speed.work(missing)
 		others := c.othersOf(now, server.ID, average)
 		expected := work + s.reading + others.Reading + s.queue(now, server, r, others.InFlight)
-		if cost := c.Policy.cost(now, s, expected); cost < bestCost {
+		burden := time.Duration(delayOthers * float64(work) * float64(s.inFlight+others.InFlight))
+		if cost := c.Policy.cost(now, s, expected+burden); cost < bestCost {
 			bestCost = cost
 			best = &Choice{
 				Server: server, Missing: missing, Estimate: expected,
--- a/daemon/selection/selection_test.go
+++ b/daemon/selection/selection_test.go
@@ -213,7 +213,8 @@
 		choice.Answered(now)
 		choice.End(now, Succeeded)
 	}
-	expected, _, ok := c.Expect(now, list, r)
+	expectation, ok := c.Expect(now, list, r)
+	expected := expectation.FirstByte
 	if !ok || expected < 1200*time.Millisecond || expected > 1800*time.Millisecond {
 		t.Errorf("expected %s, observed 1.5 s", expected)
 	}
@@ -252,3 +253,24 @@
 		t.Error("an unknown policy is accepted")
 	}
 }
+
+// Long prompts beside running streams: of two servers that would answer equally soon,
+// the prompt goes where it delays fewer requests, also where others run them.
+func TestPromptGoesWhereItDelaysFewer(t *testing.T) {
+	servers := []*topology.Server{{ID: "a"}, {ID: "b"}}
+	now := time.Unix(1_700_000_000, 0)
+	c := New()
+	r := Request{Model: "l", ModelRank: 1, PromptTokens: 20_000}
+	// Server a runs 20 streams of others, b has prompts to read for as long as those
+	// streams are expected to delay a first byte.
+	reading := 20 * runningDelay
+	c.SetOthers(now, map[string]Work{"a": {InFlight: 20}, "b": {Reading: reading}})
+	if choice, _ := c.Choose(now, servers, r); choice.Server.ID != "b" {
+		t.Errorf("a long prompt went to %s", choice.Server.ID)
+	}
+	c = New()
+	c.SetOthers(now, map[string]Work{"a": {InFlight: 2}, "b": {Reading: 10 * time.Second}})
+	if choice, _ := c.Choose(now, servers, r); choice.Server.ID != "a" {
+		t.Error("a few streams keep a prompt from a server that is free to read")
+	}
+}
