Give up failing versions whatever the old one does; no full share in doubt

A slow version went from wide to full and completed within 0.3 s after its time.

Change: a version that fails at over 0.3 of 8 or more bad answers is given up; the full share needs a rate of at most 0.2 or that of the old version; near the end of the time it needs three times the answers at 0.12; a version in doubt is not completed, and one that has failed 8 times at over 0.12 is given up when its time is over.

--- a/daemon/rollout/rollout.go
+++ b/daemon/rollout/rollout.go
@@ -56,6 +56,11 @@
 	// baseFactor and baseMargin relate it to the rate of the old version.
 	baseFactor = 1.3
 	baseMargin = 0.08
+	// fitRate is the rate of bad answers up to which a version may get all requests.
+	fitRate = 0.2
+	// failingRate is the rate from which a version is given up however bad the old one
+	// is. Cut off data centres made old versions fail at 0.25, which allowed 0.4.
+	failingRate = 0.3
 	// mostBadRate condemns a version however bad the old one's answers are.
 	mostBadRate = 0.45
 	// leastSamples is the evidence without which a version does not get all requests.
@@ -129,6 +134,31 @@
 	return e.Target.Bad >= leastDoubt && e.Target.rate() > e.allowedRate()
 }
 
+// fitForAll tells whether a version may get all requests: it fails no more than the old
+// one, or seldom. The margins of a verdict do not count here, because an old version
+// that fails for a reason of its own would excuse any failure.
+func (e Evidence) fitForAll() bool {
+	return e.Target.rate() <= max(fitRate, e.Base.rate()) && e.Target.rate() <= failingRate
+}
+
+// failing tells whether a version fails so often that it must go whatever the old
+// version does.
+func (e Evidence) failing() bool {
+	return e.Target.Bad >= 2*leastBad && e.Target.rate() > failingRate
+}
+
+// unproven tells whether a version whose time is over has failed so often that it must
+// not stay exposed, whatever the old version does.
+func (e Evidence) unproven() bool {
+	return e.Target.Bad >= 2*leastBad && e.Target.rate() > leastBadRate
+}
+
+// clean tells whether a version has shown enough to get all requests when its time is
+// nearly over: it would be completed right afterwards, without more evidence.
+func (e Evidence) clean() bool {
+	return e.Target.Total() >= 3*leastSamples && e.Target.rate() <= leastBadRate
+}
+
 // allowedRate is the rate of bad answers up to which the target is not worse.
 func (e Evidence) allowedRate() float64 {
 	return min(max(leastBadRate, e.Base.rate()*baseFactor+baseMargin), mostBadRate)
@@ -143,15 +173,18 @@
 		return Reverted
 	}
 	part := float64(elapsed) / float64(max(duration, 1))
+	if Exposed(p.Phase) && (e.failing() || part >= 1 && e.unproven()) {
+		return Reverted
+	}
 	enough := e.Target.Total() >= leastSamples
 	switch {
 	case p.Phase == Hold && part >= canaryFrom:
 		return Canary
 	case p.Phase == Canary && part >= wideFrom && e.Target.Total() > 0 && !e.doubtful():
 		return Wide
-	case p.Phase == Wide && part >= fullFrom && enough && !e.doubtful():
+	case p.Phase == Wide && part >= fullFrom && enough && e.fitForAll() && (part < completeFrom || e.clean()):
 		return Full
-	case p.Phase == Full && part >= completeFrom && enough:
+	case p.Phase == Full && part >= completeFrom && enough && !e.doubtful():
 		return Completed
 	}
 	return p.Phase
--- a/daemon/rollout/rollout_test.go
+++ b/daemon/rollout/rollout_test.go
@@ -115,6 +115,36 @@
 	}
 }
 
+// A version in doubt must not be completed after its time, nor stay exposed: on a day of
+// zones.toml (mulaz-ticketing, seed 1083706607575) a slow version stood beside an old
+// one that failed by a cut, and went from wide to full and completed within 0.3 s.
+func TestDoubtEndsWithTheTime(t *testing.T) {
+	base := Counts{Good: 183, Bad: 40}
+	late := time.Duration(1.17 * float64(duration))
+	for _, c := range []struct {
+		phase   Phase
+		target  Counts
+		elapsed time.Duration
+		want    Phase
+	}{
+		{Wide, Counts{Good: 34, Bad: 15}, late, Reverted},
+		{Wide, Counts{Good: 15, Bad: 5}, time.Duration(0.75 * float64(duration)), Wide},
+		{Wide, Counts{Good: 13, Bad: 3}, time.Duration(0.75 * float64(duration)), Full},
+		{Full, Counts{Good: 41, Bad: 24}, time.Duration(0.85 * float64(duration)), Reverted},
+		{Canary, Counts{Good: 10, Bad: 8}, time.Duration(0.6 * float64(duration)), Reverted},
+		{Full, Counts{Good: 34, Bad: 15}, late, Reverted},
+		{Wide, Counts{Good: 60, Bad: 4}, late, Full},
+		{Wide, Counts{Good: 17, Bad: 1}, late, Wide},
+		{Wide, Counts{Good: 17, Bad: 1}, time.Duration(0.75 * float64(duration)), Full},
+		{Full, Counts{Good: 12, Bad: 7}, time.Duration(0.9 * float64(duration)), Full},
+		{Hold, Counts{}, late, Canary},
+	} {
+		if got := Next(Plan{Phase: c.phase}, Evidence{Target: c.target, Base: base}, c.elapsed, duration); got != c.want {
+			t.Errorf("%s with %+v at %s: %s, want %s", c.phase, c.target, c.elapsed, got, c.want)
+		}
+	}
+}
+
 // Of many routers that test their own evidence, none may condemn a good version by
 // chance: on quiet-1 of mulaz-ticketing-grown (seed 11) one of 24 did with 4 bad
 // answers of 12, while the pooled evidence was 50 of 338 against 50 of 549.
