Complete a version only by its own rate and twice the answers

Change: the full share and the end depend on the new version's rate alone (0.2), and the end needs 32 answers.

--- a/daemon/rollout/rollout.go
+++ b/daemon/rollout/rollout.go
@@ -134,12 +134,9 @@
 	return e.Target.Bad >= leastDoubt && e.Target.rate() > e.allowedRate()
 }
 
-// fitForAll tells whether a version may get all requests: it fails no more than the old
-// one, or seldom. The margins of a verdict do not count here, because an old version
-// that fails for a reason of its own would excuse any failure.
-func (e Evidence) fitForAll() bool {
-	return e.Target.rate() <= max(fitRate, e.Base.rate()) && e.Target.rate() <= failingRate
-}
+// fitForAll tells whether a version may get all requests. The old version does not
+// count here: one that fails for a reason of its own would excuse any failure.
+func (e Evidence) fitForAll() bool { return e.Target.rate() <= fitRate }
 
 // failing tells whether a version fails so often that it must go whatever the old
 // version does.
@@ -184,7 +181,7 @@
 		return Wide
 	case p.Phase == Wide && part >= fullFrom && enough && e.fitForAll() && (part < completeFrom || e.clean()):
 		return Full
-	case p.Phase == Full && part >= completeFrom && enough && !e.doubtful():
+	case p.Phase == Full && part >= completeFrom && e.Target.Total() >= 2*leastSamples && e.fitForAll():
 		return Completed
 	}
 	return p.Phase
--- a/daemon/rollout/rollout_test.go
+++ b/daemon/rollout/rollout_test.go
@@ -129,6 +129,7 @@
 	}{
 		{Wide, Counts{Good: 34, Bad: 15}, late, Reverted},
 		{Wide, Counts{Good: 15, Bad: 5}, time.Duration(0.75 * float64(duration)), Wide},
+		{Wide, Counts{Good: 14, Bad: 4}, time.Duration(0.75 * float64(duration)), Wide},
 		{Wide, Counts{Good: 13, Bad: 3}, time.Duration(0.75 * float64(duration)), Full},
 		{Full, Counts{Good: 41, Bad: 24}, time.Duration(0.85 * float64(duration)), Reverted},
 		{Canary, Counts{Good: 10, Bad: 8}, time.Duration(0.6 * float64(duration)), Reverted},
@@ -137,6 +138,10 @@
 		{Wide, Counts{Good: 17, Bad: 1}, late, Wide},
 		{Wide, Counts{Good: 17, Bad: 1}, time.Duration(0.75 * float64(duration)), Full},
 		{Full, Counts{Good: 12, Bad: 7}, time.Duration(0.9 * float64(duration)), Full},
+		// petitspas-diary, seed 1010572762394: completed with 5 bad answers of 23.
+		{Full, Counts{Good: 18, Bad: 5}, time.Duration(0.93 * float64(duration)), Full},
+		{Full, Counts{Good: 20, Bad: 0}, time.Duration(0.93 * float64(duration)), Full},
+		{Full, Counts{Good: 30, Bad: 3}, time.Duration(0.93 * float64(duration)), Completed},
 		{Hold, Counts{}, late, Canary},
 	} {
 		if got := Next(Plan{Phase: c.phase}, Evidence{Target: c.target, Base: base}, c.elapsed, duration); got != c.want {
