Read-through: one piece of code where the change had two, and work done once

No behaviour changes. - limit.Rate moves its window by a reslice; it copied all events at each call, several times a request.

--- a/coord/limit/window.go
+++ b/coord/limit/window.go
@@ -19,20 +19,13 @@
 	for n < len(r.times) && !r.times[n].After(from) {
 		n++
 	}
-	r.times = append(r.times[:0], r.times[n:]...)
+	r.times = r.times[n:]
 	return len(r.times)
 }
 
 // Add records an event at now.
 func (r *Rate) Add(now time.Time) { r.times = append(r.times, now) }
 
-// Remove takes back the latest event, which did not happen after all.
-func (r *Rate) Remove() {
-	if n := len(r.times); n > 0 {
-		r.times = r.times[:n-1]
-	}
-}
-
 // PerMember returns the part of a fleet-wide bound that one of members may use,
 // at least 1. margin is the part of the bound that stays unused, because the
 // members' spans end at different times and a member may be unknown for a moment.
--- a/daemon/edge/evidence.go
+++ b/daemon/edge/evidence.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"cactusknot.example/daemon/gateway"
 	"cactusknot.example/daemon/mirror"
 	"cactusknot.example/daemon/rollout"
@@ -109,11 +111,6 @@
 	if !r.changed || r.pending || now.Sub(r.wroteAt) < evidenceInterval {
 		return
 	}
-	value, err := json.Marshal(r.counts)
-	if err != nil {
-		r.edge.log.Error().Err(err).Msg("evidence can't be encoded")
-		return
-	}
 	report := &rpc.EvidenceReport{Router: r.edge.settings.VM}
 	for service, c := range r.counts {
 		report.Services = append(report.Services, &rpc.ServiceEvidence{
@@ -123,12 +120,12 @@
 		})
 	}
 	r.changed, r.pending, r.wroteAt = false, true, now
-	go r.sendEvidence(ctx, report, r.routers.pooling(), value)
+	go r.sendEvidence(ctx, report, r.routers.pooling())
 }
 
 // sendEvidence reports to each pooling router, and writes to the store where none
 // takes the report.
-func (r *rollouts) sendEvidence(ctx context.Context, report *rpc.EvidenceReport, addresses []string, value []byte) {
+func (r *rollouts) sendEvidence(ctx context.Context, report *rpc.EvidenceReport, addresses []string) {
 	var failed error
 	taken := false
 	for _, address := range addresses {
@@ -139,8 +136,7 @@
 		taken = true
 	}
 	if !taken && len(addresses) > 0 {
-		key := evidencePrefix + r.edge.settings.VM
-		_, err := r.edge.settings.Store.Commit(ctx, Txn{Writes: []Write{{Key: key, Value: value}}})
+		err := r.storeEvidence(ctx, report)
 		r.edge.log.Warn().AnErr("peers", failed).AnErr("store", err).Msg("evidence not taken by a peer: written to the store")
 		taken = err == nil
 	}
@@ -149,3 +145,14 @@
 	r.changed = r.changed || !taken && len(addresses) > 0
 	r.mu.Unlock()
 }
+
+// storeEvidence writes a report to the store, where the pooling routers read it.
+func (r *rollouts) storeEvidence(ctx context.Context, report *rpc.EvidenceReport) error {
+	value, err := json.Marshal(decodeEvidence(report))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	key := evidencePrefix + r.edge.settings.VM
+	_, err = r.edge.settings.Store.Commit(ctx, Txn{Writes: []Write{{Key: key, Value: value}}})
+	return trace.Wrap(err)
+}
--- a/daemon/edge/load.go
+++ b/daemon/edge/load.go
@@ -92,11 +92,12 @@
 	var pace loadPace
 	for ctx.Err() == nil {
 		sleep(ctx, loadInterval)
-		if !pace.due(time.Now(), len(e.gateway.Chooser.Own()) > 0) {
+		own := e.gateway.Chooser.Own()
+		if !pace.due(time.Now(), len(own) > 0) {
 			continue
 		}
 		for _, address := range e.control.summers() {
-			if e.exchangeWith(ctx, address) {
+			if e.exchangeWith(ctx, address, own) {
 				break
 			}
 		}
@@ -120,8 +121,7 @@
 }
 
 // exchangeWith makes one exchange; the empty address is this process.
-func (e *Edge) exchangeWith(ctx context.Context, address string) bool {
-	own := e.gateway.Chooser.Own()
+func (e *Edge) exchangeWith(ctx context.Context, address string, own map[string]selection.Work) bool {
 	if address == "" {
 		now := time.Now()
 		e.gateway.Chooser.SetOthers(now, e.load.exchange(now, e.settings.VM, own))
--- a/daemon/edge/peers.go
+++ b/daemon/edge/peers.go
@@ -39,15 +39,20 @@
 
 // Report takes a peer's evidence.
 func (p peerServer) Report(_ context.Context, in *rpc.EvidenceReport) (*rpc.EvidenceReply, error) {
-	reports := make(map[string]ownCounts)
+	p.edge.control.rollouts.hear(in.GetRouter(), decodeEvidence(in))
+	return &rpc.EvidenceReply{}, nil
+}
+
+// decodeEvidence returns the counts of a report by service.
+func decodeEvidence(in *rpc.EvidenceReport) map[string]ownCounts {
+	reports := make(map[string]ownCounts, len(in.GetServices()))
 	for _, s := range in.GetServices() {
 		reports[s.GetService()] = ownCounts{Order: s.GetOrderRevision(), Evidence: rollout.Evidence{
 			Target: rollout.Counts{Good: int(s.GetTargetGood()), Bad: int(s.GetTargetBad())},
 			Base:   rollout.Counts{Good: int(s.GetBaseGood()), Bad: int(s.GetBaseBad())},
 		}}
 	}
-	p.edge.control.rollouts.hear(in.GetRouter(), reports)
-	return &rpc.EvidenceReply{}, nil
+	return reports
 }
 
 // peerHandler serves the calls of peers.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"cactusknot.example/coord/limit"
@@ -67,7 +69,9 @@
 
 	mu      sync.Mutex
 	budgets map[string]*limit.RetryBudget
-	metrics *metricSet
+	// metrics counts requests by kind and outcome. Its series are bounded: kinds and
+	// result codes are fixed lists.
+	metrics *metrics.Set
 	filters []filter
 	lines   lineBudget
 	losses  losses
@@ -77,7 +81,7 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{
 		Config: cfg, Chooser: selection.New(), Pool: upstream.NewPool(),
-		budgets: make(map[string]*limit.RetryBudget), metrics: newMetricSet(),
+		budgets: make(map[string]*limit.RetryBudget), metrics: metrics.NewSet(),
 	}
 	g.Chooser.Policy = cfg.Servers
 	g.filters = []filter{g.match, g.authenticate, g.readBody, g.split, g.dispatch}
@@ -218,8 +222,7 @@
 	if err := conn.SetReadDeadline(x.deadline); err != nil {
 		return result.Internal.With("%v", err)
 	}
-	body := make([]byte, 0, max(x.in.ContentLength, 512))
-	body, err := appendAll(body, io.LimitReader(x.in.Body, bound+1))
+	body, err := readAll(io.LimitReader(x.in.Body, bound+1), max(x.in.ContentLength, 0))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return result.RequestTimeout.With("%d bytes in time", len(body))
 	}
@@ -236,20 +239,13 @@
 	return nil
 }
 
-func appendAll(to []byte, from io.Reader) ([]byte, error) {
-	for {
-		if len(to) == cap(to) {
-			to = append(to, 0)[:len(to)]
-		}
-		n, err := from.Read(to[len(to):cap(to)])
-		to = to[:len(to)+n]
-		if errors.Is(err, io.EOF) {
-			return to, nil
-		}
-		if err != nil {
-			return to, err
-		}
-	}
+// readAll reads from until its end, expecting size bytes. It returns what was read
+// also with an error.
+func readAll(from io.Reader, size int64) ([]byte, error) {
+	// The buffer grows unless it has room for one more read, which meets the end.
+	body := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
+	_, err := body.ReadFrom(from)
+	return body.Bytes(), err
 }
 
 // budgetOf returns the retry budget of a service.
--- a/daemon/gateway/observe.go
+++ b/daemon/gateway/observe.go
@@ -6,21 +6,13 @@
 	"strings"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"cactusknot.example/daemon/result"
 	"cactusknot.example/daemon/selection"
 )
 
-// metricSet counts requests by kind and outcome. Its series are bounded: kinds
-// and result codes are fixed lists.
-type metricSet struct{ set *metrics.Set }
-
-func newMetricSet() *metricSet { return &metricSet{set: metrics.NewSet()} }
-
 // WriteMetrics writes the gateway's metrics as text.
 func (g *Gateway) WriteMetrics(w io.Writer) {
-	g.metrics.set.WritePrometheus(w)
+	g.metrics.WritePrometheus(w)
 	g.writeBudgets(w)
 	work := selection.Work{}
 	for _, server := range g.Chooser.Own() {
@@ -58,10 +50,10 @@
 		outcome = failure.Code.Name
 	}
 	took := time.Since(x.began)
-	g.metrics.set.GetOrCreateCounter(fmt.Sprintf("cactusknot_requests_total{kind=%q,outcome=%q}", kind, outcome)).Inc()
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("cactusknot_requests_total{kind=%q,outcome=%q}", kind, outcome)).Inc()
 	if failure == nil {
-		g.metrics.set.GetOrCreateHistogram(fmt.Sprintf("cactusknot_first_byte_seconds{kind=%q}", kind)).Update(x.firstByte.Seconds())
-		g.metrics.set.GetOrCreateHistogram(fmt.Sprintf("cactusknot_answer_seconds{kind=%q}", kind)).Update(took.Seconds())
+		g.metrics.GetOrCreateHistogram(fmt.Sprintf("cactusknot_first_byte_seconds{kind=%q}", kind)).Update(x.firstByte.Seconds())
+		g.metrics.GetOrCreateHistogram(fmt.Sprintf("cactusknot_answer_seconds{kind=%q}", kind)).Update(took.Seconds())
 	}
 	line := g.line(g.Log.Info().Str("request", x.call.ID).Str("kind", kind).Str("outcome", outcome))
 	if x.view != nil && x.view.Config != nil {
@@ -69,8 +61,7 @@
 	}
 	if x.route != nil {
 		line = line.Str("route", x.route.Name).Dur("allowed_ms", x.deadline.Sub(x.began))
-	}
-	if x.route == nil {
+	} else {
 		line = line.Str("host", firstChars(x.call.Host)).Str("path", firstChars(x.call.Path))
 	}
 	if failure != nil {
@@ -99,7 +90,7 @@
 	default:
 		outcome, detail = failure.Code.Name, failure.Detail
 	}
-	g.metrics.set.GetOrCreateCounter(fmt.Sprintf("cactusknot_attempts_repeated_total{reason=%q}", outcome)).Inc()
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("cactusknot_attempts_repeated_total{reason=%q}", outcome)).Inc()
 	g.line(g.Log.Info()).Str("request", a.call.ID).Str("server", a.target.ID).Str("version", a.choice.Server.Version).
 		Str("model", a.model).Ints("confidence", a.confidences).Int("attempt", a.dispatch.Attempts()).
 		Dur("expected_ms", a.choice.Estimate).Int("missing_tokens", a.choice.Missing).Dur("view_age_ms", time.Since(a.view.At)).
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -18,6 +18,8 @@
 	// maxHeld is the size in bytes up to which an answer is read whole before any
 	// of it is passed on, so that a cut one can be replaced.
 	maxHeld = 256 << 10
+	// usualAnswer is the size in bytes for which a read begins.
+	usualAnswer = 512
 	// copyBuffer is the size in bytes of the buffer for longer answers.
 	copyBuffer = 16 << 10
 	// readSlack is how long after its deadline a caller may take to read an event.
@@ -32,7 +34,6 @@
 		return g.receiveWhole(ctx, a)
 	}
 	if a.exchange.Status >= http.StatusInternalServerError {
-		a.outcome = selection.Failed
 		return false, a.spoiled("status " + strconv.Itoa(a.exchange.Status))
 	}
 	if a.reply.Events && a.exchange.Status == http.StatusOK {
@@ -46,7 +47,7 @@
 
 // receiveWhole reads the answer and passes it on when it is complete.
 func (g *Gateway) receiveWhole(ctx context.Context, a *attempt) (bool, *result.Error) {
-	body, err := appendAll(make([]byte, 0, 1024), io.LimitReader(a.exchange, maxHeld))
+	body, err := readAll(io.LimitReader(a.exchange, maxHeld), usualAnswer)
 	if err != nil {
 		a.exchange.Abort()
 		return false, a.broken(ctx, err)
--- a/daemon/rollout/rollout.go
+++ b/daemon/rollout/rollout.go
@@ -99,6 +99,9 @@
 	return float64(c.Bad) / float64(c.Total())
 }
 
+// failsOver tells whether the rate of bad answers is over a bound, with so many of them.
+func (c Counts) failsOver(bound float64, bad int) bool { return c.Bad >= bad && c.rate() > bound }
+
 // Evidence is what is known of both versions since the target gets requests.
 type Evidence struct {
 	Target Counts `json:"target"`
@@ -126,12 +129,12 @@
 		margin = deviationsAlone
 	}
 	chance := margin * math.Sqrt(allowed*(1-allowed)/float64(max(e.Target.Total(), 1)))
-	return e.Target.Bad >= leastBad && e.Target.rate() > allowed+chance
+	return e.Target.failsOver(allowed+chance, leastBad)
 }
 
 // doubtful tells whether the target looks worse on evidence that condemns nothing yet.
 func (e Evidence) doubtful() bool {
-	return e.Target.Bad >= leastDoubt && e.Target.rate() > e.allowedRate()
+	return e.Target.failsOver(e.allowedRate(), leastDoubt)
 }
 
 // fitForAll tells whether a version may get all requests. The old version does not
@@ -140,15 +143,11 @@
 
 // failing tells whether a version fails so often that it must go whatever the old
 // version does.
-func (e Evidence) failing() bool {
-	return e.Target.Bad >= 2*leastBad && e.Target.rate() > failingRate
-}
+func (e Evidence) failing() bool { return e.Target.failsOver(failingRate, 2*leastBad) }
 
 // unproven tells whether a version whose time is over has failed so often that it must
 // not stay exposed, whatever the old version does.
-func (e Evidence) unproven() bool {
-	return e.Target.Bad >= 2*leastBad && e.Target.rate() > leastBadRate
-}
+func (e Evidence) unproven() bool { return e.Target.failsOver(leastBadRate, 2*leastBad) }
 
 // clean tells whether a version has shown enough to get all requests when its time is
 // nearly over: it would be completed right afterwards, without more evidence.
