agent: one connection per request to the backend server, bounded heads, stalled streams end

Cause: engines on the agent path echo no request ID, so a second copy of an answer that arrives late on a kept connection is the next caller's answer (TestLateCopyIsNotTheNextAnswer fails with kept connections); a response head could grow to the transport's 10 MB; data without events kept a stream open to its deadline. Change: no kept connections (the backend server is on the same VM), heads of 32 KB at most, package progress ends data that completes nothing for 5 s. Silence is not judged by it.

--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -66,6 +66,10 @@
 const (
 	backendDialTimeout = time.Second
 	probeTimeout       = time.Second
+	// maxResponseHeaderBytes bounds the status line and the headers of a response.
+	maxResponseHeaderBytes = 32 << 10
+	// stallTimeout bounds the time in which data of a stream may arrive without an event.
+	stallTimeout = 5 * time.Second
 )
 
 func newBackend(settings config.Backend) backend {
@@ -75,16 +79,18 @@
 	return newEngine(settings)
 }
 
-// newBackendClient returns a client that follows no redirects. Without keep-alive
-// the transport never retries a request on its own.
-func newBackendClient(keepAlive bool) *http.Client {
+// newBackendClient returns a client that follows no redirects and uses a connection for
+// one request only. So the transport never retries a request on its own, and bytes that a
+// backend server sends late are not taken for the next response. A backend server is on the
+// agent's own VM, where a connection costs little.
+func newBackendClient() *http.Client {
 	dialer := &net.Dialer{Timeout: backendDialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			DisableKeepAlives:   !keepAlive,
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: 256,
+			DialContext:            dialer.DialContext,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/daemon/agent/dispatch_test.go
+++ b/daemon/agent/dispatch_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,8 +133,8 @@
 }
 
 // TestTransportDoesNotRetry guards against a second effect caused by net/http,
-// which retries calls that fail on a reused connection. The case with the
-// idempotent client shows that the fake server triggers such a retry.
+// which retries calls that fail on a reused connection. The case with kept
+// connections shows that the fake server triggers such a retry.
 func TestTransportDoesNotRetry(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -140,7 +143,7 @@
 		maxExtra bool
 	}{
 		{"as built", func(*plainService) {}, 3, false},
-		{"defect: connections are kept", func(s *plainService) { s.nonIdempotent = newBackendClient(true) }, 3, true},
+		{"defect: connections are kept", func(s *plainService) { s.client.Transport.(*http.Transport).DisableKeepAlives = false }, 3, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			server := newFaultyServer(t, resetSecond)
@@ -158,6 +161,99 @@
 	}
 }
 
+// TestLateCopyIsNotTheNextAnswer guards against passing a second copy of a response, sent
+// late on a connection in use again, to the next caller.
+func TestLateCopyIsNotTheNextAnswer(t *testing.T) {
+	const rounds = 200
+	respondTwice := func(conn net.Conn, s *faultyServer) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for s.readRequest(reader) {
+			body := fmt.Sprintf(`{"answer":%d}`, s.effects.Load())
+			head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body))
+			_, _ = io.WriteString(conn, head+body)
+			time.Sleep(100 * time.Microsecond)
+			_, _ = io.WriteString(conn, head+body)
+		}
+	}
+	for name, c := range map[string]struct {
+		kind config.BackendKind
+		in   func(*harness) *rpc.ExecuteRequest
+	}{
+		"plain service": {config.BackendService, (*harness).reading},
+		"engine":        {config.BackendEngine, func(*harness) *rpc.ExecuteRequest { return chat("1") }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newFaultyServer(t, respondTwice)
+			r := newHarness(t, c.kind, server.url, nil)
+			for i := range rounds {
+				if got, want := r.execute(t.Context(), c.in(r)).body, fmt.Sprintf(`{"answer":%d}`, i+1); got != want {
+					t.Fatalf("got %s, want %s", got, want)
+				}
+			}
+		})
+	}
+}
+
+// TestEndlessResponseHead guards against a backend server that fills the agent's memory.
+func TestEndlessResponseHead(t *testing.T) {
+	for name, c := range map[string]struct{ start, repeat string }{
+		"status line":             {"HTTP/1.1 200 ", "xxxxxxxx"},
+		"header lines":            {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"header line":             {"HTTP/1.1 200 OK\r\nA: ", "xxxxxxxx"},
+		"informational responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			server := newFaultyServer(t, func(conn net.Conn, s *faultyServer) {
+				s.readRequest(bufio.NewReader(conn))
+				w := bufio.NewWriter(conn)
+				_, err := w.WriteString(c.start)
+				for err == nil {
+					_, err = w.WriteString(strings.Repeat(c.repeat, 100))
+					sent.Add(int64(100 * len(c.repeat)))
+				}
+			})
+			r := newHarness(t, config.BackendService, server.url, nil)
+			got := r.execute(t.Context(), r.booking(r.key()))
+			if got.code != result.OutcomeUnknown {
+				t.Errorf("got code %q", got.code.Name)
+			}
+			// What was sent beyond the limit is in the buffers of the connection.
+			if n := sent.Load(); n > 8<<20 {
+				t.Errorf("%d bytes were taken", n)
+			}
+		})
+	}
+}
+
+// TestStalledStreamEnds guards against an engine that keeps a stream open by data without
+// events.
+func TestStalledStreamEnds(t *testing.T) {
+	for name, noise := range map[string]string{"comments": ": wait\n\n", "blank lines": "\n", "bytes of a line": "x"} {
+		t.Run(name, func(t *testing.T) {
+			server := newFaultyServer(t, func(conn net.Conn, s *faultyServer) {
+				s.readRequest(bufio.NewReader(conn))
+				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+`data: {"choices":[{"delta":{"content":"x"}}]}`+"\n\n")
+				for err == nil {
+					time.Sleep(10 * time.Millisecond)
+					_, err = io.WriteString(conn, noise)
+				}
+			})
+			r := newHarness(t, config.BackendEngine, server.url, nil)
+			start := time.Now()
+			r.backend.(*engine).now = func() time.Time { return start.Add(100 * time.Since(start)) }
+			in := chat("1")
+			in.Stream = true
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			if got := r.execute(ctx, in); got.code != result.StreamBroken || got.pieces != 1 {
+				t.Errorf("code %q after %d pieces", got.code.Name, got.pieces)
+			}
+		})
+	}
+}
+
 // TestLargeStreamedEvent guards against splitting an engine's event: the router
 // can't forward a part of a JSON value.
 func TestLargeStreamedEvent(t *testing.T) {
--- a/daemon/agent/engine.go
+++ b/daemon/agent/engine.go
@@ -8,10 +8,12 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/tmaxmax/go-sse"
 
 	"cactusknot.example/daemon/config"
+	"cactusknot.example/daemon/progress"
 	"cactusknot.example/daemon/result"
 	"cactusknot.example/daemon/rpc"
 )
@@ -20,6 +22,10 @@
 // framing must fit in the 1 MiB that routers accept for one event.
 const maxEventBytes = 1<<20 - 4<<10
 
+// maxUnusedBytes bounds what an engine may send between two events with a part of the
+// answer.
+const maxUnusedBytes = 2 * maxEventBytes
+
 // errNotObject is returned for a body that is the JSON value null.
 var errNotObject = errors.New("agent: body is no JSON object")
 
@@ -32,10 +38,12 @@
 	client   *http.Client
 	versions atomic.Pointer[[]string]
 	cached   prefixCache
+	// now returns the current time.
+	now func() time.Time
 }
 
 func newEngine(settings config.Backend) *engine {
-	return &engine{settings: settings, client: newBackendClient(true)}
+	return &engine{settings: settings, client: newBackendClient(), now: time.Now}
 }
 
 func (g *engine) loaded() []string {
@@ -154,7 +162,9 @@
 	if err := out.admitted(response.StatusCode, "text/event-stream"); err != nil {
 		return reply{err: result.CallerGone.With("%v", err)}
 	}
-	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+	body := progress.NewReader(response.Body, g.now)
+	body.Begin(progress.Limits{Bytes: maxUnusedBytes, Time: stallTimeout})
+	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return reply{err: streamError(ctx, err)}
 		}
@@ -175,6 +185,7 @@
 			out.firstToken(reply{})
 			first = false
 		}
+		body.Made()
 		if err := out.chunk(parsed.Choices); err != nil {
 			return reply{err: result.CallerGone.With("%v", err)}
 		}
--- a/daemon/agent/engine_test.go
+++ b/daemon/agent/engine_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"cactusknot.example/daemon/config"
 	"cactusknot.example/daemon/result"
 )
 
@@ -24,7 +25,7 @@
 	} {
 		f.Add(body)
 	}
-	g := &engine{}
+	g := newEngine(config.Backend{})
 	f.Fuzz(func(t *testing.T, body string) {
 		chunks, firsts := 0, 0
 		r := g.relayStream(t.Context(), &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body))}, sink{
--- a/daemon/agent/service.go
+++ b/daemon/agent/service.go
@@ -19,14 +19,11 @@
 // plainService is the backend for a plain HTTP service.
 type plainService struct {
 	settings config.Backend
-	// idempotent reuses connections. nonIdempotent opens one per call, so that the
-	// HTTP transport can't retry a call on its own.
-	idempotent    *http.Client
-	nonIdempotent *http.Client
+	client   *http.Client
 }
 
 func newService(settings config.Backend) *plainService {
-	return &plainService{settings: settings, idempotent: newBackendClient(true), nonIdempotent: newBackendClient(false)}
+	return &plainService{settings: settings, client: newBackendClient()}
 }
 
 func (s *plainService) loaded() []string { return nil }
@@ -37,7 +34,7 @@
 
 // probe checks that the service accepts connections.
 func (s *plainService) probe(ctx context.Context) (probeReport, error) {
-	response, refusal := call(ctx, s.idempotent, http.MethodGet, s.settings.URL+"/", "", nil)
+	response, refusal := call(ctx, s.client, http.MethodGet, s.settings.URL+"/", "", nil)
 	if refusal != nil {
 		return probeReport{}, refusal
 	}
@@ -45,15 +42,11 @@
 }
 
 func (s *plainService) send(ctx context.Context, in *rpc.ExecuteRequest, out sink) reply {
-	client := s.nonIdempotent
-	if in.GetIdempotent() {
-		client = s.idempotent
-	}
 	address, err := url.JoinPath(s.settings.URL, in.GetPath())
 	if err != nil {
 		return reply{err: result.BadRequest.With("%v", err)}
 	}
-	response, refusal := call(ctx, client, in.GetMethod(), address, in.GetContentType(), in.GetBody())
+	response, refusal := call(ctx, s.client, in.GetMethod(), address, in.GetContentType(), in.GetBody())
 	if refusal != nil {
 		return reply{err: refusal}
 	}
