upstream: bounded responses, late copies never taken for an answer, stalled streams resumed

Change: heads of 32 KB and 256 lines, 64 KB of other requests' bodies, 256 KB and 5 s of a body without progress; a connection carries an ID once, 128 requests at most, and none after bytes beyond its response; a response without an ID counts only on a new connection; heads that hold a second status line are refused. The violation is logged, counted, and shown in /state. Short requests are written without a goroutine, which had closed connections whose answer was faster than the goroutine's report.

--- a/daemon/edge/state.go
+++ b/daemon/edge/state.go
@@ -67,6 +67,10 @@
 	// server is avoided because of them.
 	Failures  int   `json:"failures"`
 	AvoidedMS int64 `json:"avoided_ms"`
+	// Violation is the latest violation of the protocol by the server, ViolationAgeMS the
+	// time since.
+	Violation      string `json:"violation,omitempty"`
+	ViolationAgeMS int64  `json:"violation_age_ms,omitempty"`
 }
 
 // RolloutState is the state of a rollout with the evidence for its decisions.
@@ -150,6 +154,7 @@
 		ID: s.ID, Service: s.Service, Version: s.Version, DataCentre: s.DataCentre, State: state,
 		AgeMS: now.Sub(s.changedAt).Milliseconds(), InFlight: observed.InFlight, Failures: observed.Failures,
 		AvoidedMS: observed.AvoidedFor.Milliseconds(),
+		Violation: observed.Violation, ViolationAgeMS: observed.ViolationAge.Milliseconds(),
 	}
 }
 
--- a/daemon/gateway/answer_test.go
+++ b/daemon/gateway/answer_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
+	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"cactusknot.example/daemon/topology"
 )
@@ -172,6 +175,96 @@
 	}
 }
 
+// A stream on which data arrives without events is ended and resumed on another server,
+// whatever the data. A sound stream may pause for longer than that.
+func TestStalledStreamIsResumed(t *testing.T) {
+	// speed is how much faster than real time the pool's clock runs.
+	const speed, pause = 100, 20 * time.Millisecond
+	stalls := map[string]string{
+		"comments":        ": wait\n\n",
+		"blank lines":     "\n",
+		"bytes of a line": "x",
+		"repeated events": event(1),
+	}
+	for name, noise := range stalls {
+		t.Run(name, func(t *testing.T) {
+			answer := func(n int, a receivedRequest, c net.Conn) bool {
+				if a.head.Get("After") != "-1" {
+					return respondStream(3, 3, "0\r\n\r\n")(n, a, c)
+				}
+				respondStream(1, 2, "")(n, a, c)
+				for {
+					time.Sleep(pause)
+					if _, err := fmt.Fprint(c, chunk(noise)); err != nil {
+						return false
+					}
+				}
+			}
+			a, b := newServer(t, "a", answer), newServer(t, "b", answer)
+			r := newHarness(t, topology.Route{Kind: topology.Stream, Resumable: true, MaxAttempts: 3}, a, b)
+			r.Pool.Now = fastClock(speed)
+			began := time.Now()
+			got := r.call(http.MethodPost, "/s", "prompt")
+			if events := strings.Join(regexp.MustCompile("id: .\n").FindAllString(got.body, -1), ""); got.err != nil || events != "id: 1\nid: 2\nid: 3\n" {
+				t.Errorf("got %v %q", got.err, got.body)
+			}
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("took %s", took)
+			}
+			if log := r.logs.String(); !strings.Contains(log, `"violation":"stalled"`) {
+				t.Errorf("the log does not name the reason: %s", log)
+			}
+		})
+	}
+	t.Run("slow but sound", func(t *testing.T) {
+		a := newServer(t, "a", func(_ int, _ receivedRequest, c net.Conn) bool {
+			fmt.Fprint(c, streamHead)
+			for i := 1; i <= 5; i++ {
+				time.Sleep(5 * pause)
+				fmt.Fprint(c, chunk(event(i)))
+			}
+			fmt.Fprint(c, "0\r\n\r\n")
+			return true
+		})
+		r := newHarness(t, topology.Route{Kind: topology.Stream, Resumable: true, MaxAttempts: 3}, a)
+		r.Pool.Now = fastClock(speed)
+		if got := r.call(http.MethodPost, "/s", "prompt"); got.err != nil || !strings.HasSuffix(got.body, event(5)) || totalRequests(a) != 1 {
+			t.Errorf("got %v %q after %d requests", got.err, got.body, totalRequests(a))
+		}
+	})
+}
+
+// fastClock returns a clock that runs faster than real time.
+func fastClock(speed int) func() time.Time {
+	start := time.Now()
+	return func() time.Time { return start.Add(time.Duration(speed) * time.Since(start)) }
+}
+
+// FuzzEventReader checks that events are split without losing a byte of one and without
+// joining two.
+func FuzzEventReader(f *testing.F) {
+	for _, s := range []string{event(1) + event(2), ": c\n\n" + event(1), "\n\n\n", "id: x\n\n", "id:7\r\ndata\r\n\r\n", "data", strings.Repeat("x", 9000) + "\n\n", "id: -1\n\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		reader := newEventReader(bytes.NewReader(body))
+		var all []byte
+		for {
+			next, err := reader.next()
+			if err != nil {
+				break
+			}
+			if inner := strings.TrimRight(string(next.raw), "\r\n"); inner == "" || strings.Contains(inner, "\n\n") {
+				t.Errorf("%q is not one event", next.raw)
+			}
+			all = append(all, next.raw...)
+		}
+		if strip := strings.NewReplacer("\r", "", "\n", ""); !strings.HasPrefix(strip.Replace(string(body)), strip.Replace(string(all))) {
+			t.Errorf("events %q of %q", all, body)
+		}
+	})
+}
+
 // A response without a length ends with its connection: it is complete after a close,
 // but not after a reset.
 func TestUnframedAnswer(t *testing.T) {
--- a/daemon/gateway/codec.go
+++ b/daemon/gateway/codec.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cactusknot.example/daemon/selection"
+	"cactusknot.example/daemon/upstream"
 )
 
 // Call is a caller's request, decoded from its HTTP form.
@@ -80,8 +81,8 @@
 	Decode(r *http.Request) *Call
 	// Encode returns the request headers for a backend server.
 	Encode(call *Call, d AttemptOptions) http.Header
-	// Matches reports whether a response belongs to the call.
-	Matches(call *Call, header http.Header) bool
+	// Owner tells which request a response belongs to.
+	Owner(call *Call, header http.Header) upstream.Owner
 	// ParseResponse reads the status and headers of a response.
 	ParseResponse(status int, header http.Header) ResponseInfo
 	// ResponseHeader returns the headers that a backend server's response has towards
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -43,6 +43,8 @@
 	escalation *selection.Choice
 	// connectionLost is set if the connection broke or could not be opened.
 	connectionLost bool
+	// violation names the protocol violation that ended the attempt; empty for none.
+	violation string
 	// sampled is set once the attempt has been counted as evidence on its version.
 	sampled atomic.Bool
 }
@@ -82,6 +84,7 @@
 	a := &attempt{requestState: x, choice: to, sentAt: time.Now()}
 	done, failure := g.runAttempt(ctx, a)
 	to.End(time.Now(), a.outcome)
+	g.recordViolation(a)
 	g.observeEnd(a)
 	g.recordAttempt(a, failure)
 	x.answered = done
@@ -154,7 +157,7 @@
 	if a.route.MayRepeat() {
 		defer g.watchSilence(a, cancel)()
 	}
-	response, err := g.Pool.Send(ctx, a.target, g.request(a), func(h http.Header) bool { return g.Codec.Matches(a.call, h) })
+	response, err := g.Pool.Send(ctx, a.target, g.request(a), func(h http.Header) upstream.Owner { return g.Codec.Owner(a.call, h) })
 	if err != nil {
 		return false, a.sendError(ctx, err)
 	}
@@ -189,7 +192,7 @@
 		Model: a.model, Urgency: a.urgency, ResumeAfter: a.lastEvent,
 	}
 	return &upstream.Request{
-		Method: a.call.Method, Target: a.call.Target, Host: a.call.Host,
+		ID: a.call.ID, Method: a.call.Method, Target: a.call.Target, Host: a.call.Host,
 		Header: g.Codec.Encode(a.call, options), Body: a.call.Body, FreshConnection: !a.route.MayRepeat(),
 	}
 }
@@ -258,10 +261,20 @@
 		a.outcome = selection.Cancelled
 		return result.DeadlinePassed.With("")
 	}
-	a.outcome, a.connectionLost = selection.Failed, true
+	a.outcome = selection.Failed
+	a.violation = violation(err)
+	a.connectionLost = a.violation == ""
 	return result.StreamBroken.With("%v", err)
 }
 
+// violation names the protocol violation that caused an error, or returns "".
+func violation(err error) string {
+	if errors.Is(err, errInvalidEvent) {
+		return "invalid_event"
+	}
+	return upstream.Violation(err)
+}
+
 // invalidResponse ends an attempt whose response can't be passed on.
 func (a *attempt) invalidResponse(reason string) *result.Error {
 	a.outcome = selection.Failed
--- a/daemon/gateway/harness_test.go
+++ b/daemon/gateway/harness_test.go
@@ -19,6 +19,7 @@
 
 	"cactusknot.example/coord/limit"
 	"cactusknot.example/daemon/topology"
+	"cactusknot.example/daemon/upstream"
 )
 
 // testCodec is a HeaderCodec with a minimal set of headers.
@@ -43,7 +44,15 @@
 	return h
 }
 
-func (testCodec) Matches(call *Call, h http.Header) bool { return h.Get("Id") == call.ID }
+func (testCodec) Owner(call *Call, h http.Header) upstream.Owner {
+	switch h.Get("Id") {
+	case call.ID:
+		return upstream.Own
+	case "":
+		return upstream.Unidentified
+	}
+	return upstream.Foreign
+}
 
 func (testCodec) ParseResponse(_ int, h http.Header) ResponseInfo {
 	confidence, err := strconv.Atoi(h.Get("Confidence"))
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -72,6 +72,16 @@
 		Dur("first_byte_ms", x.firstByte).Dur("took_ms", took).Msg("request")
 }
 
+// recordViolation counts a violation of the protocol by a backend server and adds it to
+// what is known of the server.
+func (g *Gateway) recordViolation(a *attempt) {
+	if a.violation == "" {
+		return
+	}
+	a.choice.RecordViolation(time.Now(), a.violation)
+	g.metrics.GetOrCreateCounter(fmt.Sprintf("cactusknot_upstream_violations_total{violation=%q}", a.violation)).Inc()
+}
+
 // truncate returns the beginning of a caller-supplied text as valid UTF-8, for a log
 // line.
 func truncate(text string) string {
@@ -96,5 +106,5 @@
 		Str("model", a.model).Ints("confidence", a.confidences).Int("attempt", a.dispatch.Attempts()).
 		Dur("expected_ms", a.choice.ExpectedFirstByte).Int("missing_tokens", a.choice.UncachedTokens).Dur("view_age_ms", time.Since(a.view.At)).
 		Dur("since_sent_ms", time.Since(a.sentAt)).Int64("last_event", a.lastEvent).
-		Str("outcome", outcome).Str("detail", detail).Msg(message)
+		Str("outcome", outcome).Str("violation", a.violation).Str("detail", detail).Msg(message)
 }
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -12,6 +10,7 @@
 
 	"cactusknot.example/daemon/result"
 	"cactusknot.example/daemon/selection"
+	"cactusknot.example/daemon/upstream"
 )
 
 const (
@@ -26,8 +25,6 @@
 	// writeDeadlineGrace is how long after the request's deadline an event may still be
 	// written to a slow caller.
 	writeDeadlineGrace = 250 * time.Millisecond
-	// maxEventBytes bounds the size of one event.
-	maxEventBytes = 1 << 20
 )
 
 // receive passes the response on to the caller. done is false if another attempt may
@@ -51,10 +48,9 @@
 // receiveBuffered reads the whole response and passes it on once it is complete. A
 // response of maxBufferedAnswer bytes or more is passed on as it arrives.
 func (g *Gateway) receiveBuffered(ctx context.Context, a *attempt) (bool, *result.Error) {
-	body, err := readAll(io.LimitReader(a.exchange, maxBufferedAnswer), initialAnswerBuffer)
+	body, err := readAll(io.LimitReader(bodyReader{a.exchange}, maxBufferedAnswer), initialAnswerBuffer)
 	if err != nil {
-		a.exchange.Abort()
-		return false, a.interrupted(ctx, err)
+		return false, a.abort(ctx, err)
 	}
 	a.recordActivity()
 	if a.exchange.Status < http.StatusInternalServerError {
@@ -89,16 +85,33 @@
 	a.started = true
 	_, err := a.response.Write(start)
 	if err == nil {
-		_, err = io.CopyBuffer(struct{ io.Writer }{a.response}, a.exchange, make([]byte, copyBufferSize))
+		_, err = io.CopyBuffer(struct{ io.Writer }{a.response}, bodyReader{a.exchange}, make([]byte, copyBufferSize))
 	}
 	if err != nil {
-		a.exchange.Abort()
-		return true, a.interrupted(ctx, err)
+		return true, a.abort(ctx, err)
 	}
 	a.exchange.Done()
 	return true, nil
 }
 
+// bodyReader reads a body that is not a stream of events: all of its bytes are progress.
+type bodyReader struct{ *upstream.Exchange }
+
+// Read implements io.Reader.
+func (r bodyReader) Read(p []byte) (int, error) {
+	n, err := r.Exchange.Read(p)
+	if n > 0 {
+		r.Progressed()
+	}
+	return n, err
+}
+
+// abort ends an attempt whose response can't be read or passed on any further.
+func (a *attempt) abort(ctx context.Context, err error) *result.Error {
+	a.exchange.Abort()
+	return a.interrupted(ctx, err)
+}
+
 // recordActivity records that the backend server has sent something.
 func (a *attempt) recordActivity() {
 	now := time.Now()
@@ -119,51 +132,61 @@
 // receiveEvents passes on events as they arrive, each one whole, and skips those that
 // the caller already has.
 func (g *Gateway) receiveEvents(ctx context.Context, a *attempt) (bool, *result.Error) {
-	reader := bufio.NewReaderSize(a.exchange, eventBufferSize)
-	flusher := http.NewResponseController(a.response)
+	reader := newEventReader(a.exchange)
 	var firstEvent time.Time
-	for events := 0; ; events++ {
-		event, id, err := readEvent(reader)
+	for events := 0; ; {
+		next, err := reader.next()
 		if errors.Is(err, io.EOF) {
 			a.choice.RecordStream(events, time.Since(firstEvent))
-			return g.endEvents(a, event)
-		}
-		if events == 0 {
-			firstEvent = time.Now()
+			return g.endEvents(a, next.raw)
 		}
 		if err != nil {
-			a.exchange.Abort()
-			return false, a.interrupted(ctx, err)
-		}
-		a.recordActivity()
-		g.observe(a, Sample{Slow: a.slow(time.Now())})
-		if id >= 0 && id <= a.lastEvent {
-			continue
+			return false, a.abort(ctx, err)
 		}
-		if !a.started {
-			g.copyResponseHeader(a)
-			a.response.Header().Del("Content-Length")
-			a.response.WriteHeader(a.exchange.Status)
-			a.started = true
+		repeated := next.id >= 0 && next.id <= a.lastEvent
+		if next.hasData && !repeated {
+			a.exchange.Progressed()
 		}
-		if err := flusher.SetWriteDeadline(a.deadline.Add(writeDeadlineGrace)); err != nil {
-			a.exchange.Abort()
-			return true, a.interrupted(ctx, err)
-		}
-		if _, err := a.response.Write(event); err != nil {
-			a.exchange.Abort()
-			return true, a.interrupted(ctx, err)
+		if next.hasData {
+			if events++; events == 1 {
+				firstEvent = time.Now()
+			}
+			a.recordActivity()
+			g.observe(a, Sample{Slow: a.slow(time.Now())})
 		}
-		if err := flusher.Flush(); err != nil {
-			a.exchange.Abort()
-			return true, a.interrupted(ctx, err)
+		if repeated {
+			continue
 		}
-		if id >= 0 {
-			a.lastEvent = id
+		if err := g.passOn(a, next); err != nil {
+			return true, a.abort(ctx, err)
 		}
 	}
 }
 
+// passOn writes an event to the caller.
+func (g *Gateway) passOn(a *attempt, next streamEvent) error {
+	if !a.started {
+		g.copyResponseHeader(a)
+		a.response.Header().Del("Content-Length")
+		a.response.WriteHeader(a.exchange.Status)
+		a.started = true
+	}
+	conn := http.NewResponseController(a.response)
+	if err := conn.SetWriteDeadline(a.deadline.Add(writeDeadlineGrace)); err != nil {
+		return err
+	}
+	if _, err := a.response.Write(next.raw); err != nil {
+		return err
+	}
+	if err := conn.Flush(); err != nil {
+		return err
+	}
+	if next.id >= 0 {
+		a.lastEvent = next.id
+	}
+	return nil
+}
+
 // endEvents ends a stream after its transfer is complete. rest is what follows the last
 // whole event.
 func (g *Gateway) endEvents(a *attempt, rest []byte) (bool, *result.Error) {
@@ -178,42 +201,3 @@
 	a.exchange.Done()
 	return true, nil
 }
-
-// eventBufferSize is the size in bytes of the read buffer for events.
-const eventBufferSize = 4 << 10
-
-// errInvalidEvent is returned for data that is not a valid event stream.
-var errInvalidEvent = errors.New("gateway: not an event stream")
-
-// readEvent reads one event including the blank line that ends it. id is -1 if the
-// event has none.
-func readEvent(r *bufio.Reader) (event []byte, id int64, err error) {
-	id = -1
-	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return event, id, err
-		}
-		if len(event) > maxEventBytes {
-			return event, id, errInvalidEvent
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			if len(event) > len(line) {
-				return event, id, nil
-			}
-			event = event[:0]
-			continue
-		}
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id, err = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			if err != nil {
-				return event, -1, errInvalidEvent
-			}
-		}
-	}
-}
--- a/daemon/selection/peers.go
+++ b/daemon/selection/peers.go
@@ -61,6 +61,10 @@
 	// is avoided because of them.
 	Failures   int
 	AvoidedFor time.Duration
+	// Violation names the latest violation of the protocol, which was ViolationAge ago;
+	// it is empty if there was none.
+	Violation    string
+	ViolationAge time.Duration
 }
 
 // ServerStats returns what was observed of the backend server with the ID.
@@ -71,7 +75,11 @@
 	if s == nil {
 		return ServerStats{}
 	}
-	return ServerStats{InFlight: s.inFlight, Failures: s.failures, AvoidedFor: max(s.avoidUntil.Sub(now), 0)}
+	stats := ServerStats{InFlight: s.inFlight, Failures: s.failures, AvoidedFor: max(s.avoidUntil.Sub(now), 0)}
+	if s.violation != "" {
+		stats.Violation, stats.ViolationAge = s.violation, now.Sub(s.violationAt)
+	}
+	return stats
 }
 
 // Backlog returns the mean time per server to process the prompts that all routers
--- a/daemon/selection/selection.go
+++ b/daemon/selection/selection.go
@@ -160,6 +160,9 @@
 	// coldUntil is set after a broken connection: until then the server may be cold.
 	coldUntil time.Time
 	errorRate float64
+	// violation is the latest violation of the protocol, and violationAt its time.
+	violation   string
+	violationAt time.Time
 	// lastActivity is when data last arrived from the server, as Unix time in ns.
 	lastActivity atomic.Int64
 	sendRate     *limit.SlidingWindow
@@ -403,6 +406,13 @@
 	c.RecordActivity(now)
 }
 
+// RecordViolation records that the server broke the protocol in the named way.
+func (c *Choice) RecordViolation(now time.Time, name string) {
+	c.chooser.mu.Lock()
+	defer c.chooser.mu.Unlock()
+	c.state.violation, c.state.violationAt = name, now
+}
+
 // Outcome is the result of an attempt as far as it concerns the server.
 type Outcome uint8
 
--- a/daemon/upstream/exchange.go
+++ b/daemon/upstream/exchange.go
@@ -20,12 +20,10 @@
 	ErrBroken = errors.New("upstream: connection broken")
 )
 
-// maxUnmatchedResponses is the number of responses that are read on one connection while
-// none of them belongs to the request. After that the connection is closed.
-const maxUnmatchedResponses = 4
-
 // Request is an HTTP request to a backend server.
 type Request struct {
+	// ID identifies the request in responses.
+	ID     string
 	Method string
 	// Target is the request target as the caller sent it.
 	Target string
@@ -52,13 +50,15 @@
 	reuse bool
 	// framed is true when the response states where it ends.
 	framed bool
+	// skipped is true once a response to another request has been read.
+	skipped bool
 }
 
-// Send sends the request to the target and reads the header of the response. own tells
-// whether a response belongs to this request; other responses are skipped. The connection
+// Send sends the request to the target and reads the header of the response. owner tells
+// which request a response belongs to; those of other requests are skipped. The connection
 // is closed when ctx ends. The error is ErrNotSent or ErrBroken.
-func (p *Pool) Send(ctx context.Context, target Target, in *Request, own func(http.Header) bool) (*Exchange, error) {
-	c, err := p.get(ctx, target, in.FreshConnection)
+func (p *Pool) Send(ctx context.Context, target Target, in *Request, owner func(http.Header) Owner) (*Exchange, error) {
+	c, err := p.get(ctx, target, in.ID, in.FreshConnection)
 	if err != nil {
 		return nil, notSent(err)
 	}
@@ -68,8 +68,8 @@
 		e.Abort()
 		return nil, notSent(ctx.Err())
 	}
-	go e.write(in)
-	if err := e.readHead(in.Method, own); err != nil {
+	e.write(in)
+	if err := e.readHead(in.Method, owner); err != nil {
 		e.Abort()
 		return nil, connectionBroken(err)
 	}
@@ -80,9 +80,27 @@
 
 func connectionBroken(err error) error { return trace.Wrap(errors.Join(ErrBroken, err)) }
 
-// write sends the request. It runs in a goroutine of its own because a server may answer
-// before it has read a long body.
+// maxInlineWrite is the size in bytes up to which a request is written at once: the send
+// buffer of a connection without unsent data has room for it.
+const maxInlineWrite = 4 << 10
+
+// write sends the request. A long one is sent by a goroutine of its own because a server
+// may answer before it has read the whole body.
 func (e *Exchange) write(in *Request) {
+	message := in.encode()
+	send := func() {
+		_, err := e.conn.Write(message)
+		e.written <- err
+	}
+	if len(message) <= maxInlineWrite {
+		send()
+		return
+	}
+	go send()
+}
+
+// encode returns the request as it is sent.
+func (in *Request) encode() []byte {
 	var head strings.Builder
 	head.WriteString(in.Method + " " + in.Target + " HTTP/1.1\r\nHost: " + in.Host + "\r\n")
 	_ = in.Header.Write(&head)
@@ -90,33 +108,7 @@
 		head.WriteString("Content-Length: " + strconv.Itoa(len(in.Body)) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	message := append([]byte(head.String()), in.Body...)
-	_, err := e.conn.Write(message)
-	e.written <- err
-}
-
-// readHead reads responses until one belongs to the request, and leaves its body unread.
-func (e *Exchange) readHead(method string, own func(http.Header) bool) error {
-	for range maxUnmatchedResponses {
-		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: method})
-		if err != nil {
-			return err
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		e.framed = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-		if own(response.Header) {
-			e.Status, e.Header, e.body = response.StatusCode, response.Header, response.Body
-			e.reuse = !response.Close && e.framed
-			return nil
-		}
-		// This is the late response to an earlier request on the connection. Skip it.
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || !e.framed {
-			return errors.Join(errors.New("response of another request"), err)
-		}
-	}
-	return errors.New("too many responses of other requests")
+	return append([]byte(head.String()), in.Body...)
 }
 
 // Framed tells whether the response states where it ends, by its length or by chunked
@@ -132,6 +124,10 @@
 	return n
 }
 
+// Progressed records that the caller has received a usable part of the body. Read fails
+// if data arrives for too long without it.
+func (e *Exchange) Progressed() { e.conn.input.Made() }
+
 // Read reads from the body. It returns io.EOF at the end of a complete body.
 func (e *Exchange) Read(buffer []byte) (int, error) { return e.body.Read(buffer) }
 
--- a/daemon/upstream/pool.go
+++ b/daemon/upstream/pool.go
@@ -7,10 +7,14 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
+
+	"cactusknot.example/daemon/progress"
 )
 
 const (
@@ -26,6 +30,9 @@
 	idleTimeoutMargin = time.Second
 	// readBuffer is the size in bytes of a connection's read buffer.
 	readBuffer = 4 << 10
+	// maxRequestsPerConn bounds the requests on one connection, and so the IDs that are
+	// remembered for it.
+	maxRequestsPerConn = 128
 	// probeIdle, probeInterval and probeCount are the TCP keep-alive settings. They
 	// detect within about three seconds a peer that has vanished without a reset.
 	probeIdle     = time.Second
@@ -37,6 +44,9 @@
 
 // Pool keeps idle connections to backend servers. It is safe for concurrent use.
 type Pool struct {
+	// Now returns the current time. It must not change after the first call of Send.
+	Now func() time.Time
+
 	dialer net.Dialer
 	mu     sync.Mutex
 	idle   map[Target][]*conn
@@ -52,7 +62,7 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	p := &Pool{idle: make(map[Target][]*conn)}
+	p := &Pool{Now: time.Now, idle: make(map[Target][]*conn)}
 	p.dialer = net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -74,21 +84,29 @@
 type conn struct {
 	net.Conn
 	target Target
+	// input limits what arrives without progress; reader buffers it.
+	input  *progress.Reader
 	reader *bufio.Reader
+	// carried holds the hashes of the IDs of the requests sent on the connection. A late
+	// copy of a response has the ID of one of them.
+	carried []uint64
 	// expires is when an idle connection must no longer be used.
 	expires time.Time
 	// idleRead receives the result of the read that watches an idle connection.
 	idleRead chan error
 }
 
-// get returns a connection to the target. If fresh is set it is a new one: when that
-// breaks before the first byte, the server's idle timeout can't be the cause.
-func (p *Pool) get(ctx context.Context, target Target, fresh bool) (c *conn, err error) {
+// get returns a connection to the target for the request with the ID. It has not carried
+// that ID before. If fresh is set it is a new one: when that breaks before the first byte,
+// the server's idle timeout can't be the cause.
+func (p *Pool) get(ctx context.Context, target Target, id string, fresh bool) (c *conn, err error) {
+	hash := xxhash.Sum64String(id)
 	for !fresh {
 		if c = p.takeIdle(target); c == nil {
 			break
 		}
-		if c.reclaim() {
+		if c.reclaim() && !slices.Contains(c.carried, hash) {
+			c.carried = append(c.carried, hash)
 			return c, nil
 		}
 		c.Close()
@@ -100,7 +118,14 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: raw, target: target, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	c = newConn(raw, target, p.Now)
+	c.carried = append(c.carried, hash)
+	return c, nil
+}
+
+func newConn(raw net.Conn, target Target, now func() time.Time) *conn {
+	input := progress.NewReader(raw, now)
+	return &conn{Conn: raw, target: target, input: input, reader: bufio.NewReaderSize(input, readBuffer)}
 }
 
 func (p *Pool) takeIdle(target Target) *conn {
@@ -141,10 +166,12 @@
 	if idle == 0 {
 		idle = defaultIdleTimeout
 	}
-	if idle -= idleTimeoutMargin; idle <= 0 || c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	worn := len(c.carried) >= maxRequestsPerConn || c.reader.Buffered() > 0
+	if idle -= idleTimeoutMargin; worn || idle <= 0 || c.SetDeadline(time.Time{}) != nil {
 		c.Close()
 		return
 	}
+	c.input.Begin(progress.Limits{})
 	c.expires = time.Now().Add(idle)
 	c.idleRead = make(chan error, 1)
 	p.mu.Lock()
