--- a/daemon/cmd/cactusknot/main.go
+++ b/daemon/cmd/cactusknot/main.go
@@ -54,12 +54,13 @@
 	file := flags.String("config", "", "settings `file` in JSON; for an edge the settings file of the platform, by default the one named by the environment")
 	metrics := flags.Int("metrics-port", 0, "also serve the metrics of an edge on this `port`")
 	models := flags.String("models", "cascade", "how an edge chooses a `model`: cascade; smallest, middle and largest are baselines")
+	readers := flags.Int("store-readers", defaultStoreReaders, "how many edges of a data centre watch the store for the others; 0: each watches it itself")
 	servers := flags.String("servers", "expected_time", "how an edge chooses a `server`: expected_time; round_robin and least_outstanding are baselines")
 	check := flags.Bool("check", false, "check the settings and exit")
 	if err := flags.Parse(args[1:]); err != nil {
 		return exitSettings
 	}
-	role, err := newRole(args[0], options{file: *file, metricsPort: *metrics, models: *models, servers: *servers, check: *check})
+	role, err := newRole(args[0], options{file: *file, metricsPort: *metrics, models: *models, servers: *servers, storeReaders: *readers, check: *check})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
@@ -74,13 +75,18 @@
 	return exitOK
 }
 
+// defaultStoreReaders is the default of -store-readers. The second reader serves while the
+// first one is away.
+const defaultStoreReaders = 2
+
 // options are the command-line options of a role.
 type options struct {
-	file        string
-	metricsPort int
-	models      string
-	servers     string
-	check       bool
+	file         string
+	metricsPort  int
+	models       string
+	servers      string
+	storeReaders int
+	check        bool
 }
 
 // newRole loads the settings and creates the role. It returns a nil runner if only
@@ -113,6 +119,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.storeReaders < 0 {
+		return nil, fmt.Errorf("-store-readers: %d is negative", o.storeReaders)
+	}
+	settings.StoreReaders = o.storeReaders
 	if settings.ModelPolicy, err = gateway.ParseModelPolicy(o.models); err != nil {
 		return nil, err
 	}
--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -9,6 +9,7 @@
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/gateway"
 	"cactusknot.example/daemon/mirror"
+	"cactusknot.example/daemon/relay"
 	"cactusknot.example/daemon/topology"
 	"cactusknot.example/daemon/upstream"
 )
@@ -66,6 +67,8 @@
 	outageStartedAt atomic.Int64
 	// outageEndedAt is the end of the last store outage as Unix time in nanoseconds.
 	outageEndedAt atomic.Int64
+	// currentReader is the reader that this router polls; empty while it reads the store.
+	currentReader atomic.Pointer[string]
 	// lastResponseAt is the time of the store's last response, or of the start of the
 	// process, as Unix time in nanoseconds.
 	lastResponseAt atomic.Int64
@@ -75,6 +78,9 @@
 	peerAddresses   []string
 	seedPeers       []string
 	loadAggregators []string
+	storeReaders    []relay.Member
+	// followed is set while this router is a reader that others poll.
+	followed bool
 }
 
 // serverState is a backend server with its bookkeeping.
@@ -119,6 +125,25 @@
 	c.outageEndedAt.Store(time.Now().UnixNano())
 }
 
+// recordReader records what a reader knows of the store: when it last responded and when
+// its last outage ended; zero if there was none.
+func (c *controller) recordReader(responseAt, outageEndedAt time.Time) {
+	c.lastResponseAt.Store(responseAt.UnixNano())
+	if !outageEndedAt.IsZero() && outageEndedAt.UnixNano() > c.outageEndedAt.Load() {
+		c.outageEndedAt.Store(outageEndedAt.UnixNano())
+	}
+}
+
+// outageEndedAgo returns the time since the end of the last store outage, or 0 if there
+// was none.
+func (c *controller) outageEndedAgo(now time.Time) time.Duration {
+	ended := c.outageEndedAt.Load()
+	if ended == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, ended))
+}
+
 // storeOutage returns the duration of the current store outage, or 0.
 func (c *controller) storeOutage() time.Duration {
 	started := c.outageStartedAt.Load()
@@ -147,6 +172,20 @@
 	return c.loadAggregators
 }
 
+// readers returns the routers that watch the store for this data centre.
+func (c *controller) readers() []relay.Member {
+	c.peerMu.Lock()
+	defer c.peerMu.Unlock()
+	return c.storeReaders
+}
+
+// isReader reports whether other routers of the data centre poll this one.
+func (c *controller) isReader() bool {
+	c.peerMu.Lock()
+	defer c.peerMu.Unlock()
+	return c.followed
+}
+
 // setSeedPeers replaces the peers that are used while no other router is registered.
 func (c *controller) setSeedPeers(seedPeers []string) {
 	c.peerMu.Lock()
@@ -350,6 +389,8 @@
 	c.peerMu.Lock()
 	c.peerAddresses = c.routers.addresses()
 	c.loadAggregators = c.routers.loadAggregatorAddresses()
+	c.storeReaders = c.routers.storeReaders()
+	c.followed = c.routers.followed(c.storeReaders)
 	c.peerMu.Unlock()
 	view := &topology.View{
 		At: now, Config: c.config, Servers: make(map[string][]*topology.Server),
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -94,9 +94,14 @@
 	// addresses of some of them, used until routers are known from the store.
 	PeerAddress string
 	SeedPeers   []string
-	Store       Store
-	Decoder     Decoder
-	HeaderCodec gateway.HeaderCodec
+	// Cores is the processor share of this process in cores; 0 if unknown.
+	Cores float64
+	// StoreReaders is the number of routers in each data centre that watch the store for
+	// the others; 0 means that each router watches it itself.
+	StoreReaders int
+	Store        Store
+	Decoder      Decoder
+	HeaderCodec  gateway.HeaderCodec
 	// MemoryLimitBytes is the memory limit of the process; 0 means no limit.
 	MemoryLimitBytes int64
 	// GracePeriod is the time between SIGTERM and SIGKILL.
@@ -144,7 +149,9 @@
 	view       atomic.Pointer[topology.View]
 	stopping   atomic.Bool
 	peerHTTP   *http.Client
-	load       loadAggregator
+	// pollHTTP has no timeout of its own; it is for calls that wait for changes.
+	pollHTTP *http.Client
+	load     loadAggregator
 	// storeMetrics holds the counters of store calls.
 	storeMetrics *metrics.Set
 }
@@ -163,6 +170,7 @@
 	settings.Store = meteredStore{settings.Store, calls}
 	e := &Edge{settings: settings, reload: reload, log: log.With().Str("vm", settings.VM).Logger(), mirror: mirror.New(), storeMetrics: calls}
 	e.peerHTTP = &http.Client{Timeout: peerTimeout}
+	e.pollHTTP = &http.Client{}
 	e.controller = newController(e)
 	e.gateway = gateway.New(gateway.Config{
 		Name: settings.VM, Codec: settings.HeaderCodec, View: e.view.Load, Observe: e.controller.observe,
--- /dev/null
+++ b/daemon/edge/follow.go
@@ -0,0 +1,69 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"cactusknot.example/daemon/relay"
+	"cactusknot.example/daemon/rpc"
+)
+
+const (
+	// followWait is how long a reader may wait for changes before it answers. A reader
+	// that is frozen or cut off is noticed after followWait and followMargin.
+	followWait   = 800 * time.Millisecond
+	followMargin = 300 * time.Millisecond
+	// maxReaderAge is the age of a reader's copy from which the reader is left. It exceeds
+	// the time between two answers of the store to a reader that reaches it.
+	maxReaderAge = readerWatchWait + watchPause + 400*time.Millisecond
+)
+
+// follow polls a reader once and merges its changes. A reader that does not answer, or
+// whose copy is too old, is left for some time; the next call uses another source.
+func (s *storeSync) follow(ctx context.Context, reader relay.Member) {
+	s.setReader(reader.Name)
+	ctx, cancel := context.WithTimeout(ctx, followWait+followMargin)
+	defer cancel()
+	client := rpc.NewEdgePeerProtobufClient("http://"+reader.Address, s.edge.pollHTTP)
+	reply, err := client.Changes(ctx, &rpc.ChangesRequest{
+		AfterRevision: uint64(s.edge.mirror.Revision()),
+		WaitMs:        uint32(followWait.Milliseconds()), MaxAgeMs: uint32(maxReaderAge.Milliseconds()),
+	})
+	now := time.Now()
+	if err != nil {
+		s.leaveReader(now, reader, "no answer", err, 0)
+		return
+	}
+	age := time.Duration(reply.GetAgeMs()) * time.Millisecond
+	if age >= maxReaderAge {
+		s.leaveReader(now, reader, "copy too old", nil, age)
+		return
+	}
+	s.selector.Succeeded(reader.Name)
+	s.markAvailable()
+	var outageEndedAt time.Time
+	if ago := reply.GetOutageEndedAgoMs(); ago > 0 {
+		outageEndedAt = now.Add(-time.Duration(ago) * time.Millisecond)
+	}
+	s.edge.controller.recordReader(now.Add(-age), outageEndedAt)
+	s.edge.mergeReply(reply)
+}
+
+// leaveReader stops using a reader for some time.
+func (s *storeSync) leaveReader(now time.Time, reader relay.Member, reason string, err error, age time.Duration) {
+	s.selector.Failed(now, reader.Name)
+	s.edge.storeMetrics.GetOrCreateCounter("cactusknot_store_readers_left_total").Inc()
+	s.edge.log.Warn().Err(err).Str("reader", reader.Name).Str("reason", reason).Dur("copy_age_ms", age).
+		Uint64("revision", uint64(s.edge.mirror.Revision())).Msg("reader of the store left")
+}
+
+// setReader records the source of changes and logs when it is another one than before.
+func (s *storeSync) setReader(name string) {
+	if s.reader == name {
+		return
+	}
+	s.reader = name
+	s.edge.controller.currentReader.Store(&name)
+	s.edge.log.Info().Str("reader", name).Bool("store", name == "").Uint64("revision", uint64(s.edge.mirror.Revision())).
+		Msg("source of store changes chosen")
+}
--- a/daemon/edge/peer.go
+++ b/daemon/edge/peer.go
@@ -19,15 +19,32 @@
 	pullInterval = 700 * time.Millisecond
 	// peerTimeout limits one call to a peer.
 	peerTimeout = 800 * time.Millisecond
+	// maxChangesWait bounds the wait of a call for changes.
+	maxChangesWait = 2 * time.Second
 )
 
 // peerServer implements rpc.EdgePeer, the service that routers offer to each other.
 type peerServer struct{ edge *Edge }
 
-// Changes returns the changes that the mirror has received after a revision.
-func (p peerServer) Changes(_ context.Context, in *rpc.ChangesRequest) (*rpc.ChangesReply, error) {
-	changes, at, complete := p.edge.mirror.ChangesSince(kv.Revision(in.GetAfterRevision()))
-	reply := &rpc.ChangesReply{AtRevision: uint64(at), Complete: complete}
+// Changes returns the changes that the mirror has received after a revision. It waits for
+// one if the caller asks for that, but not longer than the copy is fresh enough.
+func (p peerServer) Changes(ctx context.Context, in *rpc.ChangesRequest) (*rpc.ChangesReply, error) {
+	after := kv.Revision(in.GetAfterRevision())
+	if wait := p.changesWait(in); wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-p.edge.mirror.Changed(after):
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	changes, at, complete := p.edge.mirror.ChangesSince(after)
+	now := time.Now()
+	reply := &rpc.ChangesReply{
+		AtRevision: uint64(at), Complete: complete, AgeMs: uint32(p.edge.controller.storeResponseAge(now).Milliseconds()),
+		OutageEndedAgoMs: uint64(p.edge.controller.outageEndedAgo(now).Milliseconds()),
+	}
 	for _, c := range changes {
 		reply.Changes = append(reply.Changes, &rpc.MirrorChange{
 			Key: c.Key, Value: c.Value, Revision: uint64(c.Revision), Lease: uint64(c.Lease), Deleted: c.Deleted,
@@ -36,6 +53,16 @@
 	return reply, nil
 }
 
+// changesWait returns how long a call of Changes may wait.
+func (p peerServer) changesWait(in *rpc.ChangesRequest) time.Duration {
+	wait := min(time.Duration(in.GetWaitMs())*time.Millisecond, maxChangesWait)
+	if in.GetMaxAgeMs() > 0 {
+		fresh := time.Duration(in.GetMaxAgeMs())*time.Millisecond - p.edge.controller.storeResponseAge(time.Now())
+		wait = min(wait, fresh)
+	}
+	return wait
+}
+
 // Report merges the rollout evidence of a peer.
 func (p peerServer) Report(_ context.Context, in *rpc.EvidenceReport) (*rpc.EvidenceReply, error) {
 	p.edge.controller.rollouts.mergeReports(in.GetRouter(), decodeEvidence(in))
@@ -90,11 +117,16 @@
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
+	return e.mergeReply(reply), nil
+}
+
+// mergeReply merges the changes of a peer's reply and returns the number of new ones.
+func (e *Edge) mergeReply(reply *rpc.ChangesReply) int {
 	changes := make([]mirror.Change, 0, len(reply.GetChanges()))
 	for _, c := range reply.GetChanges() {
 		changes = append(changes, mirror.Change{Deleted: c.GetDeleted(), Entry: kv.Entry{
 			Key: c.GetKey(), Value: c.GetValue(), Revision: kv.Revision(c.GetRevision()), Lease: kv.LeaseID(c.GetLease()),
 		}})
 	}
-	return e.mergeFromPeer(changes, kv.Revision(reply.GetAtRevision()), reply.GetComplete()), nil
+	return e.mergeFromPeer(changes, kv.Revision(reply.GetAtRevision()), reply.GetComplete())
 }
--- a/daemon/edge/routers.go
+++ b/daemon/edge/routers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"maps"
 	"slices"
@@ -12,6 +13,7 @@
 
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/mirror"
+	"cactusknot.example/daemon/relay"
 )
 
 // Prefixes of the keys that the edge processes write to the store.
@@ -39,8 +41,8 @@
 // routers tracks the routers of the fleet.
 type routers struct {
 	edge *Edge
-	// registered holds the peer addresses of the registered routers by name.
-	registered map[string]string
+	// registered holds the registered routers by name.
+	registered map[string]relay.Member
 	// expired holds the times at which the entries of other routers expired.
 	expired map[string]time.Time
 	// lease is the lease of this router's entry; 0 before the first registration.
@@ -50,7 +52,7 @@
 }
 
 func newRouters(e *Edge) *routers {
-	return &routers{edge: e, registered: make(map[string]string), expired: make(map[string]time.Time)}
+	return &routers{edge: e, registered: make(map[string]relay.Member), expired: make(map[string]time.Time)}
 }
 
 // merge applies a change of a router's entry. It reports whether the change was one.
@@ -66,7 +68,7 @@
 		delete(r.registered, name)
 	} else {
 		delete(r.expired, name)
-		r.registered[name] = string(change.Value)
+		r.registered[name] = decodeMember(name, change.Value)
 	}
 	r.edge.log.Info().Str("router", name).Bool("present", !change.Deleted).Int("known", len(r.registered)).Msg("router membership changed")
 	return true
@@ -107,15 +109,40 @@
 // addresses returns the peer addresses of the other registered routers.
 func (r *routers) addresses() []string {
 	var list []string
-	for name, address := range r.registered {
+	for name, member := range r.registered {
 		if name != r.edge.settings.VM {
-			list = append(list, address)
+			list = append(list, member.Address)
 		}
 	}
 	sort.Strings(list)
 	return list
 }
 
+// members returns the registered routers.
+func (r *routers) members() []relay.Member { return slices.Collect(maps.Values(r.registered)) }
+
+// storeReaders returns the routers that watch the store for this data centre, or none
+// while this router is not registered itself: the list may be incomplete then.
+func (r *routers) storeReaders() []relay.Member {
+	if _, ok := r.registered[r.edge.settings.VM]; !ok {
+		return nil
+	}
+	return relay.Readers(r.members(), r.edge.settings.DataCentre, r.edge.settings.StoreReaders)
+}
+
+// followed reports whether this router is one of the readers and other routers of the data
+// centre are not.
+func (r *routers) followed(readers []relay.Member) bool {
+	local := 0
+	for _, member := range r.registered {
+		if member.DataCentre == r.edge.settings.DataCentre {
+			local++
+		}
+	}
+	self := slices.ContainsFunc(readers, func(m relay.Member) bool { return m.Name == r.edge.settings.VM })
+	return self && local > len(readers)
+}
+
 // rank returns the position of this router's name among the registered routers,
 // from 0. The first router acts at once and the others after a delay, so that they
 // rarely race.
@@ -141,21 +168,23 @@
 	var list []string
 	for _, name := range r.firstNames(evidenceAggregatorCount) {
 		if name != r.edge.settings.VM {
-			list = append(list, r.registered[name])
+			list = append(list, r.registered[name].Address)
 		}
 	}
 	return list
 }
 
-// loadAggregatorAddresses returns the peer addresses of the load aggregators in the
-// order in which they are tried. The empty address stands for this router.
+// loadAggregatorAddresses returns the peer addresses of the load aggregators, the routers
+// with the most processor share, in the order in which they are tried. The empty address
+// stands for this router.
 func (r *routers) loadAggregatorAddresses() []string {
+	ranked := relay.Rank(r.members())
 	var list []string
-	for _, name := range r.firstNames(loadAggregatorCount) {
-		if name == r.edge.settings.VM {
+	for _, member := range ranked[:min(loadAggregatorCount, len(ranked))] {
+		if member.Name == r.edge.settings.VM {
 			return append(list, "")
 		}
-		list = append(list, r.registered[name])
+		list = append(list, member.Address)
 	}
 	return list
 }
@@ -184,13 +213,36 @@
 		return err
 	}
 	r.lease.Store(uint64(lease))
+	value, err := encodeMember(r.edge.settings)
+	if err != nil {
+		return err
+	}
 	key := routerPrefix + r.edge.settings.VM
-	_, err = r.edge.settings.Store.Commit(ctx, Txn{
-		Writes: []Write{{Key: key, Value: []byte(r.edge.settings.PeerAddress), Lease: lease}},
-	})
+	_, err = r.edge.settings.Store.Commit(ctx, Txn{Writes: []Write{{Key: key, Value: value, Lease: lease}}})
 	return err
 }
 
+// memberBody is the value of a router's entry.
+type memberBody struct {
+	Address    string  `json:"address"`
+	DataCentre string  `json:"data_centre"`
+	Cores      float64 `json:"cores"`
+}
+
+func encodeMember(s *Settings) ([]byte, error) {
+	return json.Marshal(memberBody{Address: s.PeerAddress, DataCentre: s.DataCentre, Cores: s.Cores})
+}
+
+// decodeMember decodes a router's entry. Older releases write the address alone; such a
+// router counts for the limits and is no reader, because its data centre is unknown.
+func decodeMember(name string, value []byte) relay.Member {
+	var body memberBody
+	if err := json.Unmarshal(value, &body); err != nil {
+		return relay.Member{Name: name, Address: string(value)}
+	}
+	return relay.Member{Name: name, Address: body.Address, DataCentre: body.DataCentre, Cores: body.Cores}
+}
+
 // renewLease extends the lease. It returns an error only if the lease has expired;
 // other failures are retried at the next interval.
 func (r *routers) renewLease(ctx context.Context) error {
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -9,6 +9,7 @@
 	"cactusknot.example/coord/clock"
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/mirror"
+	"cactusknot.example/daemon/relay"
 )
 
 const (
@@ -16,6 +17,9 @@
 	// changes later than allowed when the store's watches reported nothing until a
 	// compaction.
 	watchWait = 2 * time.Second
+	// readerWatchWait is the same for a router that other routers poll. It bounds the age
+	// of its copy, which adds to the age of theirs.
+	readerWatchWait = time.Second
 	// watchPause is the delay after a watch that returned changes, so that changes in
 	// quick succession take one call.
 	watchPause = 300 * time.Millisecond
@@ -33,6 +37,7 @@
 // outage, by requesting changes from peers.
 func (e *Edge) syncStore(ctx context.Context) {
 	syncer := &storeSync{edge: e, lastResponse: time.Now()}
+	syncer.selector = relay.Selector{Self: e.settings.VM, Jitter: rand.Float64}
 	go e.pullFromPeers(ctx)
 	backoff := firstBackoff
 	for ctx.Err() == nil {
@@ -60,6 +65,10 @@
 	synced bool
 	// unavailable is set during a store outage.
 	unavailable bool
+	// selector chooses between the store and its readers; reader is the latest choice, and
+	// empty while this router reads the store itself.
+	selector relay.Selector
+	reader   string
 	// lastResponse is the time of the store's last response.
 	lastResponse time.Time
 }
@@ -76,7 +85,16 @@
 		s.edge.controller.enqueue(s.edge.mirror.Reset(listing, at))
 		return nil
 	}
-	changes, at, err := s.edge.settings.Store.Watch(ctx, allKeys, s.edge.mirror.Revision(), watchWait)
+	if reader, ok := s.selector.Next(time.Now(), s.edge.controller.readers()); ok {
+		s.follow(ctx, reader)
+		return nil
+	}
+	s.setReader("")
+	wait := watchWait
+	if s.edge.controller.isReader() {
+		wait = readerWatchWait
+	}
+	changes, at, err := s.edge.settings.Store.Watch(ctx, allKeys, s.edge.mirror.Revision(), wait)
 	if err != nil {
 		return err
 	}
--- a/daemon/mirror/mirror.go
+++ b/daemon/mirror/mirror.go
@@ -28,10 +28,13 @@
 	deleted int
 	// compacted is the highest revision of a dropped tombstone.
 	compacted kv.Revision
+	// newest is the highest revision of an entry; changed is closed when it grows.
+	newest  kv.Revision
+	changed chan struct{}
 }
 
 // New returns an empty mirror.
-func New() *Mirror { return &Mirror{entries: make(map[string]Change)} }
+func New() *Mirror { return &Mirror{entries: make(map[string]Change), changed: make(chan struct{})} }
 
 // Revision returns the revision up to which the copy is complete.
 func (m *Mirror) Revision() kv.Revision {
@@ -52,6 +55,13 @@
 		}
 	}
 	m.at = max(m.at, at)
+	for _, c := range applied {
+		m.newest = max(m.newest, c.Revision)
+	}
+	if len(applied) > 0 {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
 	return applied
 }
 
@@ -122,6 +132,18 @@
 	return changes, m.at, complete
 }
 
+// Changed returns a channel that is closed once an entry has changed after the revision.
+func (m *Mirror) Changed(after kv.Revision) <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.newest > after {
+		closed := make(chan struct{})
+		close(closed)
+		return closed
+	}
+	return m.changed
+}
+
 // Get returns the entry of key; ok is false if the key does not exist.
 func (m *Mirror) Get(key string) (entry kv.Entry, ok bool) {
 	m.mu.Lock()
