--- a/daemon/edge/load.go
+++ b/daemon/edge/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -20,15 +21,19 @@
 	loadReportMaxAge = 2 * time.Second
 	// loadExchangeTimeout limits one exchange; a later reply would be stale.
 	loadExchangeTimeout = 300 * time.Millisecond
-	// loadAggregatorCount is the number of routers, the first ones by name, that may
-	// aggregate the load. The first of them that responds is used.
+	// loadAggregatorCount is the number of routers that may aggregate the load. The first of them that responds is used.
 	loadAggregatorCount = 2
 )
 
-// loadAggregator collects the load reports of the routers.
+// loadAggregator sums the load reports of the routers. An exchange costs as much as the
+// report and the sum are long, however many routers there are.
 type loadAggregator struct {
 	mu      sync.Mutex
 	reports map[string]loadReport
+	// total is the sum of all reports; servers without work are left out.
+	total map[string]selection.OutstandingWork
+	// expiredAt is when outdated reports were last removed.
+	expiredAt time.Time
 }
 
 type loadReport struct {
@@ -41,23 +46,42 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.reports == nil {
-		l.reports = make(map[string]loadReport)
+		l.reports, l.total = make(map[string]loadReport), make(map[string]selection.OutstandingWork)
 	}
+	l.expire(now)
+	l.remove(router)
+	others := maps.Clone(l.total)
 	l.reports[router] = loadReport{at: now, servers: servers}
-	sum := make(map[string]selection.OutstandingWork)
-	for name, report := range l.reports {
+	for id, work := range servers {
+		l.total[id] = l.total[id].Add(work)
+	}
+	return others
+}
+
+// expire removes the outdated reports.
+func (l *loadAggregator) expire(now time.Time) {
+	if now.Sub(l.expiredAt) < loadInterval {
+		return
+	}
+	l.expiredAt = now
+	for router, report := range l.reports {
 		if now.Sub(report.at) > loadReportMaxAge {
-			delete(l.reports, name)
-			continue
+			l.remove(router)
 		}
-		if name == router {
+	}
+}
+
+// remove removes the report of a router.
+func (l *loadAggregator) remove(router string) {
+	for id, work := range l.reports[router].servers {
+		rest := l.total[id].Sub(work)
+		if rest == (selection.OutstandingWork{}) {
+			delete(l.total, id)
 			continue
 		}
-		for id, work := range report.servers {
-			sum[id] = sum[id].Add(work)
-		}
+		l.total[id] = rest
 	}
-	return sum
+	delete(l.reports, router)
 }
 
 // ExchangeLoad implements rpc.EdgePeer. It returns the load of the other routers.
--- a/daemon/edge/load_test.go
+++ b/daemon/edge/load_test.go
@@ -1,9 +1,13 @@
 package edge
 
 import (
+	"fmt"
+	"maps"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"cactusknot.example/daemon/selection"
 )
 
@@ -59,3 +63,58 @@
 		t.Errorf("sum %v, want that of r1 only", sum)
 	}
 }
+
+// The running sum must stay the sum of the routers' latest reports, while they change,
+// fall silent and return, or it would drift and steer requests for good.
+func TestLoadSumMatchesReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		var l loadAggregator
+		latest := make(map[string]loadReport)
+		var expiredAt time.Time
+		for range rapid.IntRange(1, 60).Draw(t, "exchanges") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond)
+			router := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "router")
+			report := make(map[string]selection.OutstandingWork)
+			for _, id := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{"s1", "s2", "s3"}), rapid.ID).Draw(t, "servers") {
+				report[id] = selection.OutstandingWork{InFlight: rapid.IntRange(1, 9).Draw(t, "in flight"), PrefillTime: time.Duration(rapid.IntRange(0, 9).Draw(t, "prefill"))}
+			}
+			if now.Sub(expiredAt) >= loadInterval {
+				expiredAt = now
+				maps.DeleteFunc(latest, func(_ string, r loadReport) bool { return now.Sub(r.at) > loadReportMaxAge })
+			}
+			want := make(map[string]selection.OutstandingWork)
+			for name, r := range latest {
+				for id, work := range r.servers {
+					if name != router {
+						want[id] = want[id].Add(work)
+					}
+				}
+			}
+			latest[router] = loadReport{at: now, servers: report}
+			got := l.exchange(now, router, report)
+			if !maps.Equal(got, want) {
+				t.Fatalf("sum %v, want %v", got, want)
+			}
+		}
+	})
+}
+
+// One aggregator serves hundreds of routers on a small VM: the cost of an exchange must
+// not grow with their number.
+func BenchmarkLoadExchange(b *testing.B) {
+	for _, routers := range []int{25, 100, 400} {
+		b.Run(fmt.Sprint(routers), func(b *testing.B) {
+			var l loadAggregator
+			now := time.Unix(1000, 0)
+			report := make(map[string]selection.OutstandingWork)
+			for i := range 100 {
+				report[fmt.Sprint("s", i)] = selection.OutstandingWork{InFlight: 1, PrefillTime: 1}
+			}
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(loadInterval / time.Duration(routers))
+				l.exchange(now, fmt.Sprint("r", i%routers), report)
+			}
+		})
+	}
+}
--- a/daemon/selection/peers.go
+++ b/daemon/selection/peers.go
@@ -23,6 +23,11 @@
 	return OutstandingWork{InFlight: w.InFlight + o.InFlight, PrefillTime: w.PrefillTime + o.PrefillTime}
 }
 
+// Sub returns the difference of w and o.
+func (w OutstandingWork) Sub(o OutstandingWork) OutstandingWork {
+	return OutstandingWork{InFlight: w.InFlight - o.InFlight, PrefillTime: w.PrefillTime - o.PrefillTime}
+}
+
 // OutstandingWork returns this router's outstanding work by the ID of the backend
 // server. Servers without requests of this router are left out.
 func (c *Chooser) OutstandingWork() map[string]OutstandingWork {
