edge: two routers of a data centre watch the store, the others poll them

A reader that does not answer within 0.75 s or whose copy is older than 1.7 s is left for the other one, then for the store, and tried again after a growing, jittered time. Ruled out: longer watches at the store (a watch may hear nothing before a compaction).

--- a/daemon/edge/follow.go
+++ b/daemon/edge/follow.go
@@ -11,8 +11,8 @@
 const (
 	// followWait is how long a reader may wait for changes before it answers. A reader
 	// that is frozen or cut off is noticed after followWait and followMargin.
-	followWait   = 800 * time.Millisecond
-	followMargin = 300 * time.Millisecond
+	followWait   = 500 * time.Millisecond
+	followMargin = 250 * time.Millisecond
 	// maxReaderAge is the age of a reader's copy from which the reader is left. It exceeds
 	// the time between two answers of the store to a reader that reaches it.
 	maxReaderAge = readerWatchWait + watchPause + 400*time.Millisecond
@@ -22,12 +22,18 @@
 // whose copy is too old, is left for some time; the next call uses another source.
 func (s *storeSync) follow(ctx context.Context, reader relay.Member) {
 	s.setReader(reader.Name)
-	ctx, cancel := context.WithTimeout(ctx, followWait+followMargin)
+	wait := followWait
+	if s.answered != reader.Name {
+		// A reader that has not answered yet is given little time: the reader before it
+		// has used up some.
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+followMargin)
 	defer cancel()
 	client := rpc.NewEdgePeerProtobufClient("http://"+reader.Address, s.edge.pollHTTP)
 	reply, err := client.Changes(ctx, &rpc.ChangesRequest{
 		AfterRevision: uint64(s.edge.mirror.Revision()),
-		WaitMs:        uint32(followWait.Milliseconds()), MaxAgeMs: uint32(maxReaderAge.Milliseconds()),
+		WaitMs:        uint32(wait.Milliseconds()), MaxAgeMs: uint32(maxReaderAge.Milliseconds()),
 	})
 	now := time.Now()
 	if err != nil {
@@ -40,6 +46,7 @@
 		return
 	}
 	s.selector.Succeeded(reader.Name)
+	s.answered = reader.Name
 	s.markAvailable()
 	var outageEndedAt time.Time
 	if ago := reply.GetOutageEndedAgoMs(); ago > 0 {
@@ -52,6 +59,7 @@
 // leaveReader stops using a reader for some time.
 func (s *storeSync) leaveReader(now time.Time, reader relay.Member, reason string, err error, age time.Duration) {
 	s.selector.Failed(now, reader.Name)
+	s.answered = ""
 	s.edge.storeMetrics.GetOrCreateCounter("cactusknot_store_readers_left_total").Inc()
 	s.edge.log.Warn().Err(err).Str("reader", reader.Name).Str("reason", reason).Dur("copy_age_ms", age).
 		Uint64("revision", uint64(s.edge.mirror.Revision())).Msg("reader of the store left")
--- a/daemon/edge/helpers_test.go
+++ b/daemon/edge/helpers_test.go
@@ -268,25 +268,39 @@
 type testEdge struct {
 	*Edge
 	client *storeClient
+	// frozen makes calls of peers hang.
+	frozen atomic.Bool
 }
 
 // unavailableFromStart is the name prefix of routers that never reach the store.
 const unavailableFromStart = "refused-"
 
 func startEdge(t *testing.T, store *memoryStore, name string, seeds ...string) *testEdge {
+	t.Helper()
+	return startEdgeWith(t, store, &Settings{VM: name, SeedPeers: seeds})
+}
+
+// startEdgeWith starts an Edge with the settings and those that all tests share.
+func startEdgeWith(t *testing.T, store *memoryStore, settings *Settings) *testEdge {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	c := &storeClient{store: store}
-	c.unavailable.Store(strings.HasPrefix(name, unavailableFromStart))
-	settings := &Settings{
-		VM: name, PeerAddress: l.Addr().String(), SeedPeers: seeds, Store: c, Decoder: testDecoder{}, ExposureShare: 0.15,
-		Retries: limit.RetryConfig{Ratio: 0.5, Extra: 10, Window: 10 * time.Second}, ColdFactor: 1,
-	}
+	c.unavailable.Store(strings.HasPrefix(settings.VM, unavailableFromStart))
+	settings.PeerAddress, settings.Store, settings.Decoder = l.Addr().String(), c, testDecoder{}
+	settings.ExposureShare, settings.ColdFactor = 0.15, 1
+	settings.Retries = limit.RetryConfig{Ratio: 0.5, Extra: 10, Window: 10 * time.Second}
 	e := &testEdge{Edge: New(settings, Reload{}, zerolog.Nop()), client: c}
-	peers := &http.Server{Handler: e.peerHandler()}
+	handler := e.peerHandler()
+	peers := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.frozen.Load() {
+			<-r.Context().Done()
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})}
 	go func() { _ = peers.Serve(l) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() {
--- a/daemon/edge/state.go
+++ b/daemon/edge/state.go
@@ -27,6 +27,10 @@
 	// duration of the current store outage; 0 while calls succeed.
 	StoreAnswerAgeMS int64 `json:"store_answer_age_ms"`
 	StoreOutageMS    int64 `json:"store_away_ms"`
+	// StoreReaders are the routers that watch the store for this data centre. StoreReader is
+	// the one that this process polls; empty while it reads the store itself.
+	StoreReaders []string `json:"store_readers,omitempty"`
+	StoreReader  string   `json:"store_reader,omitempty"`
 	// LoadReportAgeMS is the age of the other routers' load; -1 before the first exchange.
 	LoadReportAgeMS int64          `json:"load_report_age_ms"`
 	Routers         []RouterState  `json:"routers"`
@@ -117,6 +121,12 @@
 		StoreAnswerAgeMS: c.storeResponseAge(now).Milliseconds(), StoreOutageMS: c.storeOutage().Milliseconds(),
 		LoadReportAgeMS: -1,
 	}
+	for _, reader := range c.readers() {
+		s.StoreReaders = append(s.StoreReaders, reader.Name)
+	}
+	if reader := c.currentReader.Load(); reader != nil {
+		s.StoreReader = *reader
+	}
 	if age, ok := e.gateway.Chooser.PeerWorkAge(now); ok {
 		s.LoadReportAgeMS = age.Milliseconds()
 	}
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -69,6 +69,8 @@
 	// empty while this router reads the store itself.
 	selector relay.Selector
 	reader   string
+	// answered is the reader that has answered the latest poll; empty after a failure.
+	answered string
 	// lastResponse is the time of the store's last response.
 	lastResponse time.Time
 }
