--- a/daemon/selection/selection.go
+++ b/daemon/selection/selection.go
@@ -52,6 +52,10 @@
 	// interferenceWeight weighs the delay that a prompt causes to each request running
 	// on the same server against the delay of the request itself.
 	interferenceWeight = 0.08
+	// prefillWeight weighs the time that a server spends on a prompt against the delay of
+	// the request itself: it delays every request that comes to the server afterwards. The
+	// load cannot show that yet.
+	prefillWeight = 3
 	// errorPenalty is the cost of a failure that is certain, as a delay.
 	errorPenalty = 2500 * time.Millisecond
 	// maxCachedPrefixes bounds the remembered prompt prefixes of a server.
@@ -236,7 +240,7 @@
 		prefill := latency.prefillTime(uncached)
 		peers := c.peerWorkOf(now, server.ID, assumed)
 		expected := prefill + s.pendingPrefill + peers.PrefillTime + s.queueDelay(now, server, r, peers.InFlight)
-		interference := time.Duration(interferenceWeight * float64(prefill) * float64(s.inFlight+peers.InFlight))
+		interference := time.Duration((prefillWeight + interferenceWeight*float64(s.inFlight+peers.InFlight)) * float64(prefill))
 		if cost := c.Policy.cost(now, s, expected+interference); cost < bestCost {
 			bestCost = cost
 			best = &Choice{
