edge: a planned stop resets no connection and drops no request

Cause: http.Server.Shutdown drops each request that it reads after the stop began, closes idle connections on which a request is arriving, and closes the listener with connections in its backlog. Change: the frontend drains by itself: it announces the end in each response, accepts until no connection has come for 100 ms, ends idle connections with a FIN and reads what crosses it for up to a second, and waits for all others up to the end of the grace period.

--- /dev/null
+++ b/daemon/edge/drain.go
@@ -0,0 +1,221 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cactusknot.example/daemon/topology"
+)
+
+const (
+	// backlogQuiet is how long no connection must have been established before a listener
+	// is closed. The kernel resets those that are in the backlog then.
+	backlogQuiet = 100 * time.Millisecond
+	// lingerTime is how long a connection is read after its end was sent, so that a request
+	// that crosses it does not cause a reset.
+	lingerTime = time.Second
+	// drainPoll is the interval at which the end of all connections is awaited.
+	drainPoll = 10 * time.Millisecond
+)
+
+// frontend is the HTTP server for clients. Its shutdown differs from http.Server's, which
+// closes connections whose request it has just read and resets those in the backlog.
+type frontend struct {
+	server   *http.Server
+	limits   func() topology.Limits
+	draining atomic.Bool
+	listener atomic.Pointer[drainListener]
+}
+
+// newFrontend returns a server that applies the limits' timeouts to its connections.
+func newFrontend(handler http.Handler, limits func() topology.Limits) *frontend {
+	f := &frontend{limits: limits}
+	f.server = &http.Server{
+		Handler: f.announceEnd(handler), ReadHeaderTimeout: headerTimeoutSentinel, IdleTimeout: idleTimeoutSentinel,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: trackIdle,
+	}
+	return f
+}
+
+// announceEnd tells clients in the responses during the shutdown that the connection ends.
+func (f *frontend) announceEnd(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// serve serves the connections of a TCP listener until the shutdown.
+func (f *frontend) serve(l net.Listener) error {
+	listener := &drainListener{TCPListener: l.(*net.TCPListener), draining: &f.draining, open: make(map[*drainConn]bool)}
+	f.listener.Store(listener)
+	err := f.server.Serve(timeoutListener{listener, f.limits})
+	if f.draining.Load() {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// shutdown accepts no further connections once clients have stopped opening them, ends idle
+// connections, and waits until all requests are answered and all connections have ended, or
+// ctx ends.
+func (f *frontend) shutdown(ctx context.Context) error {
+	f.draining.Store(true)
+	defer f.server.Close()
+	listener := f.listener.Load()
+	if listener == nil {
+		return nil
+	}
+	if err := listener.SetDeadline(time.Now().Add(backlogQuiet)); err != nil {
+		return err
+	}
+	for {
+		if listener.endIdle() == 0 && listener.closed.Load() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(drainPoll):
+		}
+	}
+}
+
+// drainListener closes itself during a shutdown once no connection arrives any more. Its
+// connections end without a reset.
+type drainListener struct {
+	*net.TCPListener
+	draining *atomic.Bool
+	closed   atomic.Bool
+
+	mu sync.Mutex
+	// open holds the connections that have not ended.
+	open map[*drainConn]bool
+}
+
+// Accept implements net.Listener.
+func (l *drainListener) Accept() (net.Conn, error) {
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		if l.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+			l.closed.Store(true)
+			return nil, errors.Join(net.ErrClosed, l.TCPListener.Close())
+		}
+		return nil, err
+	}
+	if l.draining.Load() {
+		// An error means that the listener is closed, which the next call reports.
+		_ = l.SetDeadline(time.Now().Add(backlogQuiet))
+	}
+	c := &drainConn{TCPConn: conn, listener: l, idle: true}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = true
+	return c, nil
+}
+
+// endIdle ends the connections without a request and returns the number of open ones.
+func (l *drainListener) endIdle() int {
+	l.mu.Lock()
+	open := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	for _, c := range open {
+		if l.closed.Load() {
+			c.endIfIdle()
+		}
+	}
+	return len(open)
+}
+
+func (l *drainListener) remove(c *drainConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
+// drainConn is a connection that ends with a FIN.
+type drainConn struct {
+	*net.TCPConn
+	listener *drainListener
+
+	mu sync.Mutex
+	// idle is set while http.Server waits for a request, began once data has arrived since
+	// then.
+	idle, began bool
+	closed      bool
+}
+
+// trackIdle is a http.Server's ConnState hook.
+func trackIdle(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(timeoutConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = state == http.StateIdle || state == http.StateNew
+	if c.idle {
+		c.began = false
+	}
+}
+
+// Read implements net.Conn. After Close it returns no data.
+func (c *drainConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	c.began = c.began || n > 0
+	return n, err
+}
+
+// endIfIdle closes the connection unless a request has begun to arrive.
+func (c *drainConn) endIfIdle() {
+	c.mu.Lock()
+	end := c.idle && !c.began && !c.closed
+	c.closed = c.closed || end
+	c.mu.Unlock()
+	if end {
+		_ = c.linger()
+	}
+}
+
+// Close implements net.Conn.
+func (c *drainConn) Close() error {
+	c.mu.Lock()
+	closed := c.closed
+	c.closed = true
+	c.mu.Unlock()
+	if closed {
+		return nil
+	}
+	return c.linger()
+}
+
+// linger sends the end of the connection and discards what still arrives.
+func (c *drainConn) linger() error {
+	// The error of CloseWrite means that the connection has ended already.
+	if c.CloseWrite() != nil || c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		c.listener.remove(c)
+		return c.TCPConn.Close()
+	}
+	go func() {
+		defer c.listener.remove(c)
+		_, _ = io.Copy(io.Discard, c.TCPConn)
+		_ = c.TCPConn.Close()
+	}()
+	return nil
+}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -188,10 +188,12 @@
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	frontend := newFrontendServer(e.gateway)
-	if err := e.serveWith(e.settings.FrontendAddress, frontend, e.withTimeouts); err != nil {
+	frontend := newFrontend(e.gateway, e.limits)
+	listener, err := net.Listen("tcp", e.settings.FrontendAddress)
+	if err != nil {
 		return trace.Wrap(err)
 	}
+	go e.serveAndLog(e.settings.FrontendAddress, func() error { return frontend.serve(listener) })
 	if err := e.listenAndServe(e.settings.ReadyAddress, e.readyHandler()); err != nil {
 		return trace.Wrap(err)
 	}
@@ -213,54 +215,43 @@
 	return nil
 }
 
-// newFrontendServer returns the HTTP server for clients. It must serve on a
-// timeoutListener, which applies the configured timeouts.
-func newFrontendServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeoutSentinel, IdleTimeout: idleTimeoutSentinel, MaxHeaderBytes: maxHeaderBytes,
+// limits returns the limits of the configuration in force.
+func (e *Edge) limits() topology.Limits {
+	if v := e.view.Load(); v != nil && v.Config != nil {
+		return v.Config.Limits
 	}
+	return topology.DefaultLimits()
 }
 
-// withTimeouts applies the configured timeouts to the connections of a listener.
-func (e *Edge) withTimeouts(l net.Listener) net.Listener {
-	return timeoutListener{l, func() topology.Limits {
-		if v := e.view.Load(); v != nil && v.Config != nil {
-			return v.Config.Limits
-		}
-		return topology.DefaultLimits()
-	}}
-}
-
-// listenAndServe serves other routers, operators' tools and the load balancer.
+// listenAndServe serves other routers, operators' tools and the load balancer in the
+// background.
 func (e *Edge) listenAndServe(address string, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: peerHeaderTimeout, IdleTimeout: peerIdleTimeout}
-	return e.serveWith(address, server, func(l net.Listener) net.Listener { return l })
-}
-
-// serveWith listens on address and serves in the background.
-func (e *Edge) serveWith(address string, server *http.Server, wrap func(net.Listener) net.Listener) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	go func() {
-		if err := server.Serve(wrap(listener)); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			e.log.Error().Err(err).Str("listen", address).Msg("HTTP server failed")
-		}
-	}()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: peerHeaderTimeout, IdleTimeout: peerIdleTimeout}
+	go e.serveAndLog(address, func() error { return server.Serve(listener) })
 	return nil
 }
 
+// serveAndLog runs a server and logs its failure.
+func (e *Edge) serveAndLog(address string, serve func() error) {
+	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		e.log.Error().Err(err).Str("listen", address).Msg("HTTP server failed")
+	}
+}
+
 // shutdown reports not ready, keeps serving until the load balancer has noticed, and
 // waits for the requests in progress.
-func (e *Edge) shutdown(frontend *http.Server) {
+func (e *Edge) shutdown(frontend *frontend) {
 	began := time.Now()
 	e.log.Info().Msg("graceful shutdown started; reporting not ready")
 	e.stopping.Store(true)
 	time.Sleep(min(drainDelay, e.settings.GracePeriod/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(e.settings.GracePeriod-shutdownMargin))
 	defer cancel()
-	if err := frontend.Shutdown(ctx); err != nil {
+	if err := frontend.shutdown(ctx); err != nil {
 		e.log.Warn().Err(err).Msg("grace period ended with requests still in progress")
 	}
 	e.controller.deregister()
--- a/daemon/edge/listener.go
+++ b/daemon/edge/listener.go
@@ -21,22 +21,22 @@
 
 // timeoutListener applies the configured timeouts to its connections.
 type timeoutListener struct {
-	net.Listener
+	*drainListener
 	limits func() topology.Limits
 }
 
 // Accept implements net.Listener.
 func (l timeoutListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.drainListener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return timeoutConn{conn, l.limits}, nil
+	return timeoutConn{conn.(*drainConn), l.limits}, nil
 }
 
 // timeoutConn is a client connection with the configured timeouts.
 type timeoutConn struct {
-	net.Conn
+	*drainConn
 	limits func() topology.Limits
 }
 
@@ -49,5 +49,5 @@
 	case remaining > headerTimeoutSentinel-sentinelMargin:
 		t = time.Now().Add(c.limits().HeaderTimeout)
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.drainConn.SetReadDeadline(t)
 }
--- a/daemon/edge/listener_test.go
+++ b/daemon/edge/listener_test.go
@@ -23,9 +23,12 @@
 	}
 	limits = &atomic.Pointer[topology.Limits]{}
 	limits.Store(&first)
-	server := newFrontendServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
-	go func() { _ = server.Serve(timeoutListener{l, func() topology.Limits { return *limits.Load() }}) }()
-	t.Cleanup(func() { server.Close() })
+	frontend := newFrontend(
+		http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }),
+		func() topology.Limits { return *limits.Load() },
+	)
+	go func() { _ = frontend.serve(l) }()
+	t.Cleanup(func() { frontend.server.Close() })
 	return l.Addr().String(), limits
 }
 
