--- a/daemon/ctl/edge.go
+++ b/daemon/ctl/edge.go
@@ -109,11 +109,19 @@
 }
 
 func printState(w io.Writer, s *edge.State) {
-	fmt.Fprintf(w, "\n%s (%s)\n", s.VM, s.DataCentre)
+	source := "the store"
+	if s.StoreReader != "" {
+		source = s.StoreReader
+	}
+	fmt.Fprintf(w, "\n%s (%s), changes from %s", s.VM, s.DataCentre, source)
+	if len(s.StoreReaders) > 0 {
+		fmt.Fprintf(w, ", readers of the store: %s", strings.Join(s.StoreReaders, " "))
+	}
+	fmt.Fprintln(w)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "  server\tservice\tversion\tdata centre\tstate\tchanged\tin flight\tfailures\tavoided")
+	fmt.Fprintln(t, "  server\tservice\tversion\tdata centre\tstate\tchanged\tin flight\tfailures\tavoided\tviolation")
 	for _, b := range s.Servers {
-		fmt.Fprintf(t, "  %s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d ms\n", b.ID, b.Service, b.Version, b.DataCentre, b.State, formatAge(b.AgeMS), b.InFlight, b.Failures, b.AvoidedMS)
+		fmt.Fprintf(t, "  %s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d ms\t%s\n", b.ID, b.Service, b.Version, b.DataCentre, b.State, formatAge(b.AgeMS), b.InFlight, b.Failures, b.AvoidedMS, formatViolation(b))
 	}
 	for _, r := range s.Rollouts {
 		fmt.Fprintf(t, "  roll-out of %s\tto %s\tphase %s\tordered %s\tcondemned %v\tnew %d good, %d bad\told %d good, %d bad\n", r.Service, r.Target, r.Phase,
@@ -122,6 +130,14 @@
 	t.Flush()
 }
 
+// formatViolation names the latest violation of the protocol by a server.
+func formatViolation(s edge.ServerState) string {
+	if s.Violation == "" {
+		return "-"
+	}
+	return s.Violation + " " + formatAge(s.ViolationAgeMS)
+}
+
 // formatAge formats an age in milliseconds; a negative one means that the event
 // has not happened.
 func formatAge(ms int64) string {
--- a/daemon/selection/affinity_test.go
+++ b/daemon/selection/affinity_test.go
@@ -145,6 +145,34 @@
 	heap.Push(&s.answers, answer{s.freeAt[id], choice})
 }
 
+// A prompt that many ask for at once must not make its server the last to answer: requests
+// go elsewhere before the wait there is three times that of reading the prompt anew.
+func TestHotPromptIsSpread(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New()
+	r := Request{
+		Service: "svc", Model: "m", ModelRank: 1, PromptTokens: sharedTokens + ownTokens, Self: "r", Routers: []string{"r"},
+		Prefixes: Prefixes("m", []string{"hot", "own"}, []int{sharedTokens, ownTokens}),
+	}
+	servers := newSimulation().servers[:8]
+	used := make(map[string]int)
+	var worst time.Duration
+	for range 24 {
+		choice, ok := c.Choose(now, servers, r)
+		if !ok {
+			t.Fatal("no server")
+		}
+		used[choice.Server.ID]++
+		worst = max(worst, choice.ExpectedFirstByte)
+	}
+	if anew := c.latencyOf(r).prefillTime(r.PromptTokens); worst > 3*anew+anew {
+		t.Errorf("a request waits %s, reading its prompt anew takes %s: %v", worst, anew, used)
+	}
+	if len(used) != len(servers) {
+		t.Errorf("%d of %d servers are used", len(used), len(servers))
+	}
+}
+
 // At a hundred routers each sees a hundredth of the requests and can't know where a shared
 // part is cached. Requests must gather at the servers that all routers assume to have it,
 // although others are free, because reading a part again takes time from everyone. The
