rollout: a version with the full share is given up at a fifth of bad answers

With the full share, the version was given up only when it differed significantly from the old one; the old one's own failures raise the allowed rate to 0.25 and more, so a version with a quarter of bad answers that had passed the entry test by chance kept all requests. Change: with the full share and 32 answers, more than a fifth of bad answers ends the rollout.

--- a/daemon/rollout/rollout.go
+++ b/daemon/rollout/rollout.go
@@ -153,6 +153,12 @@
 // failure of the target.
 func (e Evidence) fitForFullShare() bool { return e.Target.badRate() <= maxFullShareBadRate }
 
+// unfitForFullShare tells whether a target that gets all requests must be reverted: its
+// exposure grows too fast to wait for a significant difference from the old version.
+func (e Evidence) unfitForFullShare() bool {
+	return e.Target.Total() >= 2*minSamples && e.Target.badRate() > maxFullShareBadRate
+}
+
 // failing tells whether the target fails so often that it must be reverted whatever the
 // rate of the old version is.
 func (e Evidence) failing() bool { return e.Target.exceedsBadRate(failingRate, 2*minBad) }
@@ -187,6 +193,9 @@
 	if Exposed(s.Phase) && (e.failing() || progress >= 1 && e.failedAtDeadline()) {
 		return Reverted
 	}
+	if s.Phase == Full && e.unfitForFullShare() {
+		return Reverted
+	}
 	enough := e.Target.Total() >= minSamples
 	switch {
 	case s.Phase == Hold && progress >= canaryStart:
--- a/daemon/rollout/rollout_test.go
+++ b/daemon/rollout/rollout_test.go
@@ -70,6 +70,26 @@
 	}
 }
 
+// A version whose answers are bad now and then, such as a slow one, beside an old version that
+// fails for a reason of its own, must not exceed the bound when little evidence arrives and
+// that late, as from routers whose data centre is cut off.
+func TestExposureOfAWeaklyBadVersion(t *testing.T) {
+	const bound, tolerance = 0.15, 30
+	over := 0
+	for seed := range uint64(400) {
+		for _, rate := range []float64{0.25, 0.3, 0.35} {
+			exposed, all, _ := run(seed, 68, rate, 0.1, 0, 1500*time.Millisecond)
+			if float64(exposed) > bound*float64(all)+tolerance {
+				over++
+				t.Logf("seed %d, rate %.2f: %d of %d requests", seed, rate, exposed, all)
+			}
+		}
+	}
+	if over > 0 {
+		t.Errorf("%d of 1,200 rollouts are over the bound", over)
+	}
+}
+
 // A good version must complete before the deadline although a few answers fail.
 func TestGoodVersionCompletes(t *testing.T) {
 	completed := 0
