--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,12 @@
 	@# The cache of test results does not see changes of files outside the module.
 	@cd daemon && $(GO) test -count=1 -run Pages ./ctl
 
+# Each fuzz target runs for FUZZ_TIME with fresh inputs.
+FUZZ_TIME ?= 5s
+fuzz:
+	cd daemon && $(GO) test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZ_TIME) ./upstream
+	cd daemon && $(GO) test -run '^$$' -fuzz FuzzEventReader -fuzztime $(FUZZ_TIME) ./gateway
+
 tools:
 	cd tools && GOWORK=off $(GO) build -o ../bin/ tool
 
--- a/daemon/emulate/engine_control.go
+++ b/daemon/emulate/engine_control.go
@@ -255,3 +255,10 @@
 	defer e.mu.Unlock()
 	return newLimitedWriter(c, e.faults.resetAfter)
 }
+
+// violation returns the violation of the protocol to commit, or "".
+func (e *Engine) violation() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.violation
+}
--- a/daemon/emulate/engine_faults.go
+++ b/daemon/emulate/engine_faults.go
@@ -23,6 +23,9 @@
 	// ResetAfterBytes resets each chat response after that many body bytes; a
 	// negative number ends the fault.
 	ResetAfterBytes *int `json:"reset_after_bytes,omitempty"`
+	// Violation replaces each chat response by a violation of the protocol, one of the
+	// Violation constants; the empty string ends the fault.
+	Violation *string `json:"violation,omitempty"`
 	// ErrorRate is the share of chat requests that fail with status 500, 0 to 1.
 	ErrorRate *float64 `json:"error_share,omitempty"`
 	// Quality overrides the quality of versions, keyed by model@version; a negative
@@ -39,6 +42,7 @@
 type engineFaultState struct {
 	slowFactor      float64
 	resetAfter      int
+	violation       string
 	errorRate       float64
 	reportHeldUntil time.Time
 }
@@ -56,6 +60,11 @@
 	if f.CrashMs != nil && *f.CrashMs <= 0 {
 		return trace.BadParameter("crash_ms must be above 0")
 	}
+	if f.Violation != nil {
+		if err := checkViolation(*f.Violation); err != nil {
+			return err
+		}
+	}
 	e.setEngineFaults(f)
 	if f.FreezeMs != nil {
 		e.server.Freeze(milliseconds(*f.FreezeMs))
@@ -75,6 +84,7 @@
 	now := time.Now()
 	setIfPresent(&e.faults.slowFactor, f.SlowFactor)
 	setIfPresent(&e.faults.resetAfter, f.ResetAfterBytes)
+	setIfPresent(&e.faults.violation, f.Violation)
 	setIfPresent(&e.faults.errorRate, f.ErrorRate)
 	setIfPresent(&e.cache.dropEvents, f.LoseCacheEvents)
 	if f.CacheEventDelayMs != nil {
--- a/daemon/emulate/engine_http.go
+++ b/daemon/emulate/engine_http.go
@@ -147,6 +147,9 @@
 	if status != http.StatusOK {
 		return writeError(c, status, "engine_error", reason)
 	}
+	if violation := e.violation(); violation != "" {
+		return violate(c, violation)
+	}
 	e.requests.add(RequestStart{UnixMs: time.Now().UnixMilli(), Model: req.Model, Prompt: PromptHash(prompt)})
 	if epoch, ok := e.submit(ex.seq); !ok {
 		e.crash(epoch, milliseconds(e.cfg.RestartMs), "too many concurrent requests")
--- a/daemon/emulate/engine_test.go
+++ b/daemon/emulate/engine_test.go
@@ -211,6 +211,40 @@
 	}
 }
 
+// Each violation of the protocol must reach the client, and end with the fault.
+func TestEngineViolations(t *testing.T) {
+	e := startEngine(t, fastEngine())
+	url := e.URL() + "/v1/chat/completions"
+	for _, violation := range []string{ViolationEndlessHead, ViolationEndlessBody, ViolationStall} {
+		if err := e.SetFaults(EngineFaults{Violation: &violation}); err != nil {
+			t.Fatal(err)
+		}
+		raw, _ := json.Marshal(chatBody("x", true))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_, err = io.ReadAll(io.LimitReader(response.Body, 1<<20))
+			response.Body.Close()
+		}
+		cancel()
+		if headEnded := violation != ViolationEndlessHead; err == nil != (violation == ViolationEndlessBody) || headEnded != (response != nil) {
+			t.Errorf("%s: response %v, error %v", violation, response != nil, err)
+		}
+	}
+	none, unknown := "", "other"
+	if err := e.SetFaults(EngineFaults{Violation: &unknown}); err == nil {
+		t.Error("an unknown violation is accepted")
+	}
+	_ = e.SetFaults(EngineFaults{Violation: &none})
+	if status, _, err := post(t, url, chatBody("x", true)); err != nil || status != http.StatusOK {
+		t.Errorf("after the fault: %d %v", status, err)
+	}
+}
+
 // A paused engine must accept no request, and must continue when the fault ends.
 func TestEngineFreezeAndStopReading(t *testing.T) {
 	e := startEngine(t, fastEngine())
--- a/daemon/gateway/path_bench_test.go
+++ b/daemon/gateway/path_bench_test.go
@@ -22,8 +22,8 @@
 	defer c.Close()
 	reader := bufio.NewReader(c)
 	b.ReportAllocs()
-	for b.Loop() {
-		fmt.Fprint(c, "GET /x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: q\r\n\r\n")
+	for i := 0; b.Loop(); i++ {
+		fmt.Fprintf(c, "GET /x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: q%d\r\n\r\n", i)
 		response, err := http.ReadResponse(reader, nil)
 		if err != nil {
 			b.Fatal(err)
