gateway: a stream that is sent again from its start is not stalled

Change: an event advances the stream if its ID is the highest of the attempt. Result: the new case of TestStalledStreamIsResumed fails before; an event that is repeated without end still ends the attempt.

--- a/daemon/gateway/answer_test.go
+++ b/daemon/gateway/answer_test.go
@@ -216,6 +216,26 @@
 			}
 		})
 	}
+	t.Run("repeats all events after a resumption", func(t *testing.T) {
+		answer := func(n int, a receivedRequest, c net.Conn) bool {
+			if a.head.Get("After") == "-1" {
+				return respondStream(1, 8, "")(n, a, c)
+			}
+			fmt.Fprint(c, streamHead)
+			for i := 1; i <= 9; i++ {
+				time.Sleep(pause)
+				fmt.Fprint(c, chunk(event(i)))
+			}
+			fmt.Fprint(c, "0\r\n\r\n")
+			return true
+		}
+		a, b := newServer(t, "a", answer), newServer(t, "b", answer)
+		r := newHarness(t, topology.Route{Kind: topology.Stream, Resumable: true, MaxAttempts: 2}, a, b)
+		r.Pool.Now = fastClock(speed)
+		if got := r.call(http.MethodPost, "/s", "prompt"); got.err != nil || !strings.HasSuffix(got.body, event(8)+event(9)) {
+			t.Errorf("got %v %q", got.err, got.body)
+		}
+	})
 	t.Run("slow but sound", func(t *testing.T) {
 		a := newServer(t, "a", func(_ int, _ receivedRequest, c net.Conn) bool {
 			fmt.Fprint(c, streamHead)
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -134,6 +134,9 @@
 func (g *Gateway) receiveEvents(ctx context.Context, a *attempt) (bool, *result.Error) {
 	reader := newEventReader(a.exchange)
 	var firstEvent time.Time
+	// latest is the highest event ID of this attempt. A server that sends the whole stream
+	// again advances, although the caller has the events already.
+	latest := int64(-1)
 	for events := 0; ; {
 		next, err := reader.next()
 		if errors.Is(err, io.EOF) {
@@ -143,10 +146,10 @@
 		if err != nil {
 			return false, a.abort(ctx, err)
 		}
-		repeated := next.id >= 0 && next.id <= a.lastEvent
-		if next.hasData && !repeated {
+		if next.hasData && (next.id < 0 || next.id > latest) {
 			a.exchange.Progressed()
 		}
+		latest = max(latest, next.id)
 		if next.hasData {
 			if events++; events == 1 {
 				firstEvent = time.Now()
@@ -154,7 +157,7 @@
 			a.recordActivity()
 			g.observe(a, Sample{Slow: a.slow(time.Now())})
 		}
-		if repeated {
+		if next.id >= 0 && next.id <= a.lastEvent {
 			continue
 		}
 		if err := g.passOn(a, next); err != nil {
