--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -38,6 +38,8 @@
 	reply    ResponseInfo
 	outcome  selection.Outcome
 	sentAt   time.Time
+	// begunAt is when the head of the response arrived; zero before.
+	begunAt time.Time
 	// escalation is the server of the larger model for which the answer is discarded,
 	// or nil.
 	escalation *selection.Choice
@@ -172,7 +174,8 @@
 		return false, result.AgentFull.With("status %d", response.Status)
 	}
 	// The headers arrive with the first token, so the prompt has been processed.
-	a.choice.RecordFirstByte(time.Now())
+	a.begunAt = time.Now()
+	a.choice.RecordFirstByte(a.begunAt)
 	g.releasePendingFailures(a)
 	if a.escalation = g.escalate(a); a.escalation != nil {
 		a.outcome = selection.Cancelled
@@ -233,6 +236,14 @@
 	return func() { close(done) }
 }
 
+// sinceBegun returns the time since the response began, or 0 if it has not begun.
+func (a *attempt) sinceBegun(now time.Time) time.Duration {
+	if a.begunAt.IsZero() {
+		return 0
+	}
+	return now.Sub(a.begunAt)
+}
+
 // sendError classifies the error of an attempt that got no response.
 func (a *attempt) sendError(ctx context.Context, err error) *result.Error {
 	a.outcome = selection.Unreachable
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -82,6 +82,9 @@
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("cactusknot_upstream_violations_total{violation=%q}", a.violation)).Inc()
 }
 
+// maxLoggedParts bounds the IDs of prompt parts in a log line.
+const maxLoggedParts = 8
+
 // truncate returns the beginning of a caller-supplied text as valid UTF-8, for a log
 // line.
 func truncate(text string) string {
@@ -106,5 +109,6 @@
 		Str("model", a.model).Ints("confidence", a.confidences).Int("attempt", a.dispatch.Attempts()).
 		Dur("expected_ms", a.choice.ExpectedFirstByte).Int("missing_tokens", a.choice.UncachedTokens).Dur("view_age_ms", time.Since(a.view.At)).
 		Dur("since_sent_ms", time.Since(a.sentAt)).Int64("last_event", a.lastEvent).
+		Dur("since_begun_ms", a.sinceBegun(time.Now())).Strs("parts", a.call.PartIDs[:min(len(a.call.PartIDs), maxLoggedParts)]).
 		Str("outcome", outcome).Str("violation", a.violation).Str("detail", detail).Msg(message)
 }
