quarantine: prompt parts that crash backend servers are kept from them by all routers

Cause: crashes were remembered by server and by request, never by what the requests had in common, and never beyond one router. The class of fault is the query of death: retries and later requests carry the same deadly input to healthy servers.

Change: daemon/quarantine (no network): a crash accuses the parts of the requests whose answers had just begun there, an answer that goes on acquits its parts, three crashes since then convict; crashes that one part explains accuse nobody else. The routers pool their evidence by the exchange that carried their load so far (edge/exchange.go, now for any kind of facts); verdicts go back with it and into the store. A quarantined request is refused at once as not run; later attempts, cascade steps and waiting attempts stop too.

Why it works: the guilty part is the only one that crashes servers and is never in a sound answer, and the evidence of all routers is needed to see that within seconds.

--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -55,6 +55,7 @@
 	evacuations map[string]bool
 	rollouts    *rollouts
 	routers     *routers
+	quarantines *quarantines
 	lastPrune   time.Time
 	// dirty is set if the published view is out of date.
 	dirty bool
@@ -100,6 +101,7 @@
 	c.recordStoreResponse()
 	c.routers = newRouters(e)
 	c.rollouts = newRollouts(e, c.routers)
+	c.quarantines = newQuarantines(e)
 	c.seedPeers = e.settings.SeedPeers
 	return c
 }
@@ -231,6 +233,7 @@
 	if c.rollouts.tick(ctx, now) || c.routers.changed(now) {
 		c.dirty = true
 	}
+	c.quarantines.tick(ctx, now)
 	if now.Sub(c.lastPrune) > pruneInterval {
 		c.lastPrune = now
 		c.prune(now)
@@ -250,7 +253,7 @@
 // merge applies one change to the controller's state.
 func (c *controller) merge(change mirror.Change, b changeBatch) {
 	decoder := c.edge.settings.Decoder
-	if c.routers.merge(change) || c.rollouts.merge(change, decoder) {
+	if c.routers.merge(change) || c.rollouts.merge(change, decoder) || c.quarantines.merge(change) {
 		return
 	}
 	if dataCentre, ok := decoder.Evacuation(change.Entry); ok {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -152,6 +152,8 @@
 	// pollHTTP has no timeout of its own; it is for calls that wait for changes.
 	pollHTTP *http.Client
 	load     loadAggregator
+	// exchanged lists the kinds of facts that the routers exchange.
+	exchanged []exchanged
 	// storeMetrics holds the counters of store calls.
 	storeMetrics *metrics.Set
 }
@@ -177,6 +179,7 @@
 		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Retries: settings.Retries,
 		ModelPolicy: settings.ModelPolicy, ServerPolicy: settings.ServerPolicy, Log: e.log,
 	})
+	e.exchanged = []exchanged{loadExchange{e}, e.controller.quarantines}
 	return e
 }
 
@@ -207,7 +210,7 @@
 	}
 	go e.syncStore(background)
 	go e.controller.run(background)
-	go e.exchangeLoad(background)
+	go e.exchangeFacts(background)
 	go e.watchSettings(background)
 	e.log.Info().Str("listen", e.settings.FrontendAddress).Msg("edge started")
 	<-ctx.Done()
--- /dev/null
+++ b/daemon/edge/exchange.go
@@ -0,0 +1,128 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"cactusknot.example/daemon/rpc"
+)
+
+const (
+	// loadInterval is the time between exchanges.
+	loadInterval = 200 * time.Millisecond
+	// idleLoadInterval is the time between exchanges of a router that has reported
+	// itself idle. It is shorter than the validity of the other routers' load, so that
+	// the load is known for the first request after an idle period.
+	idleLoadInterval = time.Second
+	// loadExchangeTimeout limits one exchange; a later reply would be stale.
+	loadExchangeTimeout = 300 * time.Millisecond
+)
+
+// exchanged is one kind of facts that the routers exchange. Each router sends what it has
+// observed to an aggregator, which answers with what all routers together know. A report
+// states everything that still holds, so that any router can take over as aggregator.
+type exchanged interface {
+	// report adds what this router has observed.
+	report(now time.Time, out *rpc.LoadReport)
+	// aggregate merges the report of a router at the aggregator and adds what that router
+	// needs to know to the reply.
+	aggregate(now time.Time, in *rpc.LoadReport, out *rpc.LoadReply)
+	// apply takes over a reply.
+	apply(now time.Time, in *rpc.LoadReply)
+}
+
+// isolated is an exchanged kind of facts that a router also evaluates on its own while no
+// aggregator answers.
+type isolated interface {
+	exchanged
+	// evaluateAlone decides by this router's own observations.
+	evaluateAlone(now time.Time)
+}
+
+// ExchangeLoad implements rpc.EdgePeer.
+func (p peerServer) ExchangeLoad(_ context.Context, in *rpc.LoadReport) (*rpc.LoadReply, error) {
+	return p.edge.aggregate(time.Now(), in), nil
+}
+
+// aggregate merges a report and returns the reply to its router.
+func (e *Edge) aggregate(now time.Time, in *rpc.LoadReport) *rpc.LoadReply {
+	out := &rpc.LoadReply{}
+	for _, facts := range e.exchanged {
+		facts.aggregate(now, in, out)
+	}
+	return out
+}
+
+// exchangeFacts periodically reports what this router has observed to one aggregator and
+// receives what the other routers know. While no aggregator responds, this router goes by
+// its own observations.
+func (e *Edge) exchangeFacts(ctx context.Context) {
+	var schedule loadSchedule
+	for ctx.Err() == nil {
+		sleep(ctx, loadInterval)
+		now := time.Now()
+		report := &rpc.LoadReport{Router: e.settings.VM}
+		for _, facts := range e.exchanged {
+			facts.report(now, report)
+		}
+		if !schedule.due(now, len(report.GetServers()) > 0) {
+			continue
+		}
+		e.exchangeOnce(ctx, report)
+	}
+}
+
+// exchangeOnce sends the report to the first aggregator that responds.
+func (e *Edge) exchangeOnce(ctx context.Context, report *rpc.LoadReport) {
+	for _, address := range e.controller.loadAggregatorAddresses() {
+		if e.exchangeWith(ctx, address, report) {
+			return
+		}
+	}
+	for _, facts := range e.exchanged {
+		if f, ok := facts.(isolated); ok {
+			f.evaluateAlone(time.Now())
+		}
+	}
+}
+
+// loadSchedule decides when a router exchanges its load.
+type loadSchedule struct {
+	lastExchange time.Time
+	reportedIdle bool
+}
+
+// due reports whether an exchange is due and, if so, records it. A router that has
+// become idle reports it at once.
+func (s *loadSchedule) due(now time.Time, busy bool) bool {
+	if !busy && s.reportedIdle && now.Sub(s.lastExchange) < idleLoadInterval {
+		return false
+	}
+	s.lastExchange, s.reportedIdle = now, !busy
+	return true
+}
+
+// exchangeWith performs one exchange. The empty address stands for this process.
+func (e *Edge) exchangeWith(ctx context.Context, address string, report *rpc.LoadReport) bool {
+	if address == "" {
+		e.apply(e.aggregate(time.Now(), report))
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadExchangeTimeout)
+	defer cancel()
+	reply, err := e.peerClient(address).ExchangeLoad(ctx, report)
+	if err != nil {
+		e.log.Debug().Err(err).Str("peer", address).Msg("exchange with peer failed")
+		return false
+	}
+	e.apply(reply)
+	return true
+}
+
+// apply takes over the reply of an aggregator.
+func (e *Edge) apply(reply *rpc.LoadReply) {
+	now := time.Now()
+	for _, facts := range e.exchanged {
+		facts.apply(now, reply)
+	}
+}
--- a/daemon/edge/helpers_test.go
+++ b/daemon/edge/helpers_test.go
@@ -289,7 +289,10 @@
 	}
 	c := &storeClient{store: store}
 	c.unavailable.Store(strings.HasPrefix(settings.VM, unavailableFromStart))
-	settings.PeerAddress, settings.Store, settings.Decoder = l.Addr().String(), c, testDecoder{}
+	settings.PeerAddress, settings.Store = l.Addr().String(), c
+	if settings.Decoder == nil {
+		settings.Decoder = testDecoder{}
+	}
 	settings.ExposureShare, settings.ColdFactor = 0.15, 1
 	settings.Retries = limit.RetryConfig{Ratio: 0.5, Extra: 10, Window: 10 * time.Second}
 	e := &testEdge{Edge: New(settings, Reload{}, zerolog.Nop()), client: c}
--- a/daemon/edge/load.go
+++ b/daemon/edge/load.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"maps"
 	"sync"
 	"time"
@@ -11,16 +10,8 @@
 )
 
 const (
-	// loadInterval is the time between load exchanges.
-	loadInterval = 200 * time.Millisecond
-	// idleLoadInterval is the time between load exchanges of a router that has reported
-	// itself idle. It is shorter than the validity of the other routers' load, so that
-	// the load is known for the first request after an idle period.
-	idleLoadInterval = time.Second
 	// loadReportMaxAge is the age at which the aggregator drops a router's report.
 	loadReportMaxAge = 2 * time.Second
-	// loadExchangeTimeout limits one exchange; a later reply would be stale.
-	loadExchangeTimeout = 300 * time.Millisecond
 	// loadAggregatorCount is the number of routers that may aggregate the load. The first of them that responds is used.
 	loadAggregatorCount = 2
 )
@@ -84,10 +75,20 @@
 	delete(l.reports, router)
 }
 
-// ExchangeLoad implements rpc.EdgePeer. It returns the load of the other routers.
-func (p peerServer) ExchangeLoad(_ context.Context, in *rpc.LoadReport) (*rpc.LoadReply, error) {
-	sum := p.edge.load.exchange(time.Now(), in.GetRouter(), decodeLoad(in.GetServers()))
-	return &rpc.LoadReply{Servers: encodeLoad(sum)}, nil
+// loadExchange is the part of the exchange that concerns the outstanding work at the
+// backend servers. It implements exchanged.
+type loadExchange struct{ edge *Edge }
+
+func (l loadExchange) report(_ time.Time, out *rpc.LoadReport) {
+	out.Servers = encodeLoad(l.edge.gateway.Chooser.OutstandingWork())
+}
+
+func (l loadExchange) aggregate(now time.Time, in *rpc.LoadReport, out *rpc.LoadReply) {
+	out.Servers = encodeLoad(l.edge.load.exchange(now, in.GetRouter(), decodeLoad(in.GetServers())))
+}
+
+func (l loadExchange) apply(now time.Time, in *rpc.LoadReply) {
+	l.edge.gateway.Chooser.SetPeerWork(now, decodeLoad(in.GetServers()))
 }
 
 func decodeLoad(servers []*rpc.ServerLoad) map[string]selection.OutstandingWork {
@@ -109,56 +110,3 @@
 	}
 	return servers
 }
-
-// exchangeLoad periodically reports this router's load to one aggregator and receives
-// the load of the other routers. While no aggregator responds, servers are chosen by
-// this router's own load alone.
-func (e *Edge) exchangeLoad(ctx context.Context) {
-	var schedule loadSchedule
-	for ctx.Err() == nil {
-		sleep(ctx, loadInterval)
-		own := e.gateway.Chooser.OutstandingWork()
-		if !schedule.due(time.Now(), len(own) > 0) {
-			continue
-		}
-		for _, address := range e.controller.loadAggregatorAddresses() {
-			if e.exchangeWith(ctx, address, own) {
-				break
-			}
-		}
-	}
-}
-
-// loadSchedule decides when a router exchanges its load.
-type loadSchedule struct {
-	lastExchange time.Time
-	reportedIdle bool
-}
-
-// due reports whether an exchange is due and, if so, records it. A router that has
-// become idle reports it at once.
-func (s *loadSchedule) due(now time.Time, busy bool) bool {
-	if !busy && s.reportedIdle && now.Sub(s.lastExchange) < idleLoadInterval {
-		return false
-	}
-	s.lastExchange, s.reportedIdle = now, !busy
-	return true
-}
-
-// exchangeWith performs one exchange. The empty address stands for this process.
-func (e *Edge) exchangeWith(ctx context.Context, address string, own map[string]selection.OutstandingWork) bool {
-	if address == "" {
-		now := time.Now()
-		e.gateway.Chooser.SetPeerWork(now, e.load.exchange(now, e.settings.VM, own))
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, loadExchangeTimeout)
-	defer cancel()
-	reply, err := e.peerClient(address).ExchangeLoad(ctx, &rpc.LoadReport{Router: e.settings.VM, Servers: encodeLoad(own)})
-	if err != nil {
-		e.log.Debug().Err(err).Str("peer", address).Msg("load exchange with peer failed")
-		return false
-	}
-	e.gateway.Chooser.SetPeerWork(time.Now(), decodeLoad(reply.GetServers()))
-	return true
-}
--- a/daemon/edge/metrics.go
+++ b/daemon/edge/metrics.go
@@ -10,6 +10,7 @@
 func (e *Edge) writeMetrics(w io.Writer) {
 	e.gateway.WriteMetrics(w)
 	e.controller.rollouts.writeMetrics(w)
+	e.controller.quarantines.writeMetrics(w)
 	e.storeMetrics.WritePrometheus(w)
 	now := time.Now()
 	fmt.Fprintf(w, "cactusknot_store_answer_age_seconds %.3f\n", e.controller.storeResponseAge(now).Seconds())
--- /dev/null
+++ b/daemon/edge/quarantine.go
@@ -0,0 +1,228 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/mirror"
+	"cactusknot.example/daemon/quarantine"
+	"cactusknot.example/daemon/rpc"
+)
+
+// quarantines is this router's part in the quarantine of prompt parts. Evidence and
+// verdicts go through the exchange, so that they spread while the store is unavailable.
+// Quarantines are also stored, so that a router that starts or that can't reach the
+// aggregator knows them.
+type quarantines struct {
+	edge *Edge
+	// pool sums the evidence of all routers if this one is the aggregator, and holds its
+	// own evidence while no aggregator answers.
+	pool quarantine.Pool
+
+	mu sync.Mutex
+	// suspects are the parts that the aggregator asks about.
+	suspects []quarantine.Part
+	// judging is set if the latest verdicts are this router's own.
+	judging bool
+	// committing holds the parts whose records are being written.
+	committing map[quarantine.Part]bool
+}
+
+func newQuarantines(e *Edge) *quarantines {
+	return &quarantines{edge: e, committing: make(map[quarantine.Part]bool)}
+}
+
+func (q *quarantines) report(now time.Time, out *rpc.LoadReport) {
+	q.mu.Lock()
+	suspects := q.suspects
+	q.mu.Unlock()
+	encodeEvidence(now, q.edge.gateway.Crashes.Report(now, suspects), out)
+}
+
+func (q *quarantines) aggregate(now time.Time, in *rpc.LoadReport, out *rpc.LoadReply) {
+	q.pool.Merge(now, in.GetRouter(), decodeCrashEvidence(now, in))
+	guilty, suspects := q.pool.Verdict(now)
+	out.GuiltyParts, out.SuspectParts = encodeParts(guilty), encodeParts(suspects)
+	q.judge(now, guilty, true)
+}
+
+func (q *quarantines) apply(now time.Time, in *rpc.LoadReply) {
+	q.mu.Lock()
+	q.suspects = decodeParts(in.GetSuspectParts())
+	q.mu.Unlock()
+	q.judge(now, decodeParts(in.GetGuiltyParts()), false)
+}
+
+// evaluateAlone judges by this router's own evidence.
+func (q *quarantines) evaluateAlone(now time.Time) {
+	q.pool.Merge(now, q.edge.settings.VM, q.edge.gateway.Crashes.Report(now, nil))
+	guilty, _ := q.pool.Verdict(now)
+	q.judge(now, guilty, true)
+}
+
+// judge holds the guilty parts. own is set if this router has found them guilty and so
+// writes their records.
+func (q *quarantines) judge(now time.Time, guilty []quarantine.Part, own bool) {
+	if len(guilty) == 0 {
+		return
+	}
+	if own {
+		q.mu.Lock()
+		q.judging = true
+		q.mu.Unlock()
+	}
+	for _, part := range q.edge.gateway.Quarantine.Add(now, guilty) {
+		q.edge.log.Warn().Str("part", partName(part)).Bool("own_verdict", own).Msg("prompt part quarantined: requests with it crash backend servers")
+	}
+}
+
+// merge applies a change of a stored quarantine. It reports whether the change was one.
+func (q *quarantines) merge(change mirror.Change) bool {
+	name, ok := strings.CutPrefix(change.Key, quarantinePrefix)
+	if !ok {
+		return false
+	}
+	number, err := strconv.ParseUint(name, 16, 64)
+	if err != nil {
+		q.edge.log.Error().Err(err).Str("key", change.Key).Msg("failed to decode quarantine; skipping it")
+		return true
+	}
+	part := quarantine.Part(number)
+	if change.Deleted {
+		q.edge.gateway.Quarantine.Forget(part)
+		q.edge.log.Info().Str("part", name).Uint64("revision", uint64(change.Revision)).Msg("quarantine record ended")
+		return true
+	}
+	var record quarantine.Record
+	if err := json.Unmarshal(change.Value, &record); err != nil {
+		q.edge.log.Error().Err(err).Str("key", change.Key).Msg("failed to decode quarantine; skipping it")
+		return true
+	}
+	q.edge.gateway.Quarantine.Apply(time.Now(), part, record, uint64(change.Revision))
+	q.edge.log.Info().Str("part", name).Int("trials", record.Trials).Bool("released", record.Released).Dur("hold_ms", record.Hold()).
+		Uint64("revision", uint64(change.Revision)).Msg("quarantine changed")
+	return true
+}
+
+// tick writes the records that are due.
+func (q *quarantines) tick(ctx context.Context, now time.Time) {
+	if q.edge.gateway.Quarantine.Size() == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, change := range q.edge.gateway.Quarantine.Due(now, q.judging) {
+		if !q.committing[change.Part] {
+			q.committing[change.Part] = true
+			go q.commit(ctx, change)
+		}
+	}
+}
+
+// commit writes a record under a lease that ends with it. A trial may be made only if the
+// store has acknowledged its record: then no other router has the trial.
+func (q *quarantines) commit(ctx context.Context, change quarantine.Change) {
+	err := q.write(ctx, change)
+	q.mu.Lock()
+	delete(q.committing, change.Part)
+	q.mu.Unlock()
+	if err == nil && change.Record.Trials > 0 {
+		q.edge.gateway.Quarantine.Took(time.Now(), change.Part)
+	}
+	event := q.edge.log.Info()
+	if err != nil && !errors.Is(err, kv.ErrConflict) {
+		event = q.edge.log.Warn()
+	}
+	event.Err(err).Str("part", partName(change.Part)).Int("trials", change.Record.Trials).Bool("released", change.Record.Released).
+		Msg("quarantine commit finished")
+}
+
+func (q *quarantines) write(ctx context.Context, change quarantine.Change) error {
+	value, err := json.Marshal(change.Record)
+	if err != nil {
+		return err
+	}
+	lease, err := q.edge.settings.Store.Grant(ctx, change.Record.Hold()+quarantine.RecordMargin)
+	if err != nil {
+		return err
+	}
+	key := quarantinePrefix + partName(change.Part)
+	_, err = q.edge.settings.Store.Commit(ctx, Txn{
+		Conditions: []Condition{{Key: key, Revision: kv.Revision(change.Revision)}},
+		Writes:     []Write{{Key: key, Value: value, Lease: lease}},
+	})
+	return err
+}
+
+// names returns the quarantined parts in alphabetical order.
+func (q *quarantines) names() []string {
+	var names []string
+	for _, part := range q.edge.gateway.Quarantine.Parts() {
+		names = append(names, partName(part))
+	}
+	slices.Sort(names)
+	return names
+}
+
+// partName returns a part as keys and log lines name it.
+func partName(part quarantine.Part) string { return fmt.Sprintf("%016x", uint64(part)) }
+
+func encodeParts(parts []quarantine.Part) []uint64 {
+	list := make([]uint64, len(parts))
+	for i, part := range parts {
+		list[i] = uint64(part)
+	}
+	return list
+}
+
+func decodeParts(list []uint64) []quarantine.Part {
+	parts := make([]quarantine.Part, len(list))
+	for i, part := range list {
+		parts[i] = quarantine.Part(part)
+	}
+	return parts
+}
+
+// encodeEvidence adds evidence to a report, with ages in place of times, since the clocks
+// of the routers differ.
+func encodeEvidence(now time.Time, e quarantine.Evidence, out *rpc.LoadReport) {
+	for _, c := range e.Crashes {
+		out.Crashes = append(out.Crashes, &rpc.ServerCrash{Server: uint64(c.Server), AgeMs: ageMS(now, c.At), Parts: encodeParts(c.Parts)})
+	}
+	for _, s := range e.Sound {
+		out.SoundParts = append(out.SoundParts, &rpc.SoundPart{Part: uint64(s.Part), AgeMs: ageMS(now, s.At)})
+	}
+}
+
+func decodeCrashEvidence(now time.Time, in *rpc.LoadReport) quarantine.Evidence {
+	var e quarantine.Evidence
+	for _, c := range in.GetCrashes() {
+		e.Crashes = append(e.Crashes, quarantine.Crash{
+			Server: quarantine.Incarnation(c.GetServer()), At: timeAgo(now, c.GetAgeMs()), Parts: decodeParts(c.GetParts()),
+		})
+	}
+	for _, s := range in.GetSoundParts() {
+		e.Sound = append(e.Sound, quarantine.Sound{Part: quarantine.Part(s.GetPart()), At: timeAgo(now, s.GetAgeMs())})
+	}
+	return e
+}
+
+func ageMS(now, at time.Time) uint32 { return uint32(max(0, now.Sub(at).Milliseconds())) }
+
+func timeAgo(now time.Time, ms uint32) time.Time {
+	return now.Add(-time.Duration(ms) * time.Millisecond)
+}
+
+// writeMetrics writes the size of the quarantine in the Prometheus text format.
+func (q *quarantines) writeMetrics(w io.Writer) {
+	fmt.Fprintf(w, "cactusknot_quarantined_parts %d\n", q.edge.gateway.Quarantine.Size())
+}
--- a/daemon/edge/routers.go
+++ b/daemon/edge/routers.go
@@ -22,6 +22,8 @@
 	routerPrefix   = keyPrefix + "routers/"
 	statePrefix    = keyPrefix + "rollout/"
 	evidencePrefix = keyPrefix + "evidence/"
+	// quarantinePrefix is followed by the part in hexadecimal.
+	quarantinePrefix = keyPrefix + "quarantine/"
 )
 
 const (
--- a/daemon/edge/state.go
+++ b/daemon/edge/state.go
@@ -36,6 +36,9 @@
 	Routers         []RouterState  `json:"routers"`
 	Servers         []ServerState  `json:"servers"`
 	Rollouts        []RolloutState `json:"rollouts"`
+	// QuarantinedParts are the prompt parts whose requests are refused, as log lines name
+	// them.
+	QuarantinedParts []string `json:"quarantined_parts,omitempty"`
 }
 
 // RouterState is a router that uses a share of the fleet's limits.
@@ -119,7 +122,7 @@
 		VM: e.settings.VM, DataCentre: e.settings.DataCentre, Ready: e.ready(),
 		MirrorRevision:   uint64(e.mirror.Revision()),
 		StoreAnswerAgeMS: c.storeResponseAge(now).Milliseconds(), StoreOutageMS: c.storeOutage().Milliseconds(),
-		LoadReportAgeMS: -1,
+		LoadReportAgeMS: -1, QuarantinedParts: c.quarantines.names(),
 	}
 	for _, reader := range c.readers() {
 		s.StoreReaders = append(s.StoreReaders, reader.Name)
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cactusknot.example/daemon/dispatch"
@@ -38,8 +40,15 @@
 	reply    ResponseInfo
 	outcome  selection.Outcome
 	sentAt   time.Time
-	// begunAt is when the head of the response arrived; zero before.
+	// begunAt is when the head of the response arrived; zero before. begun tells
+	// watchSilence that it has.
 	begunAt time.Time
+	begun   atomic.Bool
+	// closedByServer is set if the server closed or reset the connection within its
+	// response.
+	closedByServer bool
+	// sound is set once the answer has outlived the time in which it may crash its server.
+	sound bool
 	// escalation is the server of the larger model for which the answer is discarded,
 	// or nil.
 	escalation *selection.Choice
@@ -54,6 +63,10 @@
 // errSilent is the cancellation cause of an attempt whose backend server is silent.
 var errSilent = errors.New("gateway: backend server is silent")
 
+// errQuarantined is the cancellation cause of an attempt that has not begun when a part of
+// its prompt is quarantined.
+var errQuarantined = errors.New("gateway: part of the prompt is quarantined")
+
 // dispatch sends the request to backend servers until it has a final response.
 func (g *Gateway) dispatch(x *requestState) *result.Error {
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
@@ -88,6 +101,7 @@
 	to.End(time.Now(), a.outcome)
 	g.recordViolation(a)
 	g.observeEnd(a)
+	g.observeCrash(a)
 	g.recordAttempt(a, failure)
 	x.answered = done
 	out := dispatch.Outcome[*selection.Choice]{Err: failure, Final: done, Started: x.started}
@@ -110,6 +124,9 @@
 		if err := g.refreshCandidates(x); err != nil {
 			return nil, err
 		}
+		if !x.trial && g.Quarantine.Holds(x.parts) {
+			return nil, result.Quarantined.With("since the request came")
+		}
 		if choice, ok := g.Chooser.Choose(time.Now(), x.candidates, request); ok {
 			return choice, nil
 		}
@@ -175,6 +192,8 @@
 	}
 	// The headers arrive with the first token, so the prompt has been processed.
 	a.begunAt = time.Now()
+	a.begun.Store(true)
+	g.Crashes.RecordAlive(a.incarnation(), a.sentAt)
 	a.choice.RecordFirstByte(a.begunAt)
 	g.releasePendingFailures(a)
 	if a.escalation = g.escalate(a); a.escalation != nil {
@@ -225,6 +244,10 @@
 				if a.slow(now) {
 					g.observe(a, Sample{Slow: true})
 				}
+				if !a.begun.Load() && !a.trial && g.Quarantine.Holds(a.parts) {
+					cancel(errQuarantined)
+					return
+				}
 				if now.Sub(a.sentAt) > timeout && now.Sub(a.choice.LastActivity()) > timeout {
 					cancel(errSilent)
 					return
@@ -268,11 +291,15 @@
 	case errors.Is(context.Cause(ctx), errSilent):
 		a.outcome = selection.Unreachable
 		return result.StreamBroken.With("silent")
+	case errors.Is(context.Cause(ctx), errQuarantined):
+		a.outcome = selection.Cancelled
+		return result.StreamBroken.With("a part of the prompt was quarantined")
 	case !time.Now().Before(a.deadline):
 		a.outcome = selection.Cancelled
 		return result.DeadlinePassed.With("")
 	}
 	a.outcome = selection.Failed
+	a.closedByServer = errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 	a.violation = violation(err)
 	a.connectionLost = a.violation == ""
 	return result.StreamBroken.With("%v", err)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"cactusknot.example/coord/limit"
 	"cactusknot.example/daemon/dispatch"
+	"cactusknot.example/daemon/quarantine"
 	"cactusknot.example/daemon/result"
 	"cactusknot.example/daemon/selection"
 	"cactusknot.example/daemon/topology"
@@ -68,6 +69,10 @@
 	Config
 	Chooser *selection.Chooser
 	Pool    *upstream.Pool
+	// Crashes collects which parts of prompts may have crashed backend servers, and
+	// Quarantine holds those that are not sent.
+	Crashes    *quarantine.Recorder
+	Quarantine *quarantine.List
 
 	mu      sync.Mutex
 	budgets map[string]*limit.RetryBudget
@@ -83,10 +88,11 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{
 		Config: cfg, Chooser: selection.New(), Pool: upstream.NewPool(),
+		Crashes: &quarantine.Recorder{}, Quarantine: &quarantine.List{},
 		budgets: make(map[string]*limit.RetryBudget), metrics: metrics.NewSet(),
 	}
 	g.Chooser.Policy = cfg.ServerPolicy
-	g.filters = []filter{g.match, g.authenticate, g.readBody, g.chooseService, g.dispatch}
+	g.filters = []filter{g.match, g.authenticate, g.readBody, g.chooseService, g.checkQuarantine, g.dispatch}
 	return g
 }
 
@@ -113,6 +119,13 @@
 	service *topology.Service
 	// candidates are the backend servers of the version that the session uses.
 	candidates []*topology.Server
+	// parts are the parts of the prompt that may be quarantined.
+	parts []quarantine.Part
+	// trial is set if the request is the trial of a quarantined part.
+	trial bool
+	// retryAfter is when the caller may try again after a refusal; 0 for a short random
+	// time.
+	retryAfter time.Duration
 	// model is the model of the current attempt.
 	model string
 	// confidences lists the confidences of the models that answered.
@@ -277,8 +290,8 @@
 		// can't take the response for complete.
 		panic(http.ErrAbortHandler)
 	}
-	var retryAfter time.Duration
-	if err.Code.Retry && err.Code.Run == result.NotRun {
+	retryAfter := x.retryAfter
+	if retryAfter == 0 && err.Code.Retry && err.Code.Run == result.NotRun {
 		retryAfter = minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
 	}
 	header := x.response.Header()
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -156,6 +156,7 @@
 			}
 			a.recordActivity()
 			g.observe(a, Sample{Slow: a.slow(time.Now())})
+			g.observeProgress(a)
 		}
 		if next.id >= 0 && next.id <= a.lastEvent {
 			continue
--- /dev/null
+++ b/daemon/quarantine/list_test.go
@@ -0,0 +1,86 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+)
+
+// recordStore is the stored record of one part, with a revision that guards its writes.
+type recordStore struct {
+	record   Record
+	revision uint64
+}
+
+func (s *recordStore) commit(c Change) bool {
+	if c.Revision != s.revision {
+		return false
+	}
+	s.record, s.revision = c.Record, s.revision+1
+	return true
+}
+
+// Guards against more than one trial of a quarantined part over all routers in a hold, and
+// against a hold that does not grow with failed trials.
+func TestOneTrialOverAllRouters(t *testing.T) {
+	const part Part = 7
+	now := time.Unix(1_700_000_000, 0)
+	lists := make([]List, 20)
+	var store recordStore
+	for i := range lists {
+		lists[i].Add(now, []Part{part})
+	}
+	var trials []time.Time
+	for end := now.Add(10 * time.Minute); now.Before(end); now = now.Add(250 * time.Millisecond) {
+		for i := range lists {
+			if verdict, _ := lists[i].Check(now, []Part{part}); verdict == Trial {
+				trials = append(trials, now)
+			} else if verdict == Send {
+				t.Fatalf("sent at %s", now)
+			}
+			for _, change := range lists[i].Due(now, i == 0) {
+				if store.commit(change) && change.Record.Trials > 0 {
+					lists[i].Took(now, part)
+				}
+			}
+		}
+		for i := range lists {
+			if lists[i].entries[part].revision != store.revision {
+				lists[i].Apply(now, part, store.record, store.revision)
+			}
+		}
+	}
+	if len(trials) < 3 || len(trials) > 4 {
+		t.Fatalf("trials %v", trials)
+	}
+	for i := 2; i < len(trials); i++ {
+		if trials[i].Sub(trials[i-1]) < 3*trials[i-1].Sub(trials[i-2])/2 {
+			t.Errorf("trials %v", trials)
+		}
+	}
+}
+
+// Guards against a part that stays quarantined although an answer with it went on, and
+// against a quarantine that ends with its record while the store loses leases.
+func TestQuarantineEnds(t *testing.T) {
+	const part Part = 7
+	now := time.Unix(1_700_000_000, 0)
+	var l List
+	l.Apply(now, part, Record{}, 5)
+	l.Forget(part)
+	if verdict, wait := l.Check(now.Add(firstHold/2), []Part{1, part}); verdict != Refuse || wait != firstHold/2 {
+		t.Errorf("after the early end of the record: %d, %s", verdict, wait)
+	}
+	l.Due(now.Add(firstHold), false)
+	if l.Size() != 0 {
+		t.Error("held after the end of the record and of the hold")
+	}
+	l.Apply(now, part, Record{}, 6)
+	l.RecordSound([]Part{part})
+	if changes := l.Due(now, false); len(changes) != 1 || !changes[0].Record.Released || changes[0].Revision != 6 {
+		t.Errorf("changes %v after a sound answer", changes)
+	}
+	l.Apply(now, part, Record{Released: true}, 7)
+	if verdict, _ := l.Check(now, []Part{part}); verdict != Send {
+		t.Error("held after the release")
+	}
+}
--- /dev/null
+++ b/daemon/quarantine/pool.go
@@ -0,0 +1,136 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// reportTTL is how long the report of a router that sends no other one counts.
+	reportTTL = 10 * time.Second
+	// poolInterval is the minimum time between evaluations of the reports.
+	poolInterval = 100 * time.Millisecond
+)
+
+// Pool sums the evidence of all routers. The zero value is ready for use.
+type Pool struct {
+	mu      sync.Mutex
+	reports map[string]report
+	// cases are the crashes of all reports at summedAt, and sound their sound answers.
+	cases    map[Incarnation]*crashCase
+	sound    map[Part]time.Time
+	summedAt time.Time
+	// suspects and guilty are the results for cases and sound.
+	suspects, guilty []Part
+}
+
+// report is the latest evidence of a router.
+type report struct {
+	at       time.Time
+	evidence Evidence
+}
+
+// crashCase is one crash as all routers saw it.
+type crashCase struct {
+	at time.Time
+	// knownAt is when the pool first heard of it.
+	knownAt time.Time
+	// parts holds the position of each part in its prompt.
+	parts map[Part]int
+}
+
+// Merge replaces the evidence of a router. Its times are those of the caller's clock.
+func (p *Pool) Merge(now time.Time, router string, evidence Evidence) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(evidence.Crashes)+len(evidence.Sound) == 0 {
+		delete(p.reports, router)
+		return
+	}
+	if p.reports == nil {
+		p.reports = make(map[string]report)
+	}
+	p.reports[router] = report{at: now, evidence: evidence}
+}
+
+// Verdict returns the parts that are to be quarantined, and the most accused parts, about
+// which the pool asks all routers.
+func (p *Pool) Verdict(now time.Time) (guilty, suspects []Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.summedAt) >= poolInterval {
+		p.summedAt = now
+		p.sum(now)
+		p.suspects = mostAccused(p.cases)
+		p.guilty = findGuilty(settled(now, p.cases), p.sound)
+	}
+	return p.guilty, p.suspects
+}
+
+// sum adds up the reports and drops the outdated ones.
+func (p *Pool) sum(now time.Time) {
+	before := p.cases
+	p.cases, p.sound = make(map[Incarnation]*crashCase), make(map[Part]time.Time)
+	for router, r := range p.reports {
+		if now.Sub(r.at) > reportTTL {
+			delete(p.reports, router)
+			continue
+		}
+		for _, c := range r.evidence.Crashes {
+			p.addCrash(now, c, before[c.Server])
+		}
+		for _, s := range r.evidence.Sound {
+			if s.At.After(p.sound[s.Part]) {
+				p.sound[s.Part] = s.At
+			}
+		}
+	}
+}
+
+// addCrash adds a crash that one router saw. before is the case as it was known before, or
+// nil.
+func (p *Pool) addCrash(now time.Time, c Crash, before *crashCase) {
+	sum := p.cases[c.Server]
+	if sum == nil {
+		sum = &crashCase{at: c.At, knownAt: now, parts: make(map[Part]int)}
+		if before != nil {
+			sum.knownAt = before.knownAt
+		}
+		p.cases[c.Server] = sum
+	}
+	if c.At.Before(sum.at) {
+		sum.at = c.At
+	}
+	for position, part := range c.Parts {
+		sum.parts[part] = position
+	}
+}
+
+// mostAccused returns the parts in the crashes, the most frequent first.
+func mostAccused(cases map[Incarnation]*crashCase) []Part {
+	counts := make(map[Part]int)
+	for _, c := range cases {
+		for part := range c.parts {
+			counts[part]++
+		}
+	}
+	list := slices.SortedFunc(maps.Keys(counts), func(a, b Part) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	return list[:min(len(list), maxSuspects)]
+}
+
+// settled returns the cases that have been known for long enough, in the order of time.
+func settled(now time.Time, cases map[Incarnation]*crashCase) []*crashCase {
+	var list []*crashCase
+	for _, c := range cases {
+		if now.Sub(c.knownAt) >= settleTime {
+			list = append(list, c)
+		}
+	}
+	slices.SortFunc(list, func(a, b *crashCase) int { return a.at.Compare(b.at) })
+	return list
+}
--- /dev/null
+++ b/daemon/quarantine/quarantine.go
@@ -0,0 +1,85 @@
+// Package quarantine keeps requests that crash backend servers away from them. In the
+// field such a request is called a query of death: each retry of it, and each other
+// request with the same deadly part in its prompt, ends one more server.
+//
+// A crash of a server accuses the parts of the prompts whose answers had just begun there,
+// and an answer that goes on acquits the parts of its prompt. Each router collects what it
+// sees (Recorder). The evidence of all routers is pooled (Pool), and parts that are found
+// guilty are quarantined (List): requests with them are refused, but for a trial now and
+// then. The package needs no network; all methods that depend on the time take it as an
+// argument. They are safe for concurrent use.
+package quarantine
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part identifies a part of a prompt among the parts of one service.
+type Part uint64
+
+// Parts returns the parts that may be quarantined, given the IDs of the parts of a
+// prompt: all but the last, which only this request or its session has.
+func Parts(service string, ids []string) []Part {
+	if len(ids) < 2 {
+		return nil
+	}
+	parts := make([]Part, 0, len(ids)-1)
+	for _, id := range ids[:len(ids)-1] {
+		parts = append(parts, Part(xxhash.Sum64String(service+"/"+id)))
+	}
+	return parts
+}
+
+// Incarnation identifies one life of a backend server, so that the reports of several
+// routers on one crash count once.
+type Incarnation uint64
+
+// IncarnationOf returns the incarnation of a server that was started at a Unix time in
+// milliseconds, or 0 if the start is not known.
+func IncarnationOf(server string, startedMS int64) Incarnation {
+	return Incarnation(xxhash.Sum64String(server) ^ uint64(startedMS))
+}
+
+const (
+	// GuiltWindow is how long after its beginning an answer may be the cause of the crash
+	// of its server. An answer that goes on for longer is sound.
+	GuiltWindow = 500 * time.Millisecond
+	// evidenceTTL is how long a crash counts.
+	evidenceTTL = time.Minute
+	// settleTime is how long a crash is known before it counts. In this time all routers
+	// report which parts they have seen in answers that go on.
+	settleTime = time.Second
+	// crashesToConvict is the number of crashes since the latest sound answer from which a
+	// part is guilty.
+	crashesToConvict = 3
+	// minCrashInterval is the minimum time between crashes that count separately. Servers
+	// that are lost at the same moment are lost for another reason.
+	minCrashInterval = 50 * time.Millisecond
+	// maxReportedCrashes bounds the crashes in the report of a router, maxSuspects the parts
+	// that the routers are asked about.
+	maxReportedCrashes = 64
+	maxSuspects        = 128
+)
+
+// Crash is the crash of a server shortly after the answer to a request had begun there.
+type Crash struct {
+	Server Incarnation
+	At     time.Time
+	// Parts are the parts of the request's prompt.
+	Parts []Part
+}
+
+// Sound is the latest answer to a prompt with the part that went on.
+type Sound struct {
+	Part Part
+	At   time.Time
+}
+
+// Evidence is what one router has seen.
+type Evidence struct {
+	Crashes []Crash
+	// Sound covers the parts of these crashes and of other routers' suspects.
+	Sound []Sound
+}
--- /dev/null
+++ b/daemon/quarantine/verdict_test.go
@@ -0,0 +1,87 @@
+package quarantine
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against the conviction of a part for the guilt of its neighbour in the prompt or
+// on the engine, and against the acquittal of a part that has turned deadly.
+func TestFindGuilty(t *testing.T) {
+	at := func(seconds float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(seconds * 1e9)) }
+	const first, deadly, beside Part = 1, 2, 3
+	crash := func(seconds float64, parts ...Part) *crashCase {
+		c := &crashCase{at: at(seconds), parts: make(map[Part]int)}
+		for i, part := range parts {
+			c.parts[part] = i
+		}
+		return c
+	}
+	together := []*crashCase{crash(1, first, deadly), crash(2, first, deadly), crash(3, first, deadly)}
+	for name, c := range map[string]struct {
+		cases []*crashCase
+		sound map[Part]time.Time
+		want  []Part
+	}{
+		"the first part was sound before":    {together, map[Part]time.Time{first: at(0.5)}, []Part{deadly}},
+		"the second part was sound before":   {together, map[Part]time.Time{deadly: at(0.5)}, []Part{first}},
+		"nothing was sound":                  {together, nil, []Part{deadly}},
+		"the first part is in other crashes": {append(slices.Clone(together), crash(4, first), crash(5, first)), map[Part]time.Time{first: at(0.5)}, []Part{deadly}},
+		"a part beside it in some crashes":   {append(slices.Clone(together), crash(4, deadly, beside), crash(5, deadly, beside), crash(6, deadly, beside)), map[Part]time.Time{first: at(0.5)}, []Part{deadly}},
+		"sound since the last crash":         {together, map[Part]time.Time{first: at(4), deadly: at(4)}, nil},
+		"sound between the crashes":          {together, map[Part]time.Time{first: at(4), deadly: at(1.5)}, nil},
+		"a part that has turned deadly":      {together, map[Part]time.Time{first: at(4), deadly: at(0.5)}, []Part{deadly}},
+		"two deadly parts":                   {append(slices.Clone(together), crash(4, 7), crash(5, 7), crash(6, 7)), nil, []Part{deadly, 7}},
+		"crashes at the same moment":         {[]*crashCase{crash(1, 7), crash(1.01, 7), crash(1.02, 7)}, nil, nil},
+		"two crashes":                        {together[:2], nil, nil},
+	} {
+		if got := findGuilty(c.cases, c.sound); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// Guards against a verdict before other routers could report sound answers.
+func TestPoolWaitsForSoundAnswers(t *testing.T) {
+	var p Pool
+	now := time.Unix(1000, 0)
+	var crashes []Crash
+	for i := range 3 {
+		crashes = append(crashes, Crash{Server: Incarnation(i), At: now.Add(time.Duration(i-3) * 100 * time.Millisecond), Parts: []Part{1, 2}})
+	}
+	p.Merge(now, "a", Evidence{Crashes: crashes})
+	if guilty, suspects := p.Verdict(now); len(guilty) > 0 || len(suspects) != 2 {
+		t.Errorf("at once: guilty %v, suspects %v", guilty, suspects)
+	}
+	p.Merge(now, "b", Evidence{Sound: []Sound{{Part: 1, At: now}}})
+	if guilty, _ := p.Verdict(now.Add(settleTime)); !slices.Equal(guilty, []Part{2}) {
+		t.Errorf("after the reports: guilty %v", guilty)
+	}
+	if guilty, _ := p.Verdict(now.Add(reportTTL + poolInterval)); len(guilty) > 0 {
+		t.Errorf("after the routers fell silent: guilty %v", guilty)
+	}
+}
+
+// Guards against a recorder that a flood of parts fills, and against crashes of servers
+// that answer again.
+func TestRecorderIsBounded(t *testing.T) {
+	var r Recorder
+	now := time.Unix(1000, 0)
+	for i := range 50_000 {
+		r.RecordSound(now, []Part{Part(i)})
+		r.RecordCrash(now, Incarnation(i), []Part{Part(i)})
+	}
+	if n := len(r.sound) + len(r.olderSound); n > 2*soundGeneration+2 {
+		t.Errorf("%d sound parts", n)
+	}
+	if n := len(r.Report(now, nil).Crashes); n > maxReportedCrashes {
+		t.Errorf("%d crashes reported", n)
+	}
+	r.RecordAlive(49_999, now.Add(time.Second))
+	for _, c := range r.Report(now, nil).Crashes {
+		if c.Server == 49_999 {
+			t.Error("a server that answers counts as crashed")
+		}
+	}
+}
