gateway: log the rate limits that backend servers name

No log line or metric showed that a limit was named; now each change of a router's belief is a line with the server and both values.

--- a/daemon/gateway/codec.go
+++ b/daemon/gateway/codec.go
@@ -67,6 +67,9 @@
 	ContentEncoded bool
 	HasLoad        bool
 	Load           selection.Load
+	// RateLimit is the number of requests per second that the backend server takes from
+	// all routers together, or 0 if it names none.
+	RateLimit float64
 	// Confidence is the model's confidence in its answer, from 0 to 100, or -1 if not
 	// stated.
 	Confidence int
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -185,6 +185,7 @@
 	if a.reply.HasLoad {
 		a.choice.RecordLoad(time.Now(), a.reply.Load)
 	}
+	g.observeRateLimit(a)
 	if a.reply.NotRun {
 		a.outcome = selection.Refused
 		response.Abort()
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -82,6 +82,19 @@
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("cactusknot_upstream_violations_total{violation=%q}", a.violation)).Inc()
 }
 
+// observeRateLimit records the rate limit that a response names and logs changes.
+func (g *Gateway) observeRateLimit(a *attempt) {
+	if !a.reply.Sealed && !a.reply.NotRun {
+		return
+	}
+	before := a.choice.RecordRateLimit(time.Now(), a.reply.RateLimit)
+	if before == a.reply.RateLimit {
+		return
+	}
+	g.logEvent(g.Log.Info()).Str("server", a.target.ID).Str("request", a.call.ID).Float64("limit_per_s", a.reply.RateLimit).
+		Float64("limit_before_per_s", before).Msg("rate limit of backend server changed")
+}
+
 // maxLoggedParts bounds the IDs of prompt parts in a log line.
 const maxLoggedParts = 8
 
--- a/daemon/selection/selection.go
+++ b/daemon/selection/selection.go
@@ -164,6 +164,9 @@
 	// coldUntil is set after a broken connection: until then the server may be cold.
 	coldUntil time.Time
 	errorRate float64
+	// rateLimit is the rate limit that the latest answer named, in requests per second; 0
+	// for none.
+	rateLimit float64
 	// violation is the latest violation of the protocol, and violationAt its time.
 	violation   string
 	violationAt time.Time
@@ -410,6 +413,15 @@
 	c.RecordActivity(now)
 }
 
+// RecordRateLimit records the rate limit that an answer names, in requests per second from
+// all routers, or 0 if it names none. It returns the one before.
+func (c *Choice) RecordRateLimit(_ time.Time, perSecond float64) (before float64) {
+	c.chooser.mu.Lock()
+	defer c.chooser.mu.Unlock()
+	before, c.state.rateLimit = c.state.rateLimit, perSecond
+	return before
+}
+
 // RecordViolation records that the server broke the protocol in the named way.
 func (c *Choice) RecordViolation(now time.Time, name string) {
 	c.chooser.mu.Lock()
