serverlimit: requests of all routers stay within the rate limits that servers name

Cause: nothing read the limit. The class of fault is a bound on the sum over all routers that has no owner; equal shares would hold it but leave a limit of 2 a second unused by 103 routers.

Change: daemon/serverlimit, a token bucket distributed by short leases through the exchange between the routers; each attempt takes a token. Servers without a token are no choice and no capacity, short prompts leave limited servers to long ones, and a limit that no answer confirms is checked every 2 s.

Why it works: the bank makes tokens at the named rate and no request goes without one, whoever sends it; a token lapses at its router before the bank could count it as lost.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -179,7 +179,7 @@
 		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Retries: settings.Retries,
 		ModelPolicy: settings.ModelPolicy, ServerPolicy: settings.ServerPolicy, Log: e.log,
 	})
-	e.exchanged = []exchanged{loadExchange{e}, e.controller.quarantines}
+	e.exchanged = []exchanged{loadExchange{e}, e.controller.quarantines, &limitExchange{edge: e}}
 	return e
 }
 
--- a/daemon/edge/engines_test.go
+++ b/daemon/edge/engines_test.go
@@ -42,7 +42,8 @@
 }
 
 func (engineCodec) ParseResponse(_ int, h http.Header) gateway.ResponseInfo {
-	return gateway.ResponseInfo{Sealed: true, Confidence: -1, EventStream: h.Get("Content-Type") == "text/event-stream"}
+	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64)
+	return gateway.ResponseInfo{Sealed: true, Confidence: -1, EventStream: h.Get("Content-Type") == "text/event-stream", RateLimit: limit}
 }
 
 func (engineCodec) ResponseHeader(_ *gateway.Call, h http.Header) http.Header { return h.Clone() }
--- a/daemon/edge/exchange.go
+++ b/daemon/edge/exchange.go
@@ -35,8 +35,8 @@
 // aggregator answers.
 type isolated interface {
 	exchanged
-	// evaluateAlone decides by this router's own observations.
-	evaluateAlone(now time.Time)
+	// evaluateAlone decides by this router's own report.
+	evaluateAlone(now time.Time, own *rpc.LoadReport)
 }
 
 // ExchangeLoad implements rpc.EdgePeer.
@@ -61,17 +61,21 @@
 	for ctx.Err() == nil {
 		sleep(ctx, loadInterval)
 		now := time.Now()
-		report := &rpc.LoadReport{Router: e.settings.VM}
-		for _, facts := range e.exchanged {
-			facts.report(now, report)
+		if schedule.due(now, e.gateway.Chooser.Busy()) {
+			e.exchangeOnce(ctx, e.report(now))
 		}
-		if !schedule.due(now, len(report.GetServers()) > 0) {
-			continue
-		}
-		e.exchangeOnce(ctx, report)
 	}
 }
 
+// report returns what this router has observed.
+func (e *Edge) report(now time.Time) *rpc.LoadReport {
+	report := &rpc.LoadReport{Router: e.settings.VM}
+	for _, facts := range e.exchanged {
+		facts.report(now, report)
+	}
+	return report
+}
+
 // exchangeOnce sends the report to the first aggregator that responds.
 func (e *Edge) exchangeOnce(ctx context.Context, report *rpc.LoadReport) {
 	for _, address := range e.controller.loadAggregatorAddresses() {
@@ -81,7 +85,7 @@
 	}
 	for _, facts := range e.exchanged {
 		if f, ok := facts.(isolated); ok {
-			f.evaluateAlone(time.Now())
+			f.evaluateAlone(time.Now(), report)
 		}
 	}
 }
--- a/daemon/edge/quarantine.go
+++ b/daemon/edge/quarantine.go
@@ -63,8 +63,8 @@
 }
 
 // evaluateAlone judges by this router's own evidence.
-func (q *quarantines) evaluateAlone(now time.Time) {
-	q.pool.Merge(now, q.edge.settings.VM, q.edge.gateway.Crashes.Report(now, nil))
+func (q *quarantines) evaluateAlone(now time.Time, own *rpc.LoadReport) {
+	q.pool.Merge(now, q.edge.settings.VM, decodeCrashEvidence(now, own))
 	guilty, _ := q.pool.Verdict(now)
 	q.judge(now, guilty, true)
 }
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -20,6 +20,7 @@
 	}
 	fmt.Fprintf(w, "cactusknot_requests_in_flight %d\n", work.InFlight)
 	fmt.Fprintf(w, "cactusknot_unread_prompts_seconds %.3f\n", work.PrefillTime.Seconds())
+	fmt.Fprintf(w, "cactusknot_limited_servers %d\n", g.Chooser.Limits.Size())
 	fmt.Fprintf(w, "cactusknot_log_lines_left_out_total %d\n", g.logLimit.total())
 	fmt.Fprintf(w, "cactusknot_upstream_connections_total %d\n", g.Pool.Opened())
 }
--- a/daemon/selection/peers.go
+++ b/daemon/selection/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cactusknot.example/daemon/serverlimit"
 	"cactusknot.example/daemon/topology"
 )
 
@@ -42,6 +43,22 @@
 	return own
 }
 
+// Busy reports whether a request of this router is unfinished or has wanted a server with
+// a rate limit since the last exchange.
+func (c *Chooser) Busy() bool {
+	if c.Limits.Asked() {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.servers {
+		if s.inFlight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // SetPeerWork replaces the outstanding work of the other routers, by the ID of the
 // backend server.
 func (c *Chooser) SetPeerWork(now time.Time, work map[string]OutstandingWork) {
@@ -88,19 +105,25 @@
 }
 
 // Backlog returns the mean time per server to process the prompts that all routers
-// have sent and whose first byte has not arrived.
+// have sent and whose first byte has not arrived. Servers whose rate limit allows no
+// request are no capacity and left out.
 func (c *Chooser) Backlog(now time.Time, servers []*topology.Server, routers int) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	assumed := c.assumedPeerPrefill(servers, routers)
 	var sum time.Duration
+	open := 0
 	for _, server := range servers {
+		if c.Limits.State(now, server.ID) == serverlimit.Closed {
+			continue
+		}
+		open++
 		sum += c.peerWorkOf(now, server.ID, assumed).PrefillTime
 		if s := c.servers[server.ID]; s != nil {
 			sum += s.pendingPrefill
 		}
 	}
-	return sum / time.Duration(max(len(servers), 1))
+	return sum / time.Duration(max(open, 1))
 }
 
 // peerWorkOf returns the other routers' work at a server. Without a recent report it
--- a/daemon/selection/selection.go
+++ b/daemon/selection/selection.go
@@ -14,6 +14,7 @@
 
 	"cactusknot.example/coord/limit"
 	"cactusknot.example/daemon/balance"
+	"cactusknot.example/daemon/serverlimit"
 	"cactusknot.example/daemon/topology"
 )
 
@@ -56,6 +57,9 @@
 	// the request itself: it delays every request that comes to the server afterwards. The
 	// load cannot show that yet.
 	prefillWeight = 3
+	// limitedServerCost is the cost of a request to a server with a rate limit, as a delay.
+	// The limit counts requests, so the server is left to those that gain most by it.
+	limitedServerCost = 600 * time.Millisecond
 	// errorPenalty is the cost of a failure that is certain, as a delay.
 	errorPenalty = 2500 * time.Millisecond
 	// maxCachedPrefixes bounds the remembered prompt prefixes of a server.
@@ -140,6 +144,8 @@
 type Chooser struct {
 	// Policy must not change after the first call of Choose.
 	Policy Policy
+	// Limits keeps requests within the rates that servers name.
+	Limits *serverlimit.Tokens
 
 	mu        sync.Mutex
 	servers   map[string]*serverState
@@ -181,7 +187,7 @@
 
 // New returns a Chooser without observations.
 func New() *Chooser {
-	return &Chooser{servers: make(map[string]*serverState), latencies: make(map[latencyKey]*latencyModel)}
+	return &Chooser{Limits: &serverlimit.Tokens{}, servers: make(map[string]*serverState), latencies: make(map[latencyKey]*latencyModel)}
 }
 
 func (c *Chooser) serverState(id string) *serverState {
@@ -198,7 +204,10 @@
 func (c *Chooser) Choose(now time.Time, candidates []*topology.Server, r Request) (*Choice, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	best := c.best(now, candidates, r)
+	best, limited := c.best(now, candidates, r)
+	if limited != nil {
+		c.Limits.Want(limited.ID)
+	}
 	if best == nil {
 		return nil, false
 	}
@@ -220,7 +229,7 @@
 func (c *Chooser) Estimate(now time.Time, candidates []*topology.Server, r Request) (Estimate, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	best := c.best(now, candidates, r)
+	best, _ := c.best(now, candidates, r)
 	if best == nil {
 		return Estimate{}, false
 	}
@@ -228,12 +237,13 @@
 }
 
 // best returns the candidate with the lowest cost, or nil when none may take the request.
-func (c *Chooser) best(now time.Time, candidates []*topology.Server, r Request) *Choice {
+// limited is a server that would be better if its rate limit allowed another request, or
+// nil.
+func (c *Chooser) best(now time.Time, candidates []*topology.Server, r Request) (best *Choice, limited *topology.Server) {
 	home := homeServer(candidates, r)
 	assumed := c.assumedPeerPrefill(candidates, len(r.Routers))
 	latency := c.latencyOf(r)
-	var best *Choice
-	bestCost := time.Duration(math.MaxInt64)
+	bestCost, limitedCost := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
 	for _, server := range candidates {
 		s := c.serverState(server.ID)
 		if r.Excluded[server.ID] || !s.withinColdLimit(now, server, r) {
@@ -244,7 +254,19 @@
 		peers := c.peerWorkOf(now, server.ID, assumed)
 		expected := prefill + s.pendingPrefill + peers.PrefillTime + s.queueDelay(now, server, r, peers.InFlight)
 		interference := time.Duration((prefillWeight + interferenceWeight*float64(s.inFlight+peers.InFlight)) * float64(prefill))
-		if cost := c.Policy.cost(now, s, expected+interference); cost < bestCost {
+		cost := c.Policy.cost(now, s, expected+interference)
+		switch c.Limits.State(now, server.ID) {
+		case serverlimit.Open:
+			cost += limitedServerCost
+		case serverlimit.Recheck:
+			cost = 0
+		case serverlimit.Closed:
+			if cost += limitedServerCost; cost < limitedCost {
+				limited, limitedCost = server, cost
+			}
+			continue
+		}
+		if cost < bestCost {
 			bestCost = cost
 			best = &Choice{
 				Server: server, UncachedTokens: uncached, ExpectedFirstByte: expected,
@@ -252,7 +274,10 @@
 			}
 		}
 	}
-	return best
+	if bestCost <= limitedCost {
+		limited = nil
+	}
+	return best, limited
 }
 
 // assumedPeerPrefill estimates the pending prefill time per server of the other
@@ -351,6 +376,7 @@
 
 // start records that the request is sent to the server.
 func (c *Choice) start(now time.Time) {
+	c.chooser.Limits.Spend(now, c.Server.ID)
 	c.state.sendRate.Count(now)
 	c.state.sendRate.Add(now)
 	c.state.inFlight++
@@ -415,7 +441,8 @@
 
 // RecordRateLimit records the rate limit that an answer names, in requests per second from
 // all routers, or 0 if it names none. It returns the one before.
-func (c *Choice) RecordRateLimit(_ time.Time, perSecond float64) (before float64) {
+func (c *Choice) RecordRateLimit(now time.Time, perSecond float64) (before float64) {
+	c.chooser.Limits.Observe(now, c.Server.ID, perSecond)
 	c.chooser.mu.Lock()
 	defer c.chooser.mu.Unlock()
 	before, c.state.rateLimit = c.state.rateLimit, perSecond
