rollout: versions are also compared by the time between the events of their streams

Cause: an answer counted as slow when its first byte came later than three times its estimate and 250 ms. 5 to 10% of the answers of any version do, so 15 to 25% of slow answers are not seen in the some 20 answers before the full share. The class of fault is a measurement that is cut down to yes or no.

Change: routers count streams by the time between their first three events, for both versions and only while both get requests. The pool compares the counts by rank (Mann-Whitney): the slower version is reverted, and no version gets all requests before it was compared.

Why it works: a slow answer also delays all that run beside it, so the whole distribution moves, and few answers show that.

--- a/daemon/edge/evidence.go
+++ b/daemon/edge/evidence.go
@@ -21,6 +21,8 @@
 	// exposed is set while the target gets requests. Responses are counted only then,
 	// because the old version may have failed for an unrelated reason before.
 	exposed bool
+	// compared is set while both versions get requests.
+	compared bool
 }
 
 // mergeEvidence merges evidence that a router wrote to the store because it couldn't
@@ -63,13 +65,18 @@
 	if counts == nil || !counts.exposed {
 		return
 	}
-	version := &counts.Evidence.Base
+	version, pace := &counts.Evidence.Base, &counts.Evidence.BasePace
 	if sample.Version == counts.target {
-		version = &counts.Evidence.Target
+		version, pace = &counts.Evidence.Target, &counts.Evidence.TargetPace
 	}
-	if sample.Failed || sample.Slow {
+	switch {
+	case sample.EventInterval > 0 && !counts.compared:
+		return
+	case sample.EventInterval > 0:
+		pace.Record(sample.EventInterval)
+	case sample.Failed || sample.Slow:
 		version.Bad++
-	} else {
+	default:
 		version.Good++
 	}
 	r.unreported = true
@@ -95,12 +102,14 @@
 	return sum
 }
 
-// setExposed sets whether responses count as evidence on a service's rollout.
-func (r *rollouts) setExposed(service string, exposed bool) {
+// setPhase sets which responses count as evidence on a service's rollout. current is false
+// if the phase is that of an earlier order.
+func (r *rollouts) setPhase(service string, phase rollout.Phase, current bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if own := r.ownEvidence[service]; own != nil {
-		own.exposed = exposed
+		own.exposed = current && rollout.Exposed(phase)
+		own.compared = current && rollout.Compared(phase)
 	}
 }
 
@@ -117,6 +126,7 @@
 			Service: service, OrderRevision: c.Order,
 			TargetGood: uint64(c.Evidence.Target.Good), TargetBad: uint64(c.Evidence.Target.Bad),
 			BaseGood: uint64(c.Evidence.Base.Good), BaseBad: uint64(c.Evidence.Base.Bad),
+			TargetPace: encodePace(c.Evidence.TargetPace), BasePace: encodePace(c.Evidence.BasePace),
 		})
 	}
 	r.unreported, r.reporting, r.reportedAt = false, true, now
@@ -146,6 +156,24 @@
 	r.mu.Unlock()
 }
 
+func encodePace(p rollout.Pace) []uint32 {
+	if p.Total() == 0 {
+		return nil
+	}
+	buckets := make([]uint32, len(p))
+	for i, n := range p {
+		buckets[i] = uint32(n)
+	}
+	return buckets
+}
+
+func decodePace(buckets []uint32) (p rollout.Pace) {
+	for i := range min(len(p), len(buckets)) {
+		p[i] = int(buckets[i])
+	}
+	return p
+}
+
 // storeEvidence writes a report to the store, from where the aggregators read it.
 func (r *rollouts) storeEvidence(ctx context.Context, report *rpc.EvidenceReport) error {
 	value, err := json.Marshal(decodeEvidence(report))
--- a/daemon/edge/peer.go
+++ b/daemon/edge/peer.go
@@ -76,6 +76,8 @@
 		reports[s.GetService()] = routerEvidence{Order: s.GetOrderRevision(), Evidence: rollout.Evidence{
 			Target: rollout.Counts{Good: int(s.GetTargetGood()), Bad: int(s.GetTargetBad())},
 			Base:   rollout.Counts{Good: int(s.GetBaseGood()), Bad: int(s.GetBaseBad())},
+
+			TargetPace: decodePace(s.GetTargetPace()), BasePace: decodePace(s.GetBasePace()),
 		}}
 	}
 	return reports
--- a/daemon/edge/rollouts.go
+++ b/daemon/edge/rollouts.go
@@ -138,7 +138,7 @@
 	}
 	s.state = state
 	r.adjustStart(s)
-	r.setExposed(service, s.order != nil && state.OrderRevision == s.order.Revision && rollout.Exposed(state.Phase))
+	r.setPhase(service, state.Phase, s.order != nil && state.OrderRevision == s.order.Revision)
 	r.edge.log.Info().Str("service", service).Str("target", state.Target).Str("phase", string(state.Phase)).
 		Uint64("revision", uint64(change.Revision)).Interface("evidence", r.pooledEvidence(service)).Msg("rollout phase changed")
 }
@@ -166,9 +166,8 @@
 		if current && s.state.Final() {
 			continue
 		}
-		exposed := current && rollout.Exposed(s.state.Phase)
-		active = active || exposed
-		r.setExposed(service, exposed)
+		active = active || current && rollout.Exposed(s.state.Phase)
+		r.setPhase(service, s.state.Phase, current)
 		evidence := r.pooledEvidence(service)
 		evidence.SingleRouter = r.routers.rank() >= evidenceAggregatorCount
 		if evidence.TargetWorse() && s.rejectedOrder != s.order.Revision {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -41,6 +41,9 @@
 	// Failed: the attempt failed. Slow: its first byte came much later than expected,
 	// or is already that late.
 	Failed, Slow bool
+	// EventInterval is the time between the first events of a stream. A sample with it is
+	// no result of its own; it is 0 in all others.
+	EventInterval time.Duration
 }
 
 // Config holds the settings and dependencies of a Gateway.
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -22,6 +22,8 @@
 	initialAnswerBuffer = 512
 	// copyBufferSize is the size in bytes of the copy buffer for longer responses.
 	copyBufferSize = 16 << 10
+	// paceEvents is the number of events of a stream over which its pace is taken.
+	paceEvents = 3
 	// writeDeadlineGrace is how long after the request's deadline an event may still be
 	// written to a slow caller.
 	writeDeadlineGrace = 250 * time.Millisecond
@@ -157,6 +159,9 @@
 			a.recordActivity()
 			g.observe(a, Sample{Slow: a.slow(time.Now())})
 			g.observeProgress(a)
+			if events == paceEvents {
+				g.report(a, Sample{EventInterval: time.Since(firstEvent) / (paceEvents - 1)})
+			}
 		}
 		if next.id >= 0 && next.id <= a.lastEvent {
 			continue
--- a/daemon/rollout/rollout.go
+++ b/daemon/rollout/rollout.go
@@ -115,6 +115,10 @@
 type Evidence struct {
 	Target Counts `json:"target"`
 	Base   Counts `json:"base"`
+	// TargetPace and BasePace count the streams of both versions by the time between
+	// their events.
+	TargetPace Pace `json:"target_pace,omitzero"`
+	BasePace   Pace `json:"base_pace,omitzero"`
 	// SingleRouter is set when the evidence is that of one router among many. Each of
 	// them tests its own evidence, so a larger margin is needed: otherwise one of them
 	// would often reject a good version by chance.
@@ -123,7 +127,10 @@
 
 // Add returns the pooled evidence of e and o.
 func (e Evidence) Add(o Evidence) Evidence {
-	return Evidence{Target: e.Target.Add(o.Target), Base: e.Base.Add(o.Base)}
+	return Evidence{
+		Target: e.Target.Add(o.Target), Base: e.Base.Add(o.Base),
+		TargetPace: e.TargetPace.Add(o.TargetPace), BasePace: e.BasePace.Add(o.BasePace),
+	}
 }
 
 // Total returns the number of answers of both versions.
@@ -190,7 +197,7 @@
 		return Reverted
 	}
 	progress := float64(elapsed) / float64(max(duration, 1))
-	if Exposed(s.Phase) && (e.failing() || progress >= 1 && e.failedAtDeadline()) {
+	if Exposed(s.Phase) && (e.failing() || e.TargetSlower() || progress >= 1 && e.failedAtDeadline()) {
 		return Reverted
 	}
 	if s.Phase == Full && e.unfitForFullShare() {
@@ -202,7 +209,7 @@
 		return Canary
 	case s.Phase == Canary && progress >= wideStart && e.Target.Total() > 0 && !e.looksWorse():
 		return Wide
-	case s.Phase == Wide && progress >= fullStart && enough && e.fitForFullShare() && (progress < completeStart || e.fitForLateFullShare()):
+	case s.Phase == Wide && progress >= fullStart && enough && e.paceFit() && e.fitForFullShare() && (progress < completeStart || e.fitForLateFullShare()):
 		return Full
 	case s.Phase == Full && progress >= completeStart && e.Target.Total() >= 2*minSamples && e.fitForFullShare():
 		return Completed
@@ -213,6 +220,10 @@
 // Exposed tells whether the target gets requests in a phase.
 func Exposed(phase Phase) bool { return phase == Canary || phase == Wide || phase == Full }
 
+// Compared tells whether both versions get requests in a phase, so that their paces can be
+// compared.
+func Compared(phase Phase) bool { return phase == Canary || phase == Wide }
+
 // Share returns the fraction of the sessions that use the target in a phase. The bound
 // is the fraction of the requests that a bad version may get.
 func Share(phase Phase, bound float64) float64 {
