gateway: a stream without length or chunks that ends before its first event is broken off

Callers saw an empty answer as a whole one, and a deadly prompt part was acquitted by it: an engine that crashes right after the head of such a stream closes its connection, which is also how the stream ends.

Cause: the end of the connection counted as the end of the answer unless it came within an event. A broken off one did not count as a lost connection either, so it was no evidence of a crash.

Change: such a stream ends well only after a whole event of its attempt; otherwise the connection counts as closed by the server, and the request goes on elsewhere where the route allows it.

Tests: TestUnframedStreamEnds (close and reset; between events, within one, before the first) failed in the case before the first event: empty 200 to the caller.

--- a/daemon/edge/quarantine_test.go
+++ b/daemon/edge/quarantine_test.go
@@ -14,13 +14,15 @@
 // are replaced by other engines some time later.
 type deadlyEngines struct {
 	engines
+	// unframed makes their answers end with the connection, without length or chunks.
+	unframed bool
 	mu       sync.Mutex
 	arrivals []time.Time
 	crashes  []time.Time
 }
 
-func startDeadlyEngines(t *testing.T, store *memoryStore, count int) *deadlyEngines {
-	d := &deadlyEngines{engines: engines{t: t, store: store}}
+func startDeadlyEngines(t *testing.T, store *memoryStore, count int, unframed bool) *deadlyEngines {
+	d := &deadlyEngines{engines: engines{t: t, store: store}, unframed: unframed}
 	d.handler = d.serve
 	for range count {
 		d.start()
@@ -29,6 +31,9 @@
 }
 
 func (d *deadlyEngines) serve(id string, w http.ResponseWriter, r *http.Request) {
+	if d.unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	if !strings.Contains(r.Header.Get("Parts"), "deadly") {
 		streamEvents(w, 8, 100*time.Millisecond)
 		return
@@ -104,11 +109,15 @@
 // other: all routers must stop sending them, must go on to serve the requests that share
 // other parts, and a router that has just started must know.
 func TestPromptPartThatCrashesServersIsQuarantined(t *testing.T) {
-	for _, outage := range []bool{false, true} {
-		t.Run(fmt.Sprintf("store outage %t", outage), func(t *testing.T) {
+	for name, c := range map[string]struct{ outage, cutOff, unframed bool }{
+		"all connected":                   {},
+		"store outage, unframed answers":  {outage: true, unframed: true},
+		"routers cut off from each other": {cutOff: true},
+	} {
+		t.Run(name, func(t *testing.T) {
 			store := newMemoryStore()
 			store.put("config", testConfig{1})
-			fleet := startDeadlyEngines(t, store, 8)
+			fleet := startDeadlyEngines(t, store, 8, c.unframed)
 			var edges []*testEdge
 			for i := range 3 {
 				edges = append(edges, startEngineEdge(t, store, fmt.Sprint("r", i)))
@@ -117,7 +126,8 @@
 				eventually(t, waitTimeout, "all routers know each other", func() bool {
 					return len(e.controller.peers()) == 2 && len(e.controller.loadAggregatorAddresses()) > 0
 				})
-				e.client.unavailable.Store(outage)
+				e.client.unavailable.Store(c.outage)
+				e.frozen.Store(c.cutOff)
 			}
 			served, failed := playDeadlyRequests(edges, 8*time.Second)
 			if n := fleet.since(fleet.fifthCrash().Add(3 * time.Second)); n > 3 {
@@ -126,7 +136,7 @@
 			if served < 9*failed || served == 0 {
 				t.Errorf("%d sound requests served, %d not", served, failed)
 			}
-			if outage {
+			if c.outage {
 				return
 			}
 			fresh := startEngineEdge(t, store, "fresh")
--- a/daemon/gateway/answer_test.go
+++ b/daemon/gateway/answer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -369,3 +370,57 @@
 		t.Errorf("%d connections, want 2", len(conns))
 	}
 }
+
+// Guards against a stream without length or chunks that breaks off and counts as complete:
+// within an event, before the first one, or by a reset. A close between events ends it.
+func TestUnframedStreamEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		tail    string
+		events  int
+		reset   bool
+		resumed bool
+	}{
+		"closed between events": {events: 3},
+		"closed in an event":    {events: 3, tail: "id: 4\nda", resumed: true},
+		"closed before events":  {resumed: true},
+		"reset between events":  {events: 3, reset: true, resumed: true},
+		"reset before events":   {reset: true, resumed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var attempts atomic.Int32
+			answer := func(_ int, a receivedRequest, conn net.Conn) bool {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nMark: m\r\nContent-Type: text/event-stream\r\n\r\n", a.head.Get("Id"))
+				if attempts.Add(1) > 1 {
+					for id := c.events + 1; id <= 5; id++ {
+						fmt.Fprint(conn, event(id))
+					}
+					return false
+				}
+				for id := 1; id <= c.events; id++ {
+					fmt.Fprint(conn, event(id))
+				}
+				fmt.Fprint(conn, c.tail)
+				time.Sleep(50 * time.Millisecond)
+				if c.reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				return false
+			}
+			r := newHarness(t, topology.Route{Kind: topology.Stream, Resumable: true, MaxAttempts: 3}, newServer(t, "a", answer), newServer(t, "b", answer))
+			got := r.call(http.MethodPost, "/s", "prompt")
+			want := ""
+			for id := 1; id <= 5 && (c.resumed || id <= c.events); id++ {
+				want += event(id)
+			}
+			if got.err != nil || got.body != want {
+				t.Errorf("got %v %q, want %q", got.err, got.body, want)
+			}
+			// A stream that may not be repeated must not look complete.
+			attempts.Store(0)
+			r = newHarness(t, topology.Route{Kind: topology.Stream, MaxAttempts: 3}, newServer(t, "a", answer))
+			if got := r.call(http.MethodPost, "/s", "prompt"); c.resumed && got.err == nil && got.status == http.StatusOK {
+				t.Errorf("not resumable: got %d %q", got.status, got.body)
+			}
+		})
+	}
+}
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -143,7 +143,7 @@
 		next, err := reader.next()
 		if errors.Is(err, io.EOF) {
 			a.choice.RecordStream(events, time.Since(firstEvent))
-			return g.endEvents(a, next.raw)
+			return g.endEvents(a, events, next.raw)
 		}
 		if err != nil {
 			return false, a.abort(ctx, err)
@@ -196,10 +196,15 @@
 	return nil
 }
 
-// endEvents ends a stream after its transfer is complete. rest is what follows the last
-// whole event.
-func (g *Gateway) endEvents(a *attempt, rest []byte) (bool, *result.Error) {
-	if len(rest) > 0 {
+// endEvents ends a stream after its transfer is complete. events is the number of events of
+// this attempt, rest what follows the last whole one.
+func (g *Gateway) endEvents(a *attempt, events int, rest []byte) (bool, *result.Error) {
+	switch {
+	case !a.exchange.Framed() && (len(rest) > 0 || events == 0):
+		// Only the end of the connection tells where the stream ends.
+		a.connectionLost, a.closedByServer = true, true
+		return false, a.invalidResponse("connection closed before the end of the event stream")
+	case len(rest) > 0:
 		return false, a.invalidResponse("event stream ended within an event")
 	}
 	if !a.started {
