edge: an aggregator that has not answered is asked last for two seconds

With a frozen aggregator each exchange waited 300 ms for it before the other one was asked, so tokens for servers with a rate limit, which last 400 ms, were valid for a fifth of the time. TestFailedAggregatorIsAskedLast.

--- a/daemon/edge/exchange.go
+++ b/daemon/edge/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"cactusknot.example/daemon/rpc"
@@ -16,6 +18,8 @@
 	idleLoadInterval = time.Second
 	// loadExchangeTimeout limits one exchange; a later reply would be stale.
 	loadExchangeTimeout = 300 * time.Millisecond
+	// aggregatorAvoidance is how long an aggregator that has not answered is asked last.
+	aggregatorAvoidance = 2 * time.Second
 )
 
 // exchanged is one kind of facts that the routers exchange. Each router sends what it has
@@ -58,11 +62,12 @@
 // its own observations.
 func (e *Edge) exchangeFacts(ctx context.Context) {
 	var schedule loadSchedule
+	failures := make(aggregatorFailures)
 	for ctx.Err() == nil {
 		sleep(ctx, loadInterval)
 		now := time.Now()
 		if schedule.due(now, e.gateway.Chooser.Busy()) {
-			e.exchangeOnce(ctx, e.report(now))
+			e.exchangeOnce(ctx, e.report(now), failures)
 		}
 	}
 }
@@ -77,11 +82,12 @@
 }
 
 // exchangeOnce sends the report to the first aggregator that responds.
-func (e *Edge) exchangeOnce(ctx context.Context, report *rpc.LoadReport) {
-	for _, address := range e.controller.loadAggregatorAddresses() {
+func (e *Edge) exchangeOnce(ctx context.Context, report *rpc.LoadReport, failures aggregatorFailures) {
+	for _, address := range failures.order(time.Now(), e.controller.loadAggregatorAddresses()) {
 		if e.exchangeWith(ctx, address, report) {
 			return
 		}
+		failures[address] = time.Now()
 	}
 	for _, facts := range e.exchanged {
 		if f, ok := facts.(isolated); ok {
@@ -90,6 +96,18 @@
 	}
 }
 
+// aggregatorFailures holds when aggregators last did not answer, by address.
+type aggregatorFailures map[string]time.Time
+
+// order returns the addresses with those that failed a short time ago at the end, and drops
+// the older failures.
+func (f aggregatorFailures) order(now time.Time, addresses []string) []string {
+	maps.DeleteFunc(f, func(_ string, at time.Time) bool { return now.Sub(at) >= aggregatorAvoidance })
+	ordered := slices.Clone(addresses)
+	slices.SortStableFunc(ordered, func(a, b string) int { return f[a].Compare(f[b]) })
+	return ordered
+}
+
 // loadSchedule decides when a router exchanges its load.
 type loadSchedule struct {
 	lastExchange time.Time
--- a/daemon/edge/load_test.go
+++ b/daemon/edge/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,6 +45,18 @@
 	}
 }
 
+// Guards against a router that waits for a frozen aggregator at each exchange.
+func TestFailedAggregatorIsAskedLast(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	f := aggregatorFailures{"a": now}
+	if got := f.order(now, []string{"a", "b"}); !slices.Equal(got, []string{"b", "a"}) {
+		t.Errorf("after a failure of a: %v", got)
+	}
+	if got := f.order(now.Add(aggregatorAvoidance), []string{"a", "b"}); !slices.Equal(got, []string{"a", "b"}) {
+		t.Errorf("later: %v", got)
+	}
+}
+
 // Guards against a total that includes the load of the requesting router or of a router
 // that has stopped reporting.
 func TestLoadAggregator(t *testing.T) {
--- a/daemon/edge/quarantine.go
+++ b/daemon/edge/quarantine.go
@@ -31,7 +31,7 @@
 	mu sync.Mutex
 	// suspects are the parts that the aggregator asks about.
 	suspects []quarantine.Part
-	// judging is set if the latest verdicts are this router's own.
+	// judging is set once this router has found parts guilty itself. It then writes records.
 	judging bool
 	// committing holds the parts whose records are being written.
 	committing map[quarantine.Part]bool
--- a/daemon/quarantine/list.go
+++ b/daemon/quarantine/list.go
@@ -203,9 +203,9 @@
 }
 
 // Due returns the changes of records that this router is to write, and drops the entries
-// whose time is over. mayConvict is set if this router writes records of parts that the
+// whose time is over. judging is set if this router writes the records of parts that the
 // pool has found guilty.
-func (l *List) Due(now time.Time, mayConvict bool) []Change {
+func (l *List) Due(now time.Time, judging bool) []Change {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var changes []Change
@@ -215,7 +215,7 @@
 			changes = append(changes, Change{Part: part, Record: Record{Released: true}, Revision: e.revision})
 		case e.sound, e.revision == 0 && !now.Before(e.heldUntil):
 			l.remove(part)
-		case e.revision == 0 && mayConvict:
+		case e.revision == 0 && judging:
 			changes = append(changes, Change{Part: part})
 		case e.revision != 0 && e.wanted:
 			changes = append(changes, Change{Part: part, Record: Record{Trials: e.record.Trials + 1}, Revision: e.revision})
