quarantine: a part that was released is stored again when it crashes servers again

A part that crashed servers again within 90 s of its release was held by the routers that heard the verdict, but not stored: the write demanded that there be no record, and that of the release was still there. A router that started then would have sent the part once more.

The list now remembers the revisions of released records. TestQuarantineEnds failed on the case before.

--- a/daemon/edge/helpers_test.go
+++ b/daemon/edge/helpers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
@@ -87,6 +88,9 @@
 	unavailable, hanging atomic.Bool
 	// dropResponses makes commits take effect but return an unknown outcome.
 	dropResponses atomic.Bool
+	// delayCommits makes commits take effect up to a second later, in any order, if their
+	// conditions hold then. They return an unknown outcome at once.
+	delayCommits atomic.Bool
 }
 
 // injectFault applies the current fault to one call.
@@ -156,6 +160,15 @@
 	if err := c.injectFault(ctx); err != nil {
 		return 0, errors.Join(kv.ErrUnknownOutcome, err)
 	}
+	if c.delayCommits.Load() {
+		time.AfterFunc(rand.N(time.Second), func() { _, _ = c.apply(t) })
+		return 0, kv.ErrUnknownOutcome
+	}
+	return c.apply(t)
+}
+
+// apply executes a transaction.
+func (c *storeClient) apply(t Txn) (kv.Revision, error) {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
 	for _, condition := range t.Conditions {
--- a/daemon/quarantine/list.go
+++ b/daemon/quarantine/list.go
@@ -53,6 +53,8 @@
 	size    atomic.Int64
 	mu      sync.Mutex
 	entries map[Part]*entry
+	// released holds the revisions of the stored records of parts that were released.
+	released map[Part]uint64
 }
 
 type entry struct {
@@ -172,8 +174,13 @@
 	defer l.mu.Unlock()
 	if record.Released {
 		l.remove(part)
+		if l.released == nil {
+			l.released = make(map[Part]uint64)
+		}
+		l.released[part] = revision
 		return
 	}
+	delete(l.released, part)
 	e := l.entries[part]
 	if e == nil {
 		if e = l.insert(part); e == nil {
@@ -189,6 +196,7 @@
 func (l *List) Forget(part Part) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delete(l.released, part)
 	if e := l.entries[part]; e != nil {
 		e.revision = 0
 	}
@@ -198,7 +206,7 @@
 type Change struct {
 	Part   Part
 	Record Record
-	// Revision is the revision that the present record must have; 0 if there must be none.
+	// Revision is the revision that the stored record must have; 0 if there must be none.
 	Revision uint64
 }
 
@@ -216,7 +224,7 @@
 		case e.sound, e.revision == 0 && !now.Before(e.heldUntil):
 			l.remove(part)
 		case e.revision == 0 && judging:
-			changes = append(changes, Change{Part: part})
+			changes = append(changes, Change{Part: part, Revision: l.released[part]})
 		case e.revision != 0 && e.wanted:
 			changes = append(changes, Change{Part: part, Record: Record{Trials: e.record.Trials + 1}, Revision: e.revision})
 		case e.revision != 0 && now.Sub(e.heldUntil) > RecordMargin:
--- a/daemon/quarantine/list_test.go
+++ b/daemon/quarantine/list_test.go
@@ -83,4 +83,9 @@
 	if verdict, _ := l.Check(now, []Part{part}); verdict != Send {
 		t.Error("held after the release")
 	}
+	// The record of the release is still stored when the part crashes servers again.
+	l.Add(now, []Part{part})
+	if changes := l.Due(now, true); len(changes) != 1 || changes[0] != (Change{Part: part, Revision: 7}) {
+		t.Errorf("changes %v after another verdict", changes)
+	}
 }
