edge: a stopping process refuses requests that may last longer than it does

Cause: a stopping process takes every request that reaches it, on kept connections of streams that began before the stop, and on new ones while the load balancer has no other VM, to the last moment.

Change: from 3 s after the begin of the stop, when the load balancer has noticed, a request is taken only if its own deadline is before the end of the process; any other is refused at once as not run.

TestLateRequestsAreRefusedBeforeAStop. The stop tests of edge and platform/soak pass.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -127,6 +127,9 @@
 	// drainDelay is how long connections are still accepted after the process reports
 	// not ready: the load balancer probes once a second and needs two failures.
 	drainDelay = 2500 * time.Millisecond
+	// lateRequestDelay is how long after the begin of a shutdown requests are taken that may
+	// not end before the process does. Clients may hold a connection, or find no other VM.
+	lateRequestDelay = 3 * time.Second
 	// shutdownMargin is the time left between the end of the shutdown and SIGKILL.
 	shutdownMargin = 400 * time.Millisecond
 	// peerHeaderTimeout and peerIdleTimeout apply to connections of other routers,
@@ -252,8 +255,11 @@
 	e.log.Info().Msg("graceful shutdown started; reporting not ready")
 	e.stopping.Store(true)
 	time.Sleep(min(drainDelay, e.settings.GracePeriod/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(e.settings.GracePeriod-shutdownMargin))
+	stopAt := began.Add(e.settings.GracePeriod - shutdownMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), stopAt)
 	defer cancel()
+	late := time.AfterFunc(time.Until(began.Add(min(lateRequestDelay, e.settings.GracePeriod/2))), func() { e.gateway.StopAt(stopAt) })
+	defer late.Stop()
 	if err := frontend.shutdown(ctx); err != nil {
 		e.log.Warn().Err(err).Msg("grace period ended with requests still in progress")
 	}
--- a/daemon/gateway/access_test.go
+++ b/daemon/gateway/access_test.go
@@ -243,3 +243,18 @@
 		time.Sleep(600 * time.Millisecond)
 	}
 }
+
+// Guards against a request that a stopping process takes and then cuts off: it is refused
+// as not run if it may last longer than the process.
+func TestLateRequestsAreRefusedBeforeAStop(t *testing.T) {
+	a := newServer(t, "a", respond(200, "answer"))
+	r := newHarness(t, topology.Route{Kind: topology.NonIdempotent, MaxAttempts: 1}, a)
+	r.StopAt(time.Now().Add(2 * time.Second))
+	got := r.call(http.MethodPost, "/x", "1")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || len(a.requests()) > 0 {
+		t.Errorf("allowed 5 s: %d, Retry-After %q, %d requests to the server", got.status, got.header.Get("Retry-After"), len(a.requests()))
+	}
+	if got := r.call(http.MethodPost, "/x", "1", "Wait", "1000"); got.status != http.StatusOK {
+		t.Errorf("allowed 1 s: %d", got.status)
+	}
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -81,8 +82,10 @@
 	budgets map[string]*limit.RetryBudget
 	// metrics counts requests by kind and outcome. The number of series is bounded:
 	// kinds and result codes are fixed lists.
-	metrics         *metrics.Set
-	filters         []filter
+	metrics *metrics.Set
+	filters []filter
+	// stopAt is when the process stops, as Unix time in nanoseconds; 0 while it goes on.
+	stopAt          atomic.Int64
 	logLimit        logLimiter
 	pendingFailures pendingFailures
 }
@@ -99,6 +102,10 @@
 	return g
 }
 
+// StopAt tells the gateway when the process stops. From now on it refuses requests that
+// may last longer.
+func (g *Gateway) StopAt(at time.Time) { g.stopAt.Store(at.UnixNano()) }
+
 // filter is one step of the request path; an error ends the path.
 type filter func(x *requestState) *result.Error
 
@@ -190,6 +197,9 @@
 		timeout = min(timeout, x.call.Timeout)
 	}
 	x.deadline = x.startedAt.Add(timeout)
+	if at := g.stopAt.Load(); at != 0 && x.deadline.UnixNano() > at {
+		return result.ShuttingDown.With("the request may last longer than this process")
+	}
 	x.urgency = x.route.Urgency
 	return nil
 }
