--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -54,12 +54,12 @@
 // Store is the interface to the platform's store. Its methods return the errors of
 // package kv and ErrCompacted.
 type Store interface {
-	// Range returns the entries under a prefix and the store revision at the start of
+	// Range returns the entries under a prefix and the store's position at the start of
 	// the listing.
-	Range(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error)
+	Range(ctx context.Context, prefix string) ([]kv.Entry, kv.Position, error)
 	// Watch blocks until there are changes under prefix after a revision, or until
-	// wait has passed. It returns the changes and the revision they lead to.
-	Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]mirror.Change, kv.Revision, error)
+	// wait has passed. It returns the changes and the position they lead to.
+	Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]mirror.Change, kv.Position, error)
 	// Commit applies a transaction and returns its revision. It returns kv.ErrConflict
 	// if a condition does not hold.
 	Commit(ctx context.Context, t Txn) (kv.Revision, error)
--- a/daemon/edge/helpers_test.go
+++ b/daemon/edge/helpers_test.go
@@ -28,6 +28,7 @@
 // by themselves.
 type memoryStore struct {
 	mu          sync.Mutex
+	era         uint64
 	revision    kv.Revision
 	entries     map[string]kv.Entry
 	history     []mirror.Change
@@ -108,9 +109,9 @@
 	return nil
 }
 
-func (c *storeClient) Range(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
+func (c *storeClient) Range(ctx context.Context, prefix string) ([]kv.Entry, kv.Position, error) {
 	if err := c.injectFault(ctx); err != nil {
-		return nil, 0, err
+		return nil, kv.Position{}, err
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
@@ -121,21 +122,21 @@
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
-	return list, c.store.revision, nil
+	return list, kv.Position{Era: c.store.era, Revision: c.store.revision}, nil
 }
 
-func (c *storeClient) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) ([]mirror.Change, kv.Revision, error) {
+func (c *storeClient) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) ([]mirror.Change, kv.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+100*time.Millisecond)
 	defer cancel()
 	end := time.After(min(wait, 200*time.Millisecond))
 	for {
 		if err := c.injectFault(ctx); err != nil {
-			return nil, 0, err
+			return nil, kv.Position{}, err
 		}
 		c.store.mu.Lock()
-		if after < c.store.compactedAt {
+		if after < c.store.compactedAt || after > c.store.revision {
 			c.store.mu.Unlock()
-			return nil, 0, ErrCompacted
+			return nil, kv.Position{}, ErrCompacted
 		}
 		var list []mirror.Change
 		for _, change := range c.store.history {
@@ -143,7 +144,7 @@
 				list = append(list, change)
 			}
 		}
-		at, changed := c.store.revision, c.store.changed
+		at, changed := kv.Position{Era: c.store.era, Revision: c.store.revision}, c.store.changed
 		c.store.mu.Unlock()
 		if len(list) > 0 {
 			return list, at, nil
--- a/daemon/edge/store_metrics.go
+++ b/daemon/edge/store_metrics.go
@@ -43,14 +43,14 @@
 }
 
 // Range implements Store.
-func (m meteredStore) Range(ctx context.Context, prefix string) ([]kv.Entry, kv.Revision, error) {
+func (m meteredStore) Range(ctx context.Context, prefix string) ([]kv.Entry, kv.Position, error) {
 	entries, at, err := m.Store.Range(ctx, prefix)
 	m.count("range", err)
 	return entries, at, err
 }
 
 // Watch implements Store.
-func (m meteredStore) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]mirror.Change, kv.Revision, error) {
+func (m meteredStore) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]mirror.Change, kv.Position, error) {
 	changes, at, err := m.Store.Watch(ctx, prefix, after, wait)
 	m.count("watch", err)
 	return changes, at, err
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -73,6 +73,8 @@
 	answered string
 	// lastResponse is the time of the store's last response.
 	lastResponse time.Time
+	// era is the store's era in its latest response.
+	era uint64
 }
 
 // syncOnce performs one range or watch call and merges the result.
@@ -84,7 +86,7 @@
 		}
 		s.synced = true
 		s.markAvailable()
-		s.edge.controller.enqueue(s.edge.mirror.Reset(listing, at))
+		s.mergeListing(listing, at)
 		return nil
 	}
 	if reader, ok := s.selector.Next(time.Now(), s.edge.controller.readers()); ok {
@@ -101,13 +103,32 @@
 		return err
 	}
 	s.markAvailable()
-	s.edge.controller.enqueue(s.edge.mirror.Apply(changes, at))
+	s.noteEra(at.Era)
+	s.edge.controller.enqueue(s.edge.mirror.Apply(changes, at.Revision))
 	if len(changes) > 0 {
 		sleep(ctx, watchPause)
 	}
 	return nil
 }
 
+// mergeListing merges a listing of all keys into the mirror.
+func (s *storeSync) mergeListing(listing []kv.Entry, at kv.Position) {
+	s.noteEra(at.Era)
+	before := s.edge.mirror.Revision()
+	applied := s.edge.mirror.Reset(listing, at.Revision)
+	s.edge.log.Info().Uint64("era", at.Era).Uint64("revision", uint64(at.Revision)).Uint64("revision_before", uint64(before)).
+		Int("keys", len(listing)).Int("applied", len(applied)).Msg("all keys of the store read")
+	s.edge.controller.enqueue(applied)
+}
+
+// noteEra logs a change of the store's era.
+func (s *storeSync) noteEra(era uint64) {
+	if s.era != era {
+		s.edge.log.Warn().Uint64("era", era).Uint64("era_before", s.era).Msg("era of the store changed")
+		s.era = era
+	}
+}
+
 // markAvailable records a response of the store. It is called before the content is
 // merged, because removals right after an outage may be of entries that expired only
 // because they couldn't be renewed.
