mirror: an older answer does not bring back a deleted key

It needs no restore.

Cause: a copy that has listed all keys does not know what was deleted before. It took over such keys from an answer of a peer that was older than the listing, and it told others that a difference from before the listing was all there is.

Change: a listing is where knowledge of deletions begins, like a dropped tombstone: older changes bring back no key, and who asks for changes since before gets the whole copy.

--- a/daemon/mirror/mirror.go
+++ b/daemon/mirror/mirror.go
@@ -32,7 +32,8 @@
 	at      kv.Position
 	entries map[string]Change
 	deleted int
-	// compacted is the latest position of a dropped tombstone.
+	// compacted is the position up to which deletions are unknown: that of the latest listing
+	// or of the latest dropped tombstone.
 	compacted kv.Position
 	// newest is the latest position of an entry; changed is closed when it grows.
 	newest  kv.Position
@@ -93,7 +94,7 @@
 	if known && !c.Position().After(current.Position()) {
 		return false
 	}
-	if !known && !c.Position().After(m.compacted) {
+	if (!known || current.Deleted) && !c.Position().After(m.compacted) {
 		return false
 	}
 	if known && current.Deleted {
@@ -141,7 +142,9 @@
 			changes = append(changes, Change{Entry: kv.Entry{Key: key, Revision: at.Revision}, Era: at.Era, Deleted: true})
 		}
 	}
-	return m.apply(changes, at)
+	applied := m.apply(changes, at)
+	m.compacted = latest(m.compacted, at)
+	return applied
 }
 
 // ChangesSince returns the changes after a position and the position that they lead up
--- a/daemon/mirror/mirror_test.go
+++ b/daemon/mirror/mirror_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"cactusknot.example/coord/kv"
@@ -44,6 +46,20 @@
 	}
 }
 
+// Guards against a key that comes back because a copy that never had it, as it was read after
+// the key was deleted, gets an older answer of a peer.
+func TestLateAnswerBringsBackNoDeletedKey(t *testing.T) {
+	m := New()
+	m.Reset([]kv.Entry{{Key: "a", Revision: 1}}, at(5))
+	m.Reset([]kv.Entry{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, at(3))
+	m.Apply([]Change{entry("c", 4, "old")}, at(4))
+	for _, key := range []string{"b", "c"} {
+		if _, ok := m.Get(key); ok {
+			t.Errorf("%s came back", key)
+		}
+	}
+}
+
 // Copies that merge the same changes in any order, in parts and from each other must
 // become equal, and none may go back to an older value.
 func TestCopiesConverge(t *testing.T) {
@@ -131,3 +147,126 @@
 		t.Errorf("a copy of a later era got %v, complete %v", changes, complete)
 	}
 }
+
+// restoredStore is a store that is restored from older copies of itself now and then.
+type restoredStore struct {
+	random  *rand.Rand
+	at      kv.Position
+	entries map[string]kv.Entry
+	history []Change
+}
+
+// write sets or deletes a random key.
+func (s *restoredStore) write() {
+	s.at.Revision++
+	c := entry(fmt.Sprint("k", s.random.IntN(12)), int(s.at.Revision), s.at.String())
+	c.Era, c.Deleted = s.at.Era, s.random.IntN(3) == 0
+	if c.Deleted {
+		delete(s.entries, c.Key)
+	} else {
+		s.entries[c.Key] = c.Entry
+	}
+	s.history = append(s.history, c)
+}
+
+// restore goes back by up to 20 changes and begins a new era.
+func (s *restoredStore) restore() {
+	s.history = s.history[:max(0, len(s.history)-s.random.IntN(20))]
+	s.entries = make(map[string]kv.Entry)
+	s.at = kv.Position{Era: s.at.Era + 1}
+	for i, c := range s.history {
+		s.history[i].Era, s.at.Revision = s.at.Era, c.Revision
+		if c.Deleted {
+			delete(s.entries, c.Key)
+		} else {
+			s.entries[c.Key] = c.Entry
+		}
+	}
+}
+
+// read brings a copy up to date, by a listing if it is of another era.
+func (s *restoredStore) read(m *Mirror) {
+	if m.Position().Era != s.at.Era {
+		m.Reset(slices.Collect(maps.Values(s.entries)), s.at)
+		return
+	}
+	var changes []Change
+	for _, c := range s.history {
+		if c.Revision > m.Position().Revision {
+			changes = append(changes, c)
+		}
+	}
+	m.Apply(changes, s.at)
+}
+
+// Guards against entries that are kept, lost or brought back because revisions of different
+// eras are compared, when copies notice a restore at different moments and read from the
+// store and, with answers that come late, from each other.
+func TestCopiesConvergeOverRestores(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		store := &restoredStore{random: random, at: kv.Position{Era: 1, Revision: 1}, entries: make(map[string]kv.Entry)}
+		copies := []*Mirror{New(), New(), New()}
+		var late []func()
+		for range 300 {
+			m, from := copies[random.IntN(3)], copies[random.IntN(3)]
+			switch before := m.Position(); random.IntN(12) {
+			case 0:
+				store.restore()
+			case 1, 2:
+				store.read(m)
+			case 3, 4:
+				changes, at, complete := from.ChangesSince(before)
+				late = append(late, func() { m.merge(changes, at, complete) })
+			case 5, 6:
+				if len(late) > 0 {
+					i := random.IntN(len(late))
+					late[i]()
+					late = slices.Delete(late, i, i+1)
+				}
+			default:
+				store.write()
+			}
+		}
+		for i, m := range copies {
+			store.read(m)
+			for _, answer := range late {
+				answer()
+			}
+			if got := m.values(); !maps.Equal(got, store.values()) {
+				t.Fatalf("seed %d, copy %d at %s: %v, want %v at %s", seed, i, m.Position(), got, store.values(), store.at)
+			}
+		}
+	}
+}
+
+// merge takes over the changes that another copy has given out.
+func (m *Mirror) merge(changes []Change, at kv.Position, complete bool) {
+	if !complete {
+		m.Apply(changes, at)
+		return
+	}
+	var listing []kv.Entry
+	for _, c := range changes {
+		listing = append(listing, c.Entry)
+	}
+	m.Reset(listing, at)
+}
+
+func (m *Mirror) values() map[string]string {
+	values := make(map[string]string)
+	for _, c := range m.entries {
+		if !c.Deleted {
+			values[c.Key] = string(c.Value)
+		}
+	}
+	return values
+}
+
+func (s *restoredStore) values() map[string]string {
+	values := make(map[string]string)
+	for _, e := range s.entries {
+		values[e.Key] = string(e.Value)
+	}
+	return values
+}
