edge: an acknowledged configuration outlives a restore of the store

What callers would see: a router that starts, or that reaches the store first, between the restore and the operator's own writing goes by the configuration of the older copy: 404 for added routes, requests to the old service.

Cause: only the store knew the configuration for a router without memory, and absence or an older version there was taken for the truth. Class: state that is acknowledged by one component and remembered by nobody else.

Change: another kind of facts of the exchange. Routers report the version in force and the latest era in which the store held it; a newer one that a restored store has lost goes to the aggregator and from it to the others.

Why it works: configurations are ordered by the operators' version, and all who have heard of one keep it until the store of a later era says as much itself.

--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -10,6 +10,7 @@
 	"cactusknot.example/daemon/gateway"
 	"cactusknot.example/daemon/mirror"
 	"cactusknot.example/daemon/relay"
+	"cactusknot.example/daemon/rpc"
 	"cactusknot.example/daemon/topology"
 	"cactusknot.example/daemon/upstream"
 )
@@ -35,6 +36,9 @@
 type changeBatch struct {
 	changes    []mirror.Change
 	receivedAt time.Time
+	// peerConfig is a configuration that a peer goes by and the store does not hold; nil for
+	// none.
+	peerConfig *kv.Entry
 }
 
 // controller holds this process's state of the fleet. Only the control loop changes
@@ -45,8 +49,8 @@
 	queries chan stateQuery
 
 	config *topology.Config
-	// configRevision is the store revision of the configuration, configAppliedAt the
-	// time at which this process applied it.
+	// configRevision is the store revision of the configuration, 0 for one that came from a
+	// peer; configAppliedAt is the time at which this process applied it.
 	configRevision  uint64
 	configAppliedAt time.Time
 	// servers holds the known backend servers by ID.
@@ -60,6 +64,8 @@
 	// mergedEra is the store's era of the merged changes. All revisions that the control loop
 	// keeps are of this era, because the first changes of an era cover all keys.
 	mergedEra uint64
+	// firstView is closed when the first view is published.
+	firstView chan struct{}
 	// dirty is set if the published view is out of date.
 	dirty bool
 	// initialized is set after the first batch. Servers that appear later have just
@@ -101,7 +107,7 @@
 func newController(e *Edge) *controller {
 	c := &controller{
 		edge: e, batches: make(chan changeBatch, changeQueueSize), queries: make(chan stateQuery), servers: make(map[string]*serverState),
-		evacuations: make(map[string]bool),
+		evacuations: make(map[string]bool), firstView: make(chan struct{}),
 	}
 	c.recordStoreResponse()
 	c.routers = newRouters(e)
@@ -116,6 +122,31 @@
 	c.batches <- changeBatch{changes: changes, receivedAt: time.Now()}
 }
 
+// enqueueConfig passes the configuration of a peer to the control loop.
+func (c *controller) enqueueConfig(in *rpc.StoredValue) {
+	c.batches <- changeBatch{peerConfig: &kv.Entry{Key: in.GetKey(), Value: in.GetValue()}, receivedAt: time.Now()}
+}
+
+// firstViewPublished reports whether a view has been published.
+func (c *controller) firstViewPublished() bool {
+	select {
+	case <-c.firstView:
+		return true
+	default:
+		return false
+	}
+}
+
+// waitForView waits until the first view is published, or returns false when ctx ends.
+func (c *controller) waitForView(ctx context.Context) bool {
+	select {
+	case <-c.firstView:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // recordStoreResponse records that the store has just responded.
 func (c *controller) recordStoreResponse() { c.lastResponseAt.Store(time.Now().UnixNano()) }
 
@@ -136,7 +167,7 @@
 // that are missing in the restored copy are written again.
 func (c *controller) noteEra(era uint64) {
 	before := c.era.Load()
-	if era <= before || !c.era.CompareAndSwap(before, era) || before == 0 {
+	if era <= before || !c.era.CompareAndSwap(before, era) || !c.firstViewPublished() {
 		return
 	}
 	c.endStoreOutage()
@@ -224,11 +255,7 @@
 		case <-ctx.Done():
 			return
 		case b := <-c.batches:
-			for _, change := range b.changes {
-				c.merge(change, b)
-			}
-			c.dirty = c.dirty || len(b.changes) > 0
-			c.initialized = true
+			c.mergeBatch(b)
 		case reply := <-c.queries:
 			reply <- c.state(time.Now())
 		case now := <-ticker.C:
@@ -240,6 +267,18 @@
 	}
 }
 
+func (c *controller) mergeBatch(b changeBatch) {
+	for _, change := range b.changes {
+		c.mergedEra = change.Era
+		c.merge(change, b)
+	}
+	if b.peerConfig != nil {
+		c.mergePeerConfig(*b.peerConfig)
+	}
+	c.dirty = c.dirty || len(b.changes) > 0 || b.peerConfig != nil
+	c.initialized = c.initialized || b.peerConfig == nil
+}
+
 func (c *controller) tick(ctx context.Context, now time.Time) {
 	for id, s := range c.servers {
 		if !s.removeAfter.IsZero() && now.After(s.removeAfter) {
@@ -268,7 +307,6 @@
 
 // merge applies one change to the controller's state.
 func (c *controller) merge(change mirror.Change, b changeBatch) {
-	c.mergedEra = change.Era
 	decoder := c.edge.settings.Decoder
 	if c.routers.merge(change) || c.rollouts.merge(change, decoder) || c.quarantines.merge(change) {
 		return
@@ -307,12 +345,32 @@
 		return
 	}
 	if c.config != nil && config.Version < c.config.Version {
-		c.edge.log.Error().Uint64("version", config.Version).Uint64("in_force", c.config.Version).Msg("ignoring configuration older than the current one")
+		c.edge.log.Warn().Uint64("version", config.Version).Uint64("in_force", c.config.Version).Uint64("era", c.mergedEra).
+			Msg("ignoring configuration older than the current one")
 		return
 	}
+	c.applyConfig(config, e, c.mergedEra)
+}
+
+// mergePeerConfig applies the configuration of a peer if it is newer than the current one.
+func (c *controller) mergePeerConfig(e kv.Entry) {
+	config, ok, err := c.edge.settings.Decoder.Config(e)
+	if !ok || err != nil {
+		c.edge.log.Error().Err(err).Str("key", e.Key).Msg("failed to decode configuration of a peer")
+		return
+	}
+	if c.config == nil || config.Version > c.config.Version {
+		c.applyConfig(config, e, 0)
+	}
+}
+
+// applyConfig puts a configuration in force. era is that of the store which held it, 0 if it
+// came from a peer.
+func (c *controller) applyConfig(config *topology.Config, e kv.Entry, era uint64) {
 	config.InheritWithdrawals(c.config)
 	c.config, c.configRevision, c.configAppliedAt = config, uint64(e.Revision), time.Now()
-	c.edge.log.Info().Uint64("version", config.Version).Uint64("revision", uint64(e.Revision)).Msg("configuration applied")
+	c.edge.config.current.Store(&configInForce{version: config.Version, entry: e, era: era})
+	c.edge.log.Info().Uint64("version", config.Version).Uint64("revision", uint64(e.Revision)).Uint64("era", era).Msg("configuration applied")
 	if problems := config.Problems(); len(problems) > 0 {
 		c.edge.log.Warn().Uint64("version", config.Version).Int("count", len(problems)).Str("first", problems[0]).
 			Msg("configuration has problems")
@@ -423,6 +481,7 @@
 	}
 	view.Splits = c.rollouts.splits(view.Servers)
 	if c.edge.view.Swap(view) == nil {
+		close(c.firstView)
 		c.edge.log.Info().Msg("first view published")
 	}
 }
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -165,6 +165,9 @@
 	load     loadAggregator
 	// exchanged lists the kinds of facts that the routers exchange.
 	exchanged []exchanged
+	config    configExchange
+	// prepared is set once the peers were asked for the configuration.
+	prepared atomic.Bool
 	// storeMetrics holds the counters of store calls.
 	storeMetrics *metrics.Set
 }
@@ -190,7 +193,8 @@
 		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Retries: settings.Retries,
 		ModelPolicy: settings.ModelPolicy, ServerPolicy: settings.ServerPolicy, Log: e.log,
 	})
-	e.exchanged = []exchanged{loadExchange{e}, e.controller.quarantines, &limitExchange{edge: e}}
+	e.config.edge = e
+	e.exchanged = []exchanged{loadExchange{e}, e.controller.quarantines, &limitExchange{edge: e}, &e.config}
 	return e
 }
 
@@ -221,6 +225,7 @@
 	}
 	go e.syncStore(background)
 	go e.controller.run(background)
+	go e.prepare(background)
 	go e.exchangeFacts(background)
 	go e.watchSettings(background)
 	e.log.Info().Str("listen", e.settings.FrontendAddress).Msg("edge started")
@@ -256,6 +261,16 @@
 	}
 }
 
+// prepare makes the process ready once it has a view and has asked its peers for what the
+// store may lack.
+func (e *Edge) prepare(ctx context.Context) {
+	if !e.controller.waitForView(ctx) {
+		return
+	}
+	e.config.askOnStartup(ctx)
+	e.prepared.Store(true)
+}
+
 // shutdown reports not ready, keeps serving until the load balancer has noticed, and
 // waits for the requests in progress.
 func (e *Edge) shutdown(frontend *frontend) {
@@ -300,5 +315,5 @@
 
 func (e *Edge) ready() bool {
 	v := e.view.Load()
-	return v != nil && v.Config != nil && !e.stopping.Load()
+	return v != nil && v.Config != nil && e.prepared.Load() && !e.stopping.Load()
 }
--- a/daemon/edge/helpers_test.go
+++ b/daemon/edge/helpers_test.go
@@ -334,6 +334,7 @@
 	})
 	go e.syncStore(ctx)
 	go e.controller.run(ctx)
+	go e.prepare(ctx)
 	return e
 }
 
--- a/daemon/edge/restore_test.go
+++ b/daemon/edge/restore_test.go
@@ -1,7 +1,10 @@
 package edge
 
 import (
+	"context"
+	"fmt"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -74,3 +77,58 @@
 		t.Errorf("%d calls of the store", n)
 	}
 }
+
+// startExchangingEdge starts an Edge that exchanges facts with its peers.
+func startExchangingEdge(t *testing.T, store *memoryStore, name string) *testEdge {
+	t.Helper()
+	e := startEdge(t, store, name)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go e.exchangeFacts(ctx)
+	return e
+}
+
+// Guards against a configuration that is acknowledged and then, because the store was
+// restored from an older copy, no longer in force: at routers that start or that reach the
+// store first, before the operators' tool has written it again.
+func TestAcknowledgedConfigurationOutlivesARestore(t *testing.T) {
+	store := newMemoryStore()
+	store.put("config", testConfig{1})
+	edges := []*testEdge{startExchangingEdge(t, store, "r1"), startExchangingEdge(t, store, "r2")}
+	eventually(t, waitTimeout, "the routers know each other", func() bool { return len(edges[0].controller.peers()) == 1 })
+	before := store.copy()
+	store.put("config", testConfig{2})
+	for _, e := range edges {
+		eventually(t, waitTimeout, "the configuration is applied", func() bool { return e.configVersion() == 2 })
+	}
+	store.restore(before)
+	for i := range 3 {
+		e := startExchangingEdge(t, store, fmt.Sprint("started-", i))
+		edges = append(edges, e)
+		eventually(t, waitTimeout, "a router that starts is ready", e.ready)
+		eventually(t, 50*time.Millisecond, "it goes by the acknowledged configuration", func() bool { return e.configVersion() == 2 })
+	}
+	never(t, 500*time.Millisecond, "a router goes back", func() bool {
+		return slices.ContainsFunc(edges, func(e *testEdge) bool { return e.configVersion() != 2 })
+	})
+	store.put("config", testConfig{3})
+	for _, e := range edges {
+		eventually(t, waitTimeout, "the next configuration is applied", func() bool { return e.configVersion() == 3 })
+	}
+}
+
+// Guards against the loss of an acknowledged configuration that only a router has heard of
+// which does not aggregate facts.
+func TestAggregatorLearnsTheConfigurationOfARouter(t *testing.T) {
+	store := newMemoryStore()
+	store.put("config", testConfig{1})
+	aggregator, other := startExchangingEdge(t, store, "r1"), startExchangingEdge(t, store, "r2")
+	eventually(t, waitTimeout, "the routers know each other", func() bool { return len(other.controller.peers()) == 1 })
+	before := store.copy()
+	aggregator.client.hanging.Store(true)
+	store.put("config", testConfig{2})
+	eventually(t, waitTimeout, "one router has heard of the configuration", func() bool { return other.configVersion() == 2 })
+	store.restore(before)
+	aggregator.client.hanging.Store(false)
+	eventually(t, 4*time.Second, "the other one learns it", func() bool { return aggregator.configVersion() == 2 })
+}
