edge: leases belong to the era in which they were granted

What callers would see: none directly. A router whose entry a restored store has lost was missing in the membership for up to 5 s, so shares of bounds and the readers were derived without it; the renewal or the end of its lease could hit another router's, because IDs of leases are given out again.

Cause: a lease ID was kept without the store's era; the same class as the revisions.

Change: edge.Lease holds both.

--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -171,6 +171,7 @@
 		return
 	}
 	c.endStoreOutage()
+	c.routers.storeRestored()
 	c.edge.log.Warn().Uint64("era", era).Uint64("era_before", before).Msg("store was restored from an older copy")
 }
 
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -50,6 +50,13 @@
 	Lease kv.LeaseID
 }
 
+// Lease is a lease with the store's era in which it was granted. In a later era it has ended,
+// and its ID may have been given out again.
+type Lease struct {
+	ID  kv.LeaseID
+	Era uint64
+}
+
 // Txn is a set of writes that is applied atomically if all conditions hold.
 type Txn struct {
 	// Era is the store's era in which the revisions and leases were given out.
@@ -71,9 +78,11 @@
 	// Commit applies a transaction and returns its position. It returns kv.ErrConflict
 	// if a condition does not hold, or if the store is known to be in a newer era.
 	Commit(ctx context.Context, t Txn) (kv.Position, error)
-	Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error)
-	KeepAlive(ctx context.Context, id kv.LeaseID) error
-	Revoke(ctx context.Context, id kv.LeaseID) error
+	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
+	// KeepAlive extends a lease; kv.ErrNotFound means that it has ended.
+	KeepAlive(ctx context.Context, l Lease) error
+	// Revoke ends a lease and removes its keys.
+	Revoke(ctx context.Context, l Lease) error
 }
 
 // Decoder decodes the platform's store entries. ok is false for keys of another kind.
--- a/daemon/edge/helpers_test.go
+++ b/daemon/edge/helpers_test.go
@@ -195,26 +195,36 @@
 	return at, nil
 }
 
-func (c *storeClient) Grant(ctx context.Context, _ time.Duration) (kv.LeaseID, error) {
+func (c *storeClient) Grant(ctx context.Context, _ time.Duration) (Lease, error) {
 	if err := c.injectFault(ctx); err != nil {
-		return 0, err
+		return Lease{}, err
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
 	c.store.lastLease++
-	return c.store.lastLease, nil
+	return Lease{ID: c.store.lastLease, Era: c.store.era}, nil
 }
 
-func (c *storeClient) KeepAlive(ctx context.Context, _ kv.LeaseID) error { return c.injectFault(ctx) }
+func (c *storeClient) KeepAlive(ctx context.Context, l Lease) error {
+	if err := c.injectFault(ctx); err != nil {
+		return err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	if l.Era != c.store.era {
+		return kv.ErrNotFound
+	}
+	return nil
+}
 
-func (c *storeClient) Revoke(ctx context.Context, id kv.LeaseID) error {
+func (c *storeClient) Revoke(ctx context.Context, l Lease) error {
 	if err := c.injectFault(ctx); err != nil {
 		return err
 	}
 	c.store.mu.Lock()
 	var keys []string
 	for key, e := range c.store.entries {
-		if e.Lease == id {
+		if e.Lease == l.ID {
 			keys = append(keys, key)
 		}
 	}
--- a/daemon/edge/quarantine.go
+++ b/daemon/edge/quarantine.go
@@ -160,7 +160,7 @@
 	_, err = q.edge.settings.Store.Commit(ctx, Txn{
 		Era:        era,
 		Conditions: []Condition{{Key: key, Revision: kv.Revision(change.Revision)}},
-		Writes:     []Write{{Key: key, Value: value, Lease: lease}},
+		Writes:     []Write{{Key: key, Value: value, Lease: lease.ID}},
 	})
 	return err
 }
--- a/daemon/edge/restore_test.go
+++ b/daemon/edge/restore_test.go
@@ -132,3 +132,22 @@
 	aggregator.client.hanging.Store(false)
 	eventually(t, 4*time.Second, "the other one learns it", func() bool { return aggregator.configVersion() == 2 })
 }
+
+// Guards against routers that are missing in the membership, and so in the shares of bounds
+// and among the readers, because a restored store has lost their entries with their leases.
+func TestRoutersRegisterAgainAfterARestore(t *testing.T) {
+	store := newMemoryStore()
+	store.put("config", testConfig{1})
+	before := store.copy()
+	e := startEdge(t, store, "r1")
+	registered := func() bool {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		_, ok := store.entries[routerPrefix+"r1"]
+		return ok
+	}
+	eventually(t, waitTimeout, "the router is registered", registered)
+	eventually(t, waitTimeout, "the router has a view", e.ready)
+	store.restore(before)
+	eventually(t, 2*time.Second, "the router is registered again", registered)
+}
--- a/daemon/edge/routers.go
+++ b/daemon/edge/routers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"strings"
@@ -31,6 +32,9 @@
 	registrationTTL = 15 * time.Second
 	// renewInterval leaves time for two more attempts before the lease expires.
 	renewInterval = 5 * time.Second
+	// registerSpread is the time over which the routers register again after a restore of the
+	// store.
+	registerSpread = 500 * time.Millisecond
 	// registerRetryDelay is the delay after a failed registration.
 	registerRetryDelay = 500 * time.Millisecond
 	// expiredRouterRetention is how long a router still counts after its entry expired:
@@ -47,14 +51,16 @@
 	registered map[string]relay.Member
 	// expired holds the times at which the entries of other routers expired.
 	expired map[string]time.Time
-	// lease is the lease of this router's entry; 0 before the first registration.
-	lease atomic.Uint64
+	// lease is the lease of this router's entry; nil before the first registration.
+	lease atomic.Pointer[Lease]
+	// restored receives a value when the store was restored and may lack the entry.
+	restored chan struct{}
 	// lastCount is the number of routers at the last call of changed.
 	lastCount int
 }
 
 func newRouters(e *Edge) *routers {
-	return &routers{edge: e, registered: make(map[string]relay.Member), expired: make(map[string]time.Time)}
+	return &routers{edge: e, registered: make(map[string]relay.Member), expired: make(map[string]time.Time), restored: make(chan struct{}, 1)}
 }
 
 // merge applies a change of a router's entry. It reports whether the change was one.
@@ -197,8 +203,7 @@
 	for ctx.Err() == nil {
 		err := r.createEntry(ctx)
 		for err == nil && ctx.Err() == nil {
-			sleep(ctx, renewInterval)
-			err = r.renewLease(ctx)
+			err = r.waitAndRenew(ctx)
 		}
 		if ctx.Err() != nil {
 			return
@@ -214,13 +219,13 @@
 	if err != nil {
 		return err
 	}
-	r.lease.Store(uint64(lease))
+	r.lease.Store(&lease)
 	value, err := encodeMember(r.edge.settings)
 	if err != nil {
 		return err
 	}
 	key := routerPrefix + r.edge.settings.VM
-	_, err = r.edge.settings.Store.Commit(ctx, Txn{Era: r.edge.mirror.Position().Era, Writes: []Write{{Key: key, Value: value, Lease: lease}}})
+	_, err = r.edge.settings.Store.Commit(ctx, Txn{Era: lease.Era, Writes: []Write{{Key: key, Value: value, Lease: lease.ID}}})
 	return err
 }
 
@@ -245,10 +250,34 @@
 	return relay.Member{Name: name, Address: body.Address, DataCentre: body.DataCentre, Cores: body.Cores}
 }
 
+// storeRestored tells that the store has come back from a copy that may lack this router's
+// entry.
+func (r *routers) storeRestored() {
+	select {
+	case r.restored <- struct{}{}:
+	default:
+	}
+}
+
+// waitAndRenew waits for the next renewal and extends the lease. After a restore of the store
+// it does so soon, but not all routers at once.
+func (r *routers) waitAndRenew(ctx context.Context) error {
+	timer := time.NewTimer(renewInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-timer.C:
+	case <-r.restored:
+		sleep(ctx, rand.N(registerSpread))
+	}
+	return r.renewLease(ctx)
+}
+
 // renewLease extends the lease. It returns an error only if the lease has expired;
 // other failures are retried at the next interval.
 func (r *routers) renewLease(ctx context.Context) error {
-	err := r.edge.settings.Store.KeepAlive(ctx, kv.LeaseID(r.lease.Load()))
+	err := r.edge.settings.Store.KeepAlive(ctx, *r.lease.Load())
 	if err == nil || errors.Is(err, kv.ErrNotFound) {
 		return err
 	}
@@ -258,13 +287,13 @@
 
 // deregister revokes the lease, which removes this router's entry.
 func (r *routers) deregister() {
-	lease := kv.LeaseID(r.lease.Load())
-	if lease == 0 {
+	lease := r.lease.Load()
+	if lease == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
 	defer cancel()
-	if err := r.edge.settings.Store.Revoke(ctx, lease); err != nil {
+	if err := r.edge.settings.Store.Revoke(ctx, *lease); err != nil {
 		r.edge.log.Warn().Err(err).Msg("failed to revoke lease")
 	}
 }
--- a/daemon/edge/store_metrics.go
+++ b/daemon/edge/store_metrics.go
@@ -67,22 +67,22 @@
 }
 
 // Grant implements Store.
-func (m meteredStore) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+func (m meteredStore) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
 	id, err := m.Store.Grant(ctx, ttl)
 	m.count("grant", err)
 	return id, err
 }
 
 // KeepAlive implements Store.
-func (m meteredStore) KeepAlive(ctx context.Context, id kv.LeaseID) error {
-	err := m.Store.KeepAlive(ctx, id)
+func (m meteredStore) KeepAlive(ctx context.Context, l Lease) error {
+	err := m.Store.KeepAlive(ctx, l)
 	m.count("keep_alive", err)
 	return err
 }
 
 // Revoke implements Store.
-func (m meteredStore) Revoke(ctx context.Context, id kv.LeaseID) error {
-	err := m.Store.Revoke(ctx, id)
+func (m meteredStore) Revoke(ctx context.Context, l Lease) error {
+	err := m.Store.Revoke(ctx, l)
 	m.count("revoke", err)
 	return err
 }
