rollout: an order and its phase outlive a restore of the store

What callers would see: a bad version that was reverted gets requests again, and operators read in_progress after completed or reverted; a rollout whose order is written again starts anew with its first half.

Cause: an order was identified by its bare revision, so the same order written again was a new one; and the phase in the store was taken for the truth, however old its copy was.

Change: an order is identified by the position (era, revision) at which it was first seen; the same order in a newer era keeps it, and a router that starts takes it from the stored state. A phase never goes back: routers that know a later one keep it and write it and the status again, in the order of their rank.

Why it works: the content of an order and the order of its phases do not depend on the numbers that the store gives out.

--- a/coord/kv/position.go
+++ b/coord/kv/position.go
@@ -10,8 +10,8 @@
 // can't be compared. The zero value is before all others.
 type Position struct {
 	// Era is the number of the store's incarnation; it grows by one with each restore.
-	Era      uint64
-	Revision Revision
+	Era      uint64   `json:"era"`
+	Revision Revision `json:"revision"`
 }
 
 // Compare returns -1, 0 or 1 as p is before, equal to or after o.
--- a/daemon/edge/evidence.go
+++ b/daemon/edge/evidence.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/gateway"
 	"cactusknot.example/daemon/mirror"
 	"cactusknot.example/daemon/rollout"
@@ -15,7 +16,8 @@
 
 // routerEvidence is the evidence of one router on one rollout.
 type routerEvidence struct {
-	Order    uint64           `json:"order"`
+	// Order identifies the order of the rollout.
+	Order    kv.Position      `json:"order_position"`
 	Evidence rollout.Evidence `json:"evidence"`
 	target   string
 	// exposed is set while the target gets requests. Responses are counted only then,
@@ -51,7 +53,7 @@
 			r.peerEvidence[service] = byRouter
 		}
 		old := byRouter[router]
-		if counts.Order > old.Order || counts.Order == old.Order && counts.Evidence.Total() >= old.Evidence.Total() {
+		if counts.Order.After(old.Order) || counts.Order == old.Order && counts.Evidence.Total() >= old.Evidence.Total() {
 			byRouter[router] = counts
 		}
 	}
@@ -91,11 +93,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if own := r.ownEvidence[service]; own != nil && own.Order == s.order.Revision {
+	if own := r.ownEvidence[service]; own != nil && own.Order == s.orderID {
 		sum = own.Evidence
 	}
 	for _, p := range r.peerEvidence[service] {
-		if p.Order == s.order.Revision {
+		if p.Order == s.orderID {
 			sum = sum.Add(p.Evidence)
 		}
 	}
@@ -123,7 +125,7 @@
 	report := &rpc.EvidenceReport{Router: r.edge.settings.VM}
 	for service, c := range r.ownEvidence {
 		report.Services = append(report.Services, &rpc.ServiceEvidence{
-			Service: service, OrderRevision: c.Order,
+			Service: service, OrderRevision: uint64(c.Order.Revision), OrderEra: c.Order.Era,
 			TargetGood: uint64(c.Evidence.Target.Good), TargetBad: uint64(c.Evidence.Target.Bad),
 			BaseGood: uint64(c.Evidence.Base.Good), BaseBad: uint64(c.Evidence.Base.Bad),
 			TargetPace: encodePace(c.Evidence.TargetPace), BasePace: encodePace(c.Evidence.BasePace),
--- a/daemon/edge/peer.go
+++ b/daemon/edge/peer.go
@@ -73,7 +73,7 @@
 func decodeEvidence(in *rpc.EvidenceReport) map[string]routerEvidence {
 	reports := make(map[string]routerEvidence, len(in.GetServices()))
 	for _, s := range in.GetServices() {
-		reports[s.GetService()] = routerEvidence{Order: s.GetOrderRevision(), Evidence: rollout.Evidence{
+		reports[s.GetService()] = routerEvidence{Order: kv.Position{Era: s.GetOrderEra(), Revision: kv.Revision(s.GetOrderRevision())}, Evidence: rollout.Evidence{
 			Target: rollout.Counts{Good: int(s.GetTargetGood()), Bad: int(s.GetTargetBad())},
 			Base:   rollout.Counts{Good: int(s.GetBaseGood()), Bad: int(s.GetBaseBad())},
 
--- a/daemon/edge/restore_test.go
+++ b/daemon/edge/restore_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/topology"
 )
 
 // storeCopy is a copy of the store's content.
@@ -151,3 +152,44 @@
 	store.restore(before)
 	eventually(t, 2*time.Second, "the router is registered again", registered)
 }
+
+// Guards against a rollout that falls back after it has ended, or starts anew, because the
+// restored store holds an older phase and the operators' order is written again.
+func TestEndedRolloutOutlivesARestore(t *testing.T) {
+	store := newMemoryStore()
+	store.put("config", testConfig{1})
+	store.put("servers/a", serverOfVersion("v1"))
+	store.put("servers/b", serverOfVersion("v2"))
+	edges := []*testEdge{startEdge(t, store, "r1"), startEdge(t, store, "r2")}
+	eventually(t, waitTimeout, "the routers know each other", func() bool { return len(edges[0].controller.peers()) == 1 })
+	without := store.copy()
+	order := topology.RolloutOrder{Target: "v2", Duration: 4 * time.Second}
+	store.put("order/svc", order)
+	eventually(t, waitTimeout, "the new version gets requests", func() bool { return edges[0].phase("svc") == "part" })
+	exposed := store.copy()
+	edges[0].observeResponses("v2", true, 3*minBadAnswersAlone)
+	status := func() string {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return string(store.entries["status/svc"].Value)
+	}
+	eventually(t, waitTimeout, "the version is reverted", func() bool { return status() == "v2 reverted" })
+	for _, copied := range []storeCopy{exposed, without} {
+		for _, e := range edges {
+			eventually(t, waitTimeout, "every router has reverted", func() bool { return e.phase("svc") == "none" })
+		}
+		store.restore(copied)
+		store.put("order/svc", order)
+		eventually(t, 2*time.Second, "the status is written again", func() bool { return status() == "v2 reverted" })
+		never(t, time.Second, "the version gets requests or the rollout starts anew", func() bool {
+			return edges[0].phase("svc") != "none" || edges[1].phase("svc") != "none" || status() != "v2 reverted"
+		})
+	}
+	started := startEdge(t, store, "r3")
+	eventually(t, waitTimeout, "a router that starts is ready", started.ready)
+	never(t, time.Second, "a router that starts rolls out anew", func() bool {
+		return started.phase("svc") != "none" || status() != "v2 reverted"
+	})
+	store.put("order/svc", order)
+	eventually(t, waitTimeout, "an order that the operators repeat starts anew", func() bool { return status() == "v2 hold" })
+}
--- a/daemon/edge/rollouts.go
+++ b/daemon/edge/rollouts.go
@@ -56,13 +56,23 @@
 // serviceRollout is the state of one service's rollout.
 type serviceRollout struct {
 	order *topology.RolloutOrder
-	state rollout.State
+	// orderID identifies the order: its position in the store when it was first seen. orderAt
+	// is its latest position.
+	orderID, orderAt kv.Position
+	// replaced is the order before, at its latest position; nil if this router knows none.
+	replaced   *topology.RolloutOrder
+	replacedAt kv.Position
+	state      rollout.State
 	// stateRevision is the store revision of state; 0 if the store holds none.
 	stateRevision kv.Revision
+	// stateEra is the store's era in which state was last merged.
+	stateEra uint64
+	// lost is set while the store holds an older state than this router, or none.
+	lost bool
 	// startedAt is when the order was first seen, by this router or another one.
 	startedAt time.Time
-	// rejectedOrder is the revision of the order whose target this router has rejected.
-	rejectedOrder uint64
+	// rejectedOrder identifies the order whose target this router has rejected.
+	rejectedOrder kv.Position
 	// nextPhase is the phase that this router intends to commit, nextPhaseSince the
 	// time at which it first did.
 	nextPhase      rollout.Phase
@@ -108,37 +118,91 @@
 		r.edge.log.Error().Err(err).Str("key", change.Key).Msg("failed to decode rollout order; skipping it")
 		return true
 	}
-	r.mergeOrder(order)
+	r.mergeOrder(order, change.Position())
 	return true
 }
 
-func (r *rollouts) mergeOrder(order *topology.RolloutOrder) {
+func (r *rollouts) mergeOrder(order *topology.RolloutOrder, at kv.Position) {
 	s := r.forService(order.Service)
-	s.order = order
+	if s.order != nil && s.restoredOrder(order, at) {
+		r.edge.log.Info().Str("service", order.Service).Str("target", order.Target).Stringer("position", at).
+			Msg("rollout order read again from the restored store")
+		return
+	}
+	s.replaced, s.replacedAt = s.order, s.orderAt
+	s.order, s.orderID, s.orderAt = order, at, at
 	s.startedAt = time.Now()
-	r.adjustStart(s)
 	r.mu.Lock()
-	r.ownEvidence[order.Service] = &routerEvidence{Order: order.Revision, target: order.Target}
+	r.ownEvidence[order.Service] = &routerEvidence{Order: at, target: order.Target}
 	r.mu.Unlock()
+	r.adoptOrderID(s)
+	r.adjustStart(s)
 	r.edge.log.Info().Str("service", order.Service).Str("target", order.Target).Dur("duration_ms", order.Duration).
-		Uint64("revision", order.Revision).Msg("rollout ordered")
+		Stringer("position", at).Msg("rollout ordered")
 }
 
-func (r *rollouts) mergeState(service string, change mirror.Change) {
-	s := r.forService(service)
-	s.stateRevision = change.Revision
-	if change.Deleted {
-		s.state, s.stateRevision = rollout.State{}, 0
+// restoredOrder tells whether an order of a newer era is no new one: it is the current order,
+// or the one that the current one has replaced, as the restored copy holds it.
+func (s *serviceRollout) restoredOrder(order *topology.RolloutOrder, at kv.Position) bool {
+	if at.Era <= s.orderAt.Era {
+		return false
+	}
+	if s.order.Same(order) {
+		s.orderAt = at
+		return true
+	}
+	return s.replaced != nil && s.replaced.Same(order) && s.replacedAt.Revision == at.Revision
+}
+
+// adoptOrderID takes over the identity of an order that was first seen in an earlier era of
+// the store, if the stored state is about the same target and this router has seen no other
+// order in the present era.
+func (r *rollouts) adoptOrderID(s *serviceRollout) {
+	if s.order == nil || s.state.Target != s.order.Target || s.state.Order().Era >= s.orderID.Era || s.replacedAt.Era == s.orderID.Era {
 		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if own := r.ownEvidence[s.order.Service]; own != nil && own.Order == s.orderID {
+		own.Order = s.state.Order()
+	}
+	s.orderID = s.state.Order()
+}
+
+// current tells whether the state is that of the order.
+func (s *serviceRollout) current() bool { return s.state.Order() == s.orderID }
+
+// lostState tells whether the store has lost the state that this router knows. state is what
+// the store holds now, empty for nothing.
+func (s *serviceRollout) lostState(state rollout.State, era uint64) bool {
+	if state.Target == "" || state.Order() != s.state.Order() {
+		return era > s.stateEra && state.Before(s.state)
+	}
+	return state.Before(s.state)
+}
+
+func (r *rollouts) mergeState(service string, change mirror.Change) {
+	s := r.forService(service)
 	var state rollout.State
-	if err := json.Unmarshal(change.Value, &state); err != nil {
-		r.edge.log.Error().Err(err).Str("key", change.Key).Msg("failed to decode rollout state")
+	s.stateRevision = 0
+	if !change.Deleted {
+		s.stateRevision = change.Revision
+		if err := json.Unmarshal(change.Value, &state); err != nil {
+			r.edge.log.Error().Err(err).Str("key", change.Key).Msg("failed to decode rollout state")
+			return
+		}
+	}
+	s.lost = s.lostState(state, change.Era)
+	s.stateEra = change.Era
+	if s.lost {
+		r.edge.log.Warn().Str("service", service).Str("target", s.state.Target).Str("phase", string(s.state.Phase)).
+			Str("stored_phase", string(state.Phase)).Stringer("position", change.Position()).Msg("store has lost the phase of a rollout; writing it again")
 		return
 	}
 	s.state = state
+	r.adoptOrderID(s)
 	r.adjustStart(s)
-	r.setPhase(service, state.Phase, s.order != nil && state.OrderRevision == s.order.Revision)
+	r.setPhase(service, state.Phase, s.order != nil && s.current())
 	r.edge.log.Info().Str("service", service).Str("target", state.Target).Str("phase", string(state.Phase)).
 		Uint64("revision", uint64(change.Revision)).Interface("evidence", r.pooledEvidence(service)).Msg("rollout phase changed")
 }
@@ -146,7 +210,7 @@
 // adjustStart takes the start time from the stored state if another router saw the
 // order earlier, for example because this process has just started.
 func (r *rollouts) adjustStart(s *serviceRollout) {
-	if s.order == nil || s.state.OrderRevision != s.order.Revision {
+	if s.order == nil || !s.current() {
 		return
 	}
 	began := time.Now().Add(-time.Since(time.UnixMilli(s.state.StartedMS)))
@@ -159,10 +223,13 @@
 func (r *rollouts) tick(ctx context.Context, now time.Time) (changed bool) {
 	active := false
 	for service, s := range r.byService {
+		if s.lost {
+			r.propose(ctx, now, service, s, s.state, time.Duration(r.routers.rank())*revertRankDelay)
+		}
 		if s.order == nil {
 			continue
 		}
-		current := s.state.OrderRevision == s.order.Revision
+		current := s.current()
 		if current && s.state.Final() {
 			continue
 		}
@@ -170,8 +237,8 @@
 		r.setPhase(service, s.state.Phase, current)
 		evidence := r.pooledEvidence(service)
 		evidence.SingleRouter = r.routers.rank() >= evidenceAggregatorCount
-		if evidence.TargetWorse() && s.rejectedOrder != s.order.Revision {
-			s.rejectedOrder, changed = s.order.Revision, true
+		if evidence.TargetWorse() && s.rejectedOrder != s.orderID {
+			s.rejectedOrder, changed = s.orderID, true
 			r.edge.log.Warn().Str("service", service).Str("target", s.order.Target).Interface("evidence", evidence).
 				Msg("version rejected; this router sends it no more requests")
 		}
@@ -179,6 +246,9 @@
 		if current {
 			next = rollout.NextPhase(s.state, evidence, now.Sub(s.startedAt), s.order.Duration)
 		}
+		if s.lost {
+			continue
+		}
 		if current && next == s.state.Phase {
 			s.nextPhase = ""
 			continue
@@ -186,7 +256,7 @@
 		if needsPooledEvidence(next) && r.routers.rank() >= evidenceAggregatorCount {
 			continue
 		}
-		r.propose(ctx, now, service, s, next)
+		r.propose(ctx, now, service, s, s.stateIn(now, next), commitDelay(next, r.routers.rank()))
 	}
 	if active {
 		r.report(ctx, now)
@@ -209,19 +279,23 @@
 	return time.Duration(rank) * rankDelay
 }
 
-// propose commits the next phase after the delay of this router's rank.
-func (r *rollouts) propose(ctx context.Context, now time.Time, service string, s *serviceRollout, next rollout.Phase) {
-	if s.nextPhase != next {
-		s.nextPhase, s.nextPhaseSince = next, now
+// stateIn returns the state of the order in a phase.
+func (s *serviceRollout) stateIn(now time.Time, phase rollout.Phase) rollout.State {
+	return rollout.State{
+		Target: s.order.Target, OrderRevision: uint64(s.orderID.Revision), OrderEra: s.orderID.Era, Phase: phase,
+		StartedMS: now.Add(-now.Sub(s.startedAt)).UnixMilli(),
 	}
-	if now.Sub(s.nextPhaseSince) < commitDelay(next, r.routers.rank()) || !r.startCommit(service) {
-		return
+}
+
+// propose commits a state after the delay of this router's rank.
+func (r *rollouts) propose(ctx context.Context, now time.Time, service string, s *serviceRollout, state rollout.State, delay time.Duration) {
+	if s.nextPhase != state.Phase {
+		s.nextPhase, s.nextPhaseSince = state.Phase, now
 	}
-	state := rollout.State{
-		Target: s.order.Target, OrderRevision: s.order.Revision, Phase: next,
-		StartedMS: now.Add(-now.Sub(s.startedAt)).UnixMilli(),
+	if now.Sub(s.nextPhaseSince) < delay || !r.startCommit(service) {
+		return
 	}
-	go r.commit(ctx, service, state, kv.Position{Era: r.edge.controller.mergedEra, Revision: s.stateRevision})
+	go r.commit(ctx, service, state, kv.Position{Era: r.edge.controller.mergedEra, Revision: s.stateRevision}, s.lost)
 }
 
 // startCommit marks a service's commit as in progress. It returns false if one is
@@ -236,9 +310,10 @@
 	return true
 }
 
-// commit writes a rollout state and the status for operators to the store. The result
-// arrives through the watch, even if the response to the commit is lost.
-func (r *rollouts) commit(ctx context.Context, service string, state rollout.State, position kv.Position) {
+// commit writes a rollout state and the status for operators to the store, if the state there
+// is at the position. lost is set if the store has lost both. The result arrives through the
+// watch, even if the response to the commit is lost.
+func (r *rollouts) commit(ctx context.Context, service string, state rollout.State, position kv.Position, lost bool) {
 	defer func() {
 		r.mu.Lock()
 		delete(r.committing, service)
@@ -260,7 +335,7 @@
 		Conditions: []Condition{{Key: key, Revision: position.Revision}},
 		Writes:     []Write{{Key: key, Value: value}},
 	}
-	if state.Phase == rollout.Hold || state.Final() {
+	if lost || state.Phase == rollout.Hold || state.Final() {
 		txn.Writes = append(txn.Writes, Write{Key: statusKey, Value: status})
 	}
 	_, err = r.edge.settings.Store.Commit(ctx, txn)
@@ -289,8 +364,7 @@
 	if s.order == nil {
 		return topology.TrafficSplit{}, false
 	}
-	current := s.state.OrderRevision == s.order.Revision
-	if !current || s.rejectedOrder == s.order.Revision && !s.state.Final() {
+	if !s.current() || s.rejectedOrder == s.orderID && !s.state.Final() {
 		return topology.TrafficSplit{Target: s.order.Target}, true
 	}
 	split := topology.TrafficSplit{Target: s.state.Target, Share: rollout.Share(s.state.Phase, r.edge.settings.ExposureShare)}
--- a/daemon/edge/state.go
+++ b/daemon/edge/state.go
@@ -183,9 +183,9 @@
 		}
 		state := RolloutState{
 			Service: service, Target: s.order.Target, AgeMS: now.Sub(s.startedAt).Milliseconds(),
-			Rejected: s.rejectedOrder == s.order.Revision, Evidence: r.pooledEvidence(service),
+			Rejected: s.rejectedOrder == s.orderID, Evidence: r.pooledEvidence(service),
 		}
-		if s.state.OrderRevision == s.order.Revision {
+		if s.current() {
 			state.Phase = s.state.Phase
 		}
 		list = append(list, state)
--- a/daemon/rollout/rollout.go
+++ b/daemon/rollout/rollout.go
@@ -6,6 +6,8 @@
 import (
 	"math"
 	"time"
+
+	"cactusknot.example/coord/kv"
 )
 
 // Phase is the stage that a rollout has reached.
@@ -76,13 +78,46 @@
 // State is the state of a rollout as kept in the store.
 type State struct {
 	Target string `json:"target"`
-	// OrderRevision is the store's revision of the order.
+	// OrderRevision and OrderEra are the store's position at which the order was first seen.
+	// It identifies the order, also when that is written again after a restore of the store.
 	OrderRevision uint64 `json:"order"`
+	OrderEra      uint64 `json:"order_era,omitempty"`
 	Phase         Phase  `json:"phase"`
 	// StartedMS is the Unix time in milliseconds at which the order was first seen.
 	StartedMS int64 `json:"started_ms"`
 }
 
+// Order returns the position that identifies the order.
+func (s State) Order() kv.Position {
+	return kv.Position{Era: s.OrderEra, Revision: kv.Revision(s.OrderRevision)}
+}
+
+// Before tells whether s is an earlier state than other: that of an earlier order, or an
+// earlier phase of the same one. A final phase is never followed by another one.
+func (s State) Before(other State) bool {
+	if order := s.Order(); order != other.Order() {
+		return other.Order().After(order)
+	}
+	return s.Phase.rank() < other.Phase.rank()
+}
+
+// rank orders the phases; the final ones are equal.
+func (p Phase) rank() int {
+	switch p {
+	case Hold:
+		return 1
+	case Canary:
+		return 2
+	case Wide:
+		return 3
+	case Full:
+		return 4
+	case Completed, Reverted:
+		return 5
+	}
+	return 0
+}
+
 // Final tells whether the rollout has ended.
 func (s State) Final() bool { return s.Phase == Completed || s.Phase == Reverted }
 
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -207,6 +207,11 @@
 	Revision uint64
 }
 
+// Same tells whether two orders ask for the same.
+func (o *RolloutOrder) Same(other *RolloutOrder) bool {
+	return o.Service == other.Service && o.Target == other.Target && o.Duration == other.Duration
+}
+
 // View is the configuration and the state of the fleet as the request path uses it.
 type View struct {
 	// At is when the view was built.
