edge: absence and presence in a restored store are doubted for a bounded time

What callers would see: requests to a data centre that is being evacuated, to servers that drain or have left; a data centre without requests although its evacuation has ended.

Cause: a listing of a restored copy was taken for the present state. It lacks what was written since and has what was removed since.

A key that is written after the restore ends the doubt.

--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -36,6 +36,9 @@
 type changeBatch struct {
 	changes    []mirror.Change
 	receivedAt time.Time
+	// restored is set if the changes are the first ones of a new era of the store. They then
+	// are a listing of the restored copy.
+	restored bool
 	// peerConfig is a configuration that a peer goes by and the store does not hold; nil for
 	// none.
 	peerConfig *kv.Entry
@@ -71,6 +74,8 @@
 	// initialized is set after the first batch. Servers that appear later have just
 	// started.
 	initialized bool
+	// restored holds what a restore of the store leaves in doubt.
+	restored restoreDoubts
 
 	// outageStartedAt is the start of the current store outage as Unix time in
 	// nanoseconds, or 0 while the store responds.
@@ -269,8 +274,13 @@
 }
 
 func (c *controller) mergeBatch(b changeBatch) {
+	b.restored = c.initialized && len(b.changes) > 0 && b.changes[0].Era != c.mergedEra
 	for _, change := range b.changes {
 		c.mergedEra = change.Era
+		if b.restored && c.deferChange(change, b.receivedAt) {
+			continue
+		}
+		c.restored.settle(change.Key)
 		c.merge(change, b)
 	}
 	if b.peerConfig != nil {
@@ -281,6 +291,7 @@
 }
 
 func (c *controller) tick(ctx context.Context, now time.Time) {
+	c.mergeDeferred(now)
 	for id, s := range c.servers {
 		if !s.removeAfter.IsZero() && now.After(s.removeAfter) {
 			c.removeServer(id, "gone")
@@ -304,6 +315,7 @@
 	}
 	c.edge.gateway.Pool.Prune(now, inUse)
 	c.edge.gateway.Chooser.Retain(func(id string) bool { return c.servers[id] != nil })
+	c.restored.prune(now)
 }
 
 // merge applies one change to the controller's state.
@@ -325,7 +337,7 @@
 		return
 	}
 	if server, ok, err := decoder.Server(change.Entry); ok {
-		c.mergeServer(server, err, change.Entry)
+		c.mergeServer(server, err, change.Entry, b.restored)
 	}
 }
 
@@ -378,12 +390,18 @@
 	}
 }
 
-func (c *controller) mergeServer(server *topology.Server, err error, e kv.Entry) {
+// mergeServer takes over the entry of a backend server. restored is set if it may be older
+// than what this router knows.
+func (c *controller) mergeServer(server *topology.Server, err error, e kv.Entry, restored bool) {
 	if err != nil {
 		c.edge.log.Warn().Err(err).Str("key", e.Key).Msg("failed to decode backend server entry; skipping it")
 		return
 	}
 	old := c.servers[server.ID]
+	if restored && old != nil && old.StartedMS == server.StartedMS {
+		// A server that leaves does not come back.
+		server.Draining = server.Draining || old.Draining
+	}
 	if old == nil || old.Draining != server.Draining || old.Address != server.Address {
 		c.edge.log.Info().Str("server", server.ID).Str("service", server.Service).Str("version", server.Version).
 			Str("data_centre", server.DataCentre).Bool("draining", server.Draining).Uint64("revision", uint64(e.Revision)).
@@ -391,6 +409,7 @@
 	}
 	server.ColdUntil = c.coldUntil(server, old, time.Now())
 	c.servers[server.ID] = &serverState{Server: server, changedAt: time.Now()}
+	delete(c.restored.removedAt, server.ID)
 }
 
 // coldUntil returns the end of the cold period of a backend server. The period that
@@ -458,6 +477,7 @@
 
 func (c *controller) removeServer(id, reason string) {
 	delete(c.servers, id)
+	c.restored.noteRemoval(id, time.Now())
 	c.dirty = true
 	c.edge.log.Info().Str("server", id).Str("reason", reason).Msg("backend server removed")
 }
--- a/daemon/edge/restore_test.go
+++ b/daemon/edge/restore_test.go
@@ -193,3 +193,52 @@
 	store.put("order/svc", order)
 	eventually(t, waitTimeout, "an order that the operators repeat starts anew", func() bool { return status() == "v2 hold" })
 }
+
+// Guards against an evacuation that ends, or begins again, because the restored store does not
+// have the operators' latest word on it.
+func TestEvacuationOutlivesARestore(t *testing.T) {
+	store := newMemoryStore()
+	store.put("config", testConfig{1})
+	store.put("servers/a", testServer{Service: "svc", DataCentre: "dc1"})
+	store.put("servers/b", testServer{Service: "svc", DataCentre: "dc2"})
+	store.put("evacuate/dc1", struct{}{})
+	before := store.copy()
+	e := startEdge(t, store, "r1")
+	eventually(t, waitTimeout, "dc1 is evacuated", func() bool { return e.usableServers() == "b" })
+	store.remove("evacuate/dc1")
+	store.put("evacuate/dc2", struct{}{})
+	eventually(t, waitTimeout, "dc2 is evacuated instead", func() bool { return e.usableServers() == "a" })
+	store.restore(before)
+	never(t, reregistrationGrace/2, "the evacuations are those of the copy", func() bool { return e.usableServers() != "a" })
+	store.remove("evacuate/dc1")
+	store.put("evacuate/dc2", struct{}{})
+	never(t, reregistrationGrace, "the evacuations change", func() bool { return e.usableServers() != "a" })
+	store.restore(before)
+	eventually(t, reregistrationGrace+time.Second, "what nobody writes again is given up", func() bool { return e.usableServers() == "b" })
+}
+
+// Guards against requests to servers that have left or are about to, and against giving up
+// servers that have come, because the restored store does not have the latest entries.
+func TestServersAfterARestore(t *testing.T) {
+	store := newMemoryStore()
+	store.put("config", testConfig{1})
+	for _, id := range []string{"draining", "gone", "kept"} {
+		store.put("servers/"+id, testServer{Service: "svc"})
+	}
+	before := store.copy()
+	e := startEdge(t, store, "r1")
+	eventually(t, waitTimeout, "all servers are usable", func() bool { return e.usableServers() == "draining gone kept" })
+	store.put("servers/draining", testServer{Service: "svc", Draining: true})
+	store.remove("servers/gone")
+	store.put("servers/lost", testServer{Service: "svc"})
+	store.put("servers/new", testServer{Service: "svc"})
+	eventually(t, waitTimeout, "servers leave and come", func() bool { return e.usableServers() == "kept lost new" })
+	store.restore(before)
+	never(t, reregistrationGrace/2, "the servers are those of the copy", func() bool { return e.usableServers() != "kept lost new" })
+	store.put("servers/new", testServer{Service: "svc"})
+	store.put("servers/draining", testServer{Service: "svc", Draining: true})
+	eventually(t, reregistrationGrace+time.Second, "a server that does not come back is given up", func() bool { return e.usableServers() == "kept new" })
+	never(t, time.Second, "the server that has left is used", func() bool { return e.usableServers() != "kept new" })
+	store.put("servers/gone", testServer{Service: "svc", Started: 5})
+	eventually(t, time.Second, "it is used once it has written its entry", func() bool { return e.usableServers() == "gone kept new" })
+}
