quarantine: a request that crashes servers is held as a whole, whatever its kind

Cause: the quarantine knew parts of prompts only, without the last part. A request to a plain service has none, the repetitions of one stream share only the last, and a crash before the head or later than 500 ms after it accused nobody. In the field: a query of death was identified by a feature that not every query has.

Change: a second kind of part stands for the whole request (hash of service, path, workspace, prompt and body). A crash accuses every request that was sent to that server and not answered, however long it had run; a complete answer acquits. Evidence, verdict, record, trial and bounds are those of the prompt parts.

Why it works: the crashes of a repeated request have that request in common and nothing else has as many of them; verdicts explain crashes one after the other, so what ran beside is not convicted.

--- a/daemon/edge/engines_test.go
+++ b/daemon/edge/engines_test.go
@@ -59,11 +59,14 @@
 	if e.Key != "config" {
 		return nil, false, nil
 	}
-	route := &topology.Route{
-		Name: "r", Host: "svc", Prefix: "/", Kind: topology.Stream, Resumable: true, MaxAttempts: 3,
-		Timeout: 5 * time.Second, LatencyTarget: 2 * time.Second, Shares: []topology.Share{{Service: "svc", Weight: 1}},
+	route := func(prefix string, kind topology.Kind) *topology.Route {
+		return &topology.Route{
+			Name: prefix, Host: "svc", Prefix: prefix, Kind: kind, Resumable: kind == topology.Stream, MaxAttempts: 3,
+			Timeout: 5 * time.Second, LatencyTarget: 2 * time.Second, Shares: []topology.Share{{Service: "svc", Weight: 1}},
+		}
 	}
-	return topology.NewConfig(1, []*topology.Route{route}, []*topology.Service{{Name: "svc"}}, nil, topology.Limits{}), true, nil
+	routes := []*topology.Route{route("/", topology.Stream), route("/book/", topology.NonIdempotent), route("/check/", topology.Idempotent)}
+	return topology.NewConfig(1, routes, []*topology.Service{{Name: "svc"}}, nil, topology.Limits{}), true, nil
 }
 
 func (engineDecoder) Server(e kv.Entry) (*topology.Server, bool, error) {
@@ -125,9 +128,14 @@
 // send sends a request with the prompt parts through an Edge and returns the status; 0 for
 // an answer that was cut off.
 func send(e *testEdge, id string, parts ...string) (status int, header http.Header) {
+	return sendTo(e, "/", "", id, parts...)
+}
+
+// sendTo does the same with a path and a body.
+func sendTo(e *testEdge, path, body, id string, parts ...string) (status int, header http.Header) {
 	front := httptest.NewServer(e.gateway)
 	defer front.Close()
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, front.URL+"/", nil)
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, front.URL+path, strings.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
--- a/daemon/edge/quarantine.go
+++ b/daemon/edge/quarantine.go
@@ -18,7 +18,7 @@
 	"cactusknot.example/daemon/rpc"
 )
 
-// quarantines is this router's part in the quarantine of prompt parts. Evidence and
+// quarantines is this router's part in the quarantine of requests and prompt parts. Evidence and
 // verdicts go through the exchange, so that they spread while the store is unavailable.
 // Quarantines are also stored, so that a router that starts or that can't reach the
 // aggregator knows them.
@@ -81,7 +81,7 @@
 		q.mu.Unlock()
 	}
 	for _, part := range q.edge.gateway.Quarantine.Add(now, guilty) {
-		q.edge.log.Warn().Str("part", partName(part)).Bool("own_verdict", own).Msg("prompt part quarantined: requests with it crash backend servers")
+		q.edge.log.Warn().Str("part", partName(part)).Bool("own_verdict", own).Msg("quarantined: such requests crash backend servers")
 	}
 }
 
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -129,7 +129,8 @@
 	service *topology.Service
 	// candidates are the backend servers of the version that the session uses.
 	candidates []*topology.Server
-	// parts are the parts of the prompt that may be quarantined.
+	// parts are the parts of the prompt that may be quarantined, and as the last one the
+	// request as a whole.
 	parts []quarantine.Part
 	// trial is set if the request is the trial of a quarantined part.
 	trial bool
--- a/daemon/gateway/quarantine.go
+++ b/daemon/gateway/quarantine.go
@@ -13,17 +13,18 @@
 // whose trial is due.
 const minQuarantineRetryAfter = time.Second
 
-// checkQuarantine refuses a request with a quarantined part in its prompt. The trial of
-// such a part gets one attempt.
+// checkQuarantine refuses a request that is quarantined or has a quarantined part in its
+// prompt. The trial of such a part gets one attempt.
 func (g *Gateway) checkQuarantine(x *requestState) *result.Error {
-	x.parts = quarantine.Parts(x.service.Name, x.call.PartIDs)
+	whole := quarantine.WholeRequest(x.service.Name, x.call.Path, x.workspace, x.call.PartIDs, x.call.Body)
+	x.parts = append(quarantine.Parts(x.service.Name, x.call.PartIDs), whole)
 	switch verdict, wait := g.Quarantine.Check(time.Now(), x.parts); verdict {
 	case quarantine.Refuse:
 		x.retryAfter = max(wait, minQuarantineRetryAfter)
 		return result.Quarantined.With("next trial in %s", wait.Round(time.Millisecond))
 	case quarantine.Trial:
 		x.trial, x.dispatch.MaxAttempts = true, 1
-		g.logEvent(g.Log.Info()).Str("request", x.call.ID).Strs("parts", partNames(x.parts)).Msg("trial of a quarantined prompt part")
+		g.logEvent(g.Log.Info()).Str("request", x.call.ID).Strs("parts", partNames(x.parts)).Msg("trial of a quarantined part")
 	}
 	return nil
 }
@@ -43,26 +44,48 @@
 
 func (g *Gateway) observeSound(a *attempt) {
 	a.sound = true
-	if len(a.parts) == 0 {
-		return
-	}
-	g.Crashes.RecordSound(time.Now(), a.parts)
-	g.Quarantine.RecordSound(a.parts)
+	parts := a.promptParts()
+	g.Crashes.RecordSound(time.Now(), parts)
+	g.Quarantine.RecordSound(parts)
 }
 
+// promptParts returns the parts of the prompt, without the request as a whole.
+func (x *requestState) promptParts() []quarantine.Part { return x.parts[:len(x.parts)-1] }
+
+// wholeRequest returns the part that stands for the request as a whole.
+func (x *requestState) wholeRequest() quarantine.Part { return x.parts[len(x.parts)-1] }
+
 // observeCrash records the end of an attempt as evidence on the parts of its prompt.
 func (g *Gateway) observeCrash(a *attempt) {
 	now := time.Now()
 	switch {
-	case len(a.parts) == 0 || a.sound || a.begunAt.IsZero():
-	case a.outcome == selection.Succeeded:
+	case a.outcome == selection.Succeeded && !a.begunAt.IsZero():
+		g.observeAnswered(a)
+	case a.closedByServer:
+		accused := a.accused(now)
+		g.Crashes.RecordCrash(now, a.incarnation(), accused)
+		g.metrics.GetOrCreateCounter("cactusknot_crashes_under_requests_total").Inc()
+		g.logEvent(g.Log.Warn()).Str("request", a.call.ID).Str("server", a.target.ID).Strs("parts", partNames(accused)).
+			Dur("since_begun_ms", a.sinceBegun(now)).Msg("backend server lost under the request; it and parts of its prompt are suspected")
+	}
+}
+
+// observeAnswered records that the answer is complete, which acquits the request as a whole.
+func (g *Gateway) observeAnswered(a *attempt) {
+	if !a.sound {
 		g.observeSound(a)
-	case a.closedByServer && now.Sub(a.begunAt) <= quarantine.GuiltWindow:
-		g.Crashes.RecordCrash(now, a.incarnation(), a.parts)
-		g.metrics.GetOrCreateCounter("cactusknot_crashes_after_begin_total").Inc()
-		g.logEvent(g.Log.Warn()).Str("request", a.call.ID).Str("server", a.target.ID).Strs("parts", partNames(a.parts)).
-			Dur("since_begun_ms", now.Sub(a.begunAt)).Msg("backend server lost just after the answer began; its prompt parts are suspected")
 	}
+	g.Crashes.RecordAnswered(time.Now(), a.wholeRequest())
+	g.Quarantine.RecordSound(a.parts[len(a.parts)-1:])
+}
+
+// accused returns the parts that may have crashed the attempt's server: always the request as a
+// whole, and the parts of its prompt if the answer had just begun.
+func (a *attempt) accused(now time.Time) []quarantine.Part {
+	if !a.sound && !a.begunAt.IsZero() && now.Sub(a.begunAt) <= quarantine.GuiltWindow {
+		return a.parts
+	}
+	return a.parts[len(a.parts)-1:]
 }
 
 // partNames returns the parts as log lines name them.
--- a/daemon/quarantine/quarantine.go
+++ b/daemon/quarantine/quarantine.go
@@ -2,8 +2,9 @@
 // field such a request is called a query of death: each retry of it, and each other
 // request with the same deadly part in its prompt, ends one more server.
 //
-// A crash of a server accuses the parts of the prompts whose answers had just begun there,
-// and an answer that goes on acquits the parts of its prompt. Each router collects what it
+// A crash of a server accuses all requests that were sent to it and not yet answered, each as
+// a whole, and the parts of the prompts whose answers had just begun there. An answer that
+// goes on acquits the parts of its prompt, a complete one also the request as a whole. Each router collects what it
 // sees (Recorder). The evidence of all routers is pooled (Pool), and parts that are found
 // guilty are quarantined (List): requests with them are refused, but for a trial now and
 // then. The package needs no network; all methods that depend on the time take it as an
@@ -16,7 +17,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Part identifies a part of a prompt among the parts of one service.
+// Part identifies what may crash the servers of a service: a part of prompts, or a whole
+// request with all its repetitions.
 type Part uint64
 
 // Parts returns the parts that may be quarantined, given the IDs of the parts of a
@@ -32,6 +34,18 @@
 	return parts
 }
 
+// WholeRequest returns the part that stands for a request and its repetitions: requests to
+// the same service and path, of the same caller, with the same prompt and body.
+func WholeRequest(service, path, caller string, promptParts []string, body []byte) Part {
+	digest := xxhash.New()
+	for _, field := range append([]string{service, path, caller}, promptParts...) {
+		_, _ = digest.WriteString(field)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(body)
+	return Part(digest.Sum64())
+}
+
 // Incarnation identifies one life of a backend server, so that the reports of several
 // routers on one crash count once.
 type Incarnation uint64
@@ -63,11 +77,11 @@
 	maxSuspects        = 128
 )
 
-// Crash is the crash of a server shortly after the answer to a request had begun there.
+// Crash is the crash of a server under a request.
 type Crash struct {
 	Server Incarnation
 	At     time.Time
-	// Parts are the parts of the request's prompt.
+	// Parts are the accused parts in the order of the prompt; the whole request is the last.
 	Parts []Part
 }
 
--- a/daemon/quarantine/recorder.go
+++ b/daemon/quarantine/recorder.go
@@ -9,18 +9,36 @@
 // soundGeneration is the number of sound parts after which the older ones are forgotten.
 const soundGeneration = 4096
 
+// generations remembers when parts were sound. A flood of parts replaces the latest
+// generation by an empty one and drops the one before.
+type generations struct{ latest, older map[Part]time.Time }
+
+func (g *generations) record(now time.Time, part Part) {
+	if len(g.latest) >= soundGeneration || g.latest == nil {
+		g.latest, g.older = make(map[Part]time.Time), g.latest
+	}
+	g.latest[part] = now
+}
+
+// at returns when a part was last sound, or zero.
+func (g *generations) at(part Part) time.Time {
+	if at, ok := g.latest[part]; ok {
+		return at
+	}
+	return g.older[part]
+}
+
 // Recorder collects the evidence of one router. The zero value is ready for use.
 type Recorder struct {
 	mu sync.Mutex
 	// crashes are the latest crashes, the oldest first.
 	crashes []Crash
-	// sound and olderSound hold when a part was last in a sound answer. A flood of parts
-	// replaces sound by an empty map and drops olderSound.
-	sound, olderSound map[Part]time.Time
+	// sound holds when a part was last in a sound answer, answered when a whole request was
+	// last answered. They are apart because each request is a part of its own.
+	sound, answered generations
 }
 
-// RecordCrash records that a server crashed when the answer to a prompt with these parts
-// had just begun there.
+// RecordCrash records that a server crashed under a request with these parts.
 func (r *Recorder) RecordCrash(now time.Time, server Incarnation, parts []Part) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -32,14 +50,18 @@
 func (r *Recorder) RecordSound(now time.Time, parts []Part) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.sound) >= soundGeneration || r.sound == nil {
-		r.sound, r.olderSound = make(map[Part]time.Time), r.sound
-	}
 	for _, part := range parts {
-		r.sound[part] = now
+		r.sound.record(now, part)
 	}
 }
 
+// RecordAnswered records that a request was answered completely.
+func (r *Recorder) RecordAnswered(now time.Time, request Part) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered.record(now, request)
+}
+
 // RecordAlive records that a server has begun to answer a request that was sent at sentAt:
 // it has not crashed before, whatever connections to it were lost.
 func (r *Recorder) RecordAlive(server Incarnation, sentAt time.Time) {
@@ -72,8 +94,9 @@
 }
 
 func (r *Recorder) soundAt(part Part) time.Time {
-	if at, ok := r.sound[part]; ok {
-		return at
+	sound, answered := r.sound.at(part), r.answered.at(part)
+	if sound.After(answered) {
+		return sound
 	}
-	return r.olderSound[part]
+	return answered
 }
--- a/daemon/quarantine/verdict.go
+++ b/daemon/quarantine/verdict.go
@@ -46,14 +46,14 @@
 			tallies[part] = tallies[part].add(c.at, position)
 		}
 	}
-	parts := slices.SortedFunc(maps.Keys(tallies), func(a, b Part) int {
+	if len(tallies) == 0 {
+		return 0, false
+	}
+	most := slices.MinFunc(slices.Collect(maps.Keys(tallies)), func(a, b Part) int {
 		x, y := tallies[a], tallies[b]
 		return cmp.Or(cmp.Compare(y.crashes, x.crashes), sound[a].Compare(sound[b]), cmp.Compare(y.position, x.position), cmp.Compare(a, b))
 	})
-	if len(parts) == 0 || tallies[parts[0]].crashes < crashesToConvict {
-		return 0, false
-	}
-	return parts[0], true
+	return most, tallies[most].crashes >= crashesToConvict
 }
 
 // tally counts the crashes of a part that are far enough apart.
--- a/daemon/quarantine/verdict_test.go
+++ b/daemon/quarantine/verdict_test.go
@@ -70,10 +70,13 @@
 	now := time.Unix(1000, 0)
 	for i := range 50_000 {
 		r.RecordSound(now, []Part{Part(i)})
+		r.RecordAnswered(now, Part(i))
 		r.RecordCrash(now, Incarnation(i), []Part{Part(i)})
 	}
-	if n := len(r.sound) + len(r.olderSound); n > 2*soundGeneration+2 {
-		t.Errorf("%d sound parts", n)
+	for _, g := range []generations{r.sound, r.answered} {
+		if n := len(g.latest) + len(g.older); n > 2*soundGeneration+2 {
+			t.Errorf("%d sound parts", n)
+		}
 	}
 	if n := len(r.Report(now, nil).Crashes); n > maxReportedCrashes {
 		t.Errorf("%d crashes reported", n)
--- a/daemon/result/result.go
+++ b/daemon/result/result.go
@@ -81,7 +81,7 @@
 	Isolated        = add(2006, "isolated", http.StatusServiceUnavailable, NotRun, true, "The process can't confirm that its configuration is current.")
 	LedgerFull      = add(2007, "ledger_full", http.StatusServiceUnavailable, NotRun, true, "The queue of charges is full.")
 	KeyNeedsStore   = add(2008, "key_needs_store", http.StatusServiceUnavailable, Unknown, true, "A caller-made key can't be bound while the store is down; use the suggested key only if this one was never sent before.")
-	Quarantined     = add(2010, "quarantined", http.StatusServiceUnavailable, NotRun, true, "A part of the prompt has crashed backend servers; requests with it are not sent for now.")
+	Quarantined     = add(2010, "quarantined", http.StatusServiceUnavailable, NotRun, true, "The request, or a part of its prompt, has crashed backend servers; such requests are not sent for now.")
 	RetryBudget     = add(2009, "retry_budget_exhausted", http.StatusServiceUnavailable, NotRun, true, "The request was not run and the retry budget is used up.")
 )
 
