quarantine: releases and trials outlive a restore of the store

What callers would see: requests refused again after an answer had acquitted them, for 30 s; or a trial too early, which costs another server.

Change: a router that knows of a release or of more trials keeps them and writes the record again, without taking a trial by it. A part with a sound answer is sent at once, not only when its release is stored.

--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -321,7 +321,7 @@
 // merge applies one change to the controller's state.
 func (c *controller) merge(change mirror.Change, b changeBatch) {
 	decoder := c.edge.settings.Decoder
-	if c.routers.merge(change) || c.rollouts.merge(change, decoder) || c.quarantines.merge(change) {
+	if c.routers.merge(change) || c.rollouts.merge(change, decoder) || c.quarantines.merge(change, b.restored) {
 		return
 	}
 	if dataCentre, ok := decoder.Evacuation(change.Entry); ok {
--- a/daemon/edge/quarantine.go
+++ b/daemon/edge/quarantine.go
@@ -85,8 +85,9 @@
 	}
 }
 
-// merge applies a change of a stored quarantine. It reports whether the change was one.
-func (q *quarantines) merge(change mirror.Change) bool {
+// merge applies a change of a stored quarantine. restored is set if the change is of a restored
+// store, which may hold older records. It reports whether the change was one.
+func (q *quarantines) merge(change mirror.Change, restored bool) bool {
 	name, ok := strings.CutPrefix(change.Key, quarantinePrefix)
 	if !ok {
 		return false
@@ -107,7 +108,11 @@
 		q.edge.log.Error().Err(err).Str("key", change.Key).Msg("failed to decode quarantine; skipping it")
 		return true
 	}
-	q.edge.gateway.Quarantine.Apply(time.Now(), part, record, uint64(change.Revision))
+	apply := q.edge.gateway.Quarantine.Apply
+	if restored {
+		apply = q.edge.gateway.Quarantine.ApplyRestored
+	}
+	apply(time.Now(), part, record, uint64(change.Revision))
 	q.edge.log.Info().Str("part", name).Int("trials", record.Trials).Bool("released", record.Released).Dur("hold_ms", record.Hold()).
 		Uint64("revision", uint64(change.Revision)).Msg("quarantine changed")
 	return true
@@ -136,7 +141,7 @@
 	q.mu.Lock()
 	delete(q.committing, change.Part)
 	q.mu.Unlock()
-	if err == nil && change.Record.Trials > 0 {
+	if err == nil && change.Trial {
 		q.edge.gateway.Quarantine.Took(time.Now(), change.Part)
 	}
 	event := q.edge.log.Info()
--- a/daemon/quarantine/list.go
+++ b/daemon/quarantine/list.go
@@ -70,6 +70,8 @@
 	trialUntil time.Time
 	// sound is set when an answer with the part went on.
 	sound bool
+	// lost is set while the store holds an older record.
+	lost bool
 }
 
 // Check tells what may be done with a request whose prompt has these parts. For a refused
@@ -84,7 +86,7 @@
 	for _, part := range parts {
 		e := l.entries[part]
 		switch {
-		case e == nil:
+		case e == nil || e.sound:
 		case now.Before(e.trialUntil):
 			trial = e
 		default:
@@ -172,6 +174,11 @@
 func (l *List) Apply(now time.Time, part Part, record Record, revision uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.apply(now, part, record, revision)
+}
+
+// apply is Apply for a caller that holds the lock.
+func (l *List) apply(now time.Time, part Part, record Record, revision uint64) {
 	if record.Released {
 		l.remove(part)
 		if l.released == nil {
@@ -187,10 +194,29 @@
 			return
 		}
 	}
-	e.record, e.revision, e.wanted = record, revision, false
+	e.record, e.revision, e.wanted, e.lost = record, revision, false, false
 	e.heldUntil = now.Add(record.Hold())
 }
 
+// ApplyRestored takes over a record from a store that was restored from an older copy. A
+// release and trials that this router knows of are kept and written again.
+func (l *List) ApplyRestored(now time.Time, part Part, record Record, revision uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[part]
+	_, released := l.released[part]
+	switch {
+	case released && !record.Released:
+		if e = l.insert(part); e != nil {
+			e.record, e.revision, e.sound = record, revision, true
+		}
+	case e != nil && e.record.Trials > record.Trials && !record.Released:
+		e.revision, e.lost = revision, true
+	default:
+		l.apply(now, part, record, revision)
+	}
+}
+
 // Forget takes over the end of a record. The part stays held for the rest of its time,
 // because records may end early while the store is unavailable.
 func (l *List) Forget(part Part) {
@@ -208,6 +234,8 @@
 	Record Record
 	// Revision is the revision that the stored record must have; 0 if there must be none.
 	Revision uint64
+	// Trial is set if the record gives this router a trial.
+	Trial bool
 }
 
 // Due returns the changes of records that this router is to write, and drops the entries
@@ -224,9 +252,11 @@
 		case e.sound, e.revision == 0 && !now.Before(e.heldUntil):
 			l.remove(part)
 		case e.revision == 0 && judging:
-			changes = append(changes, Change{Part: part, Revision: l.released[part]})
+			changes = append(changes, Change{Part: part, Record: e.record, Revision: l.released[part]})
+		case e.lost:
+			changes = append(changes, Change{Part: part, Record: e.record, Revision: e.revision})
 		case e.revision != 0 && e.wanted:
-			changes = append(changes, Change{Part: part, Record: Record{Trials: e.record.Trials + 1}, Revision: e.revision})
+			changes = append(changes, Change{Part: part, Record: Record{Trials: e.record.Trials + 1}, Revision: e.revision, Trial: true})
 		case e.revision != 0 && now.Sub(e.heldUntil) > RecordMargin:
 			l.remove(part)
 		}
--- a/daemon/quarantine/list_test.go
+++ b/daemon/quarantine/list_test.go
@@ -38,7 +38,7 @@
 				t.Fatalf("sent at %s", now)
 			}
 			for _, change := range lists[i].Due(now, i == 0) {
-				if store.commit(change) && change.Record.Trials > 0 {
+				if store.commit(change) && change.Trial {
 					lists[i].Took(now, part)
 				}
 			}
@@ -89,3 +89,31 @@
 		t.Errorf("changes %v after another verdict", changes)
 	}
 }
+
+// Guards against a part that is held again after its release, or that gets another trial too
+// early, because a restored store holds an older record.
+func TestRestoredRecordsDoNotGoBack(t *testing.T) {
+	const part Part = 7
+	now := time.Unix(1_700_000_000, 0)
+	var released, tried List
+	released.Apply(now, part, Record{Released: true}, 9)
+	released.ApplyRestored(now, part, Record{}, 5)
+	if verdict, _ := released.Check(now, []Part{part}); verdict != Send {
+		t.Error("held again after the release")
+	}
+	if changes := released.Due(now, false); len(changes) != 1 || changes[0] != (Change{Part: part, Record: Record{Released: true}, Revision: 5}) {
+		t.Errorf("changes %v after a lost release", changes)
+	}
+	tried.Apply(now, part, Record{Trials: 2}, 9)
+	tried.ApplyRestored(now.Add(time.Second), part, Record{Trials: 1}, 5)
+	if _, wait := tried.Check(now, []Part{part}); wait != (Record{Trials: 2}).Hold() {
+		t.Errorf("next trial in %s", wait)
+	}
+	if changes := tried.Due(now, false); len(changes) != 1 || changes[0] != (Change{Part: part, Record: Record{Trials: 2}, Revision: 5}) {
+		t.Errorf("changes %v after a lost trial", changes)
+	}
+	tried.Forget(part)
+	if changes := tried.Due(now, true); len(changes) != 1 || changes[0] != (Change{Part: part, Record: Record{Trials: 2}}) {
+		t.Errorf("changes %v after a lost record", changes)
+	}
+}
