rollout: a reverted version gets no requests in the next rollout

Cause: while a version is rolled out, all servers of other versions counted as the old version, also those of a version that the rollout before had reverted. Class: a decision kept only as long as the order it was made for.

Change: the stored state of a rollout lists the versions that earlier ones reverted (8 at most), and a traffic split leaves their servers out. An order for such a version takes it off the list.

TestRevertedVersionGetsNothingInTheNextRollout, TestServersForSession.

--- a/daemon/edge/edge_test.go
+++ b/daemon/edge/edge_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -314,3 +315,28 @@
 	second := startEdge(t, store, "r2")
 	eventually(t, time.Second, "the new router applies the stored state at once", func() bool { return second.phase("svc") == "part" })
 }
+
+// Guards against requests to a version that was reverted, while its servers leave and the next
+// version is rolled out; also by a router that starts then.
+func TestRevertedVersionGetsNothingInTheNextRollout(t *testing.T) {
+	store := newMemoryStore()
+	store.put("config", testConfig{1})
+	for id, version := range map[string]string{"a": "v1", "b": "v2", "c": "v3"} {
+		store.put("servers/"+id, serverOfVersion(version))
+	}
+	first := startEdge(t, store, "r1")
+	eventually(t, waitTimeout, "ready", first.ready)
+	store.put("order/svc", topology.RolloutOrder{Target: "v2", Duration: 3 * time.Second})
+	eventually(t, waitTimeout, "v2 gets requests", func() bool { return first.phase("svc") == "part" })
+	first.observeResponses("v2", true, 3*minBadAnswersAlone)
+	eventually(t, waitTimeout, "v2 is reverted", func() bool { return first.phase("svc") == "none" })
+	rejected := func(e *testEdge) bool {
+		split := e.view.Load().Splits["svc"]
+		return split.Target == "v2" || slices.Contains(split.Rejected, "v2")
+	}
+	store.put("order/svc", topology.RolloutOrder{Target: "v3", Duration: 3 * time.Second})
+	never(t, time.Second, "v2 may be used", func() bool { return !rejected(first) })
+	second := startEdge(t, store, "r2")
+	eventually(t, waitTimeout, "ready", second.ready)
+	never(t, 2*time.Second, "v2 may be used by one of the routers", func() bool { return !rejected(first) || !rejected(second) })
+}
--- a/daemon/edge/rollouts.go
+++ b/daemon/edge/rollouts.go
@@ -283,10 +283,18 @@
 func (s *serviceRollout) stateIn(now time.Time, phase rollout.Phase) rollout.State {
 	return rollout.State{
 		Target: s.order.Target, OrderRevision: uint64(s.orderID.Revision), OrderEra: s.orderID.Era, Phase: phase,
-		StartedMS: now.Add(-now.Sub(s.startedAt)).UnixMilli(),
+		StartedMS: now.Add(-now.Sub(s.startedAt)).UnixMilli(), Rejected: s.rejected(),
 	}
 }
 
+// rejected returns the versions that earlier rollouts reverted.
+func (s *serviceRollout) rejected() []string {
+	if s.current() {
+		return s.state.Rejected
+	}
+	return s.state.RejectedBefore(s.order.Target)
+}
+
 // propose commits a state after the delay of this router's rank.
 func (r *rollouts) propose(ctx context.Context, now time.Time, service string, s *serviceRollout, state rollout.State, delay time.Duration) {
 	if s.nextPhase != state.Phase {
@@ -365,9 +373,11 @@
 		return topology.TrafficSplit{}, false
 	}
 	if !s.current() || s.rejectedOrder == s.orderID && !s.state.Final() {
-		return topology.TrafficSplit{Target: s.order.Target}, true
+		return topology.TrafficSplit{Target: s.order.Target, Rejected: s.rejected()}, true
+	}
+	split := topology.TrafficSplit{
+		Target: s.state.Target, Share: rollout.Share(s.state.Phase, r.edge.settings.ExposureShare), Rejected: s.rejected(),
 	}
-	split := topology.TrafficSplit{Target: s.state.Target, Share: rollout.Share(s.state.Phase, r.edge.settings.ExposureShare)}
 	for _, server := range servers {
 		split.Final = split.Final || s.state.Phase == rollout.Completed && server.Version == split.Target
 	}
--- a/daemon/gateway/cascade_test.go
+++ b/daemon/gateway/cascade_test.go
@@ -138,6 +138,10 @@
 		t.Error("no server although the old version has one")
 	}
 	split.Final = true
+	rejected := topology.TrafficSplit{Target: "v3", Rejected: []string{target.Version}}
+	if got := serversForSession([]*topology.Server{old, target}, rejected, "s"); len(got) != 1 || got[0] != old {
+		t.Errorf("servers of a rejected version: %v", got)
+	}
 	if got := serversForSession([]*topology.Server{old, target}, split, "s"); len(got) != 1 || got[0] != target {
 		t.Error("the old version is used after the end")
 	}
--- a/daemon/gateway/split.go
+++ b/daemon/gateway/split.go
@@ -111,9 +111,10 @@
 	inTarget := split.Final || InRolloutShare(split.Target, session, split.Share)
 	var target, old []*topology.Server
 	for _, s := range all {
-		if s.Version == split.Target {
+		switch {
+		case s.Version == split.Target:
 			target = append(target, s)
-		} else {
+		case !slices.Contains(split.Rejected, s.Version):
 			old = append(old, s)
 		}
 	}
--- a/daemon/rollout/rollout.go
+++ b/daemon/rollout/rollout.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"cactusknot.example/coord/kv"
@@ -85,6 +86,22 @@
 	Phase         Phase  `json:"phase"`
 	// StartedMS is the Unix time in milliseconds at which the order was first seen.
 	StartedMS int64 `json:"started_ms"`
+	// Rejected lists the versions that earlier rollouts of the service reverted, the latest
+	// last. Their servers may still be there.
+	Rejected []string `json:"rejected,omitempty"`
+}
+
+// maxRejected bounds the versions that a state remembers as rejected.
+const maxRejected = 8
+
+// RejectedBefore returns the rejected versions for a rollout of target that follows s.
+func (s State) RejectedBefore(target string) []string {
+	list := slices.Clone(s.Rejected)
+	if s.Phase == Reverted {
+		list = append(list, s.Target)
+	}
+	list = slices.DeleteFunc(list, func(version string) bool { return version == target })
+	return list[max(0, len(list)-maxRejected):]
 }
 
 // Order returns the position that identifies the order.
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -235,4 +235,6 @@
 	Share float64
 	// Final is set when the old versions must no longer be used.
 	Final bool
+	// Rejected lists versions that earlier rollouts reverted. They get no requests.
+	Rejected []string
 }
