admission: requests wait for room in order of urgency instead of polling

A request that finds every server full waits in a queue of its service. The end of an attempt, a first byte and the report of the other routers wake the waiting requests in order. selection.ChooseWithRoom says which servers are full; while the best one has room the choice is the same as before.

--- /dev/null
+++ b/daemon/admission/history.go
@@ -0,0 +1,155 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// usualTime is the time constant of a workspace's usual load.
+	usualTime = time.Minute
+	// maxWorkspaces bounds the workspaces whose usual load is known.
+	maxWorkspaces = 1024
+	// minWeightShare times the mean is the least weight of a workspace, so that one without
+	// usual load is served.
+	minWeightShare = 0.1
+	// largeShare is the part of the requests of a kind that counts as large.
+	largeShare = 0.1
+	// largeServedShare is the least part of large requests that are served, relative to the
+	// whole kind. The guarantee is a half; the margin covers the time until it takes effect.
+	largeServedShare = 0.6
+	// kindTime is the number of requests over which the counts of a kind are averaged.
+	kindTime = 200
+	// maxKinds bounds the kinds that are told apart.
+	maxKinds = 256
+)
+
+// usualLoad measures the load of each workspace. The weights follow from it, so that a
+// workspace with many times its usual load waits for itself.
+type usualLoad struct {
+	byWorkspace map[string]*load
+	total       load
+}
+
+type load struct {
+	work float64
+	at   time.Time
+}
+
+func (l *load) add(now time.Time, work float64) {
+	if passed := now.Sub(l.at); passed > 0 {
+		if !l.at.IsZero() {
+			l.work *= math.Exp(-float64(passed) / float64(usualTime))
+		}
+		l.at = now
+	}
+	l.work += work
+}
+
+func (u *usualLoad) record(now time.Time, workspace string, work time.Duration) {
+	if u.byWorkspace == nil {
+		u.byWorkspace = make(map[string]*load)
+	}
+	l := u.byWorkspace[workspace]
+	if l == nil {
+		if len(u.byWorkspace) >= maxWorkspaces {
+			u.forget(now)
+		}
+		l = &load{}
+		u.byWorkspace[workspace] = l
+	}
+	seconds := max(work, time.Millisecond).Seconds()
+	l.add(now, seconds)
+	u.total.add(now, seconds)
+}
+
+// forget drops the workspaces without load for a long time, or all if there are none.
+func (u *usualLoad) forget(now time.Time) {
+	for name, l := range u.byWorkspace {
+		if now.Sub(l.at) > usualTime {
+			delete(u.byWorkspace, name)
+		}
+	}
+	if len(u.byWorkspace) >= maxWorkspaces {
+		clear(u.byWorkspace)
+		u.total = load{}
+	}
+}
+
+// weight returns the part of a workspace in the usual load, at least a part of the mean.
+func (u *usualLoad) weight(now time.Time, workspace string) float64 {
+	least := minWeightShare / float64(max(len(u.byWorkspace), 1))
+	l := u.byWorkspace[workspace]
+	if l == nil || u.total.work <= 0 {
+		return least
+	}
+	// The total is decayed up to its latest record, the workspace up to its own.
+	own := l.work * math.Exp(-float64(u.total.at.Sub(l.at))/float64(usualTime))
+	return max(own/u.total.work, least)
+}
+
+// kinds measures how many large requests of each kind are served.
+type kinds struct{ byName map[string]*kind }
+
+type kind struct {
+	// threshold is the work from which a request is large: a running estimate of the
+	// quantile.
+	threshold time.Duration
+	// arrived and refused count all requests, largeArrived and largeRefused the large ones.
+	// Old ones count less.
+	arrived, refused, largeArrived, largeRefused float64
+}
+
+// arrive records a request and reports whether it is a large one of its kind.
+func (k *kinds) arrive(name string, work time.Duration) (large bool) {
+	if k.byName == nil {
+		k.byName = make(map[string]*kind)
+	}
+	c := k.byName[name]
+	if c == nil {
+		if len(k.byName) >= maxKinds {
+			clear(k.byName)
+		}
+		c = &kind{threshold: work}
+		k.byName[name] = c
+	}
+	large = work > c.threshold
+	// Stochastic approximation of the quantile: the steps cancel out where largeShare of the
+	// requests are above.
+	step := float64(c.threshold)/20 + float64(time.Millisecond)/10
+	if large {
+		c.threshold += time.Duration(step * (1 - largeShare))
+	} else {
+		c.threshold -= time.Duration(step * largeShare)
+	}
+	const keep = 1 - 1.0/kindTime
+	c.arrived = c.arrived*keep + 1
+	c.refused *= keep
+	if large {
+		const keepLarge = 1 - 1/(kindTime*largeShare)
+		c.largeArrived = c.largeArrived*keepLarge + 1
+		c.largeRefused *= keepLarge
+	}
+	return large
+}
+
+func (k *kinds) refused(name string, large bool) {
+	c := k.byName[name]
+	if c == nil {
+		return
+	}
+	c.refused++
+	if large {
+		c.largeRefused++
+	}
+}
+
+// protects reports whether large requests of a kind must not be refused because too few of
+// them were served.
+func (k *kinds) protects(name string) bool {
+	c := k.byName[name]
+	if c == nil || c.largeArrived == 0 {
+		return false
+	}
+	return 1-c.largeRefused/c.largeArrived < largeServedShare*(1-c.refused/c.arrived)
+}
--- a/daemon/edge/load.go
+++ b/daemon/edge/load.go
@@ -89,6 +89,7 @@
 
 func (l loadExchange) apply(now time.Time, in *rpc.LoadReply) {
 	l.edge.gateway.Chooser.SetPeerWork(now, decodeLoad(in.GetServers()))
+	l.edge.gateway.WakeWaiting()
 }
 
 func decodeLoad(servers []*rpc.ServerLoad) map[string]selection.OutstandingWork {
--- /dev/null
+++ b/daemon/gateway/admission.go
@@ -0,0 +1,326 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cactusknot.example/daemon/admission"
+	"cactusknot.example/daemon/result"
+	"cactusknot.example/daemon/selection"
+)
+
+const (
+	// maxFailedGrants is how many waiting requests that find no room are passed over when
+	// room may have become available. The servers with room may not suit the first ones.
+	maxFailedGrants = 4
+	// safetyInterval is the time after which waiting requests look for room although nothing
+	// said that there is any. limitedInterval applies while rate limits keep servers closed,
+	// since no event tells when they open.
+	safetyInterval  = 200 * time.Millisecond
+	limitedInterval = 25 * time.Millisecond
+	// plainWork is the expected time that a request of a service without a model takes a slot.
+	plainWork = 100 * time.Millisecond
+)
+
+// admissions holds the queue of each service, by name.
+type admissions struct{ queues sync.Map }
+
+// serviceQueue holds the requests that wait for room at the servers of a service.
+type serviceQueue struct {
+	service string
+	// waiting is the number of waiting requests, readable without the lock.
+	waiting atomic.Int32
+
+	mu    sync.Mutex
+	queue *admission.Queue
+	timer *time.Timer
+	// closed is set while no server may take the first requests because of rate limits.
+	closed bool
+	// grantedAt is when a request was last sent, or when the first one began to wait.
+	grantedAt time.Time
+}
+
+// waiter is the payload of an entry.
+type waiter struct {
+	x       *requestState
+	request selection.Request
+	// done receives the server or the refusal.
+	done chan grant
+}
+
+// grant is the end of a wait.
+type grant struct {
+	choice  *selection.Choice
+	err     *result.Error
+	refusal *admission.Refusal
+	// how tells which rule ended the wait.
+	how string
+}
+
+// serviceQueue returns the queue of a service.
+func (g *Gateway) serviceQueue(service string) *serviceQueue {
+	if q, ok := g.admission.queues.Load(service); ok {
+		return q.(*serviceQueue)
+	}
+	q, _ := g.admission.queues.LoadOrStore(service, &serviceQueue{service: service, queue: admission.New(rand.Float64)})
+	return q.(*serviceQueue)
+}
+
+// choose returns the server for the next attempt. If none has room, the request waits in the
+// queue of its service.
+func (g *Gateway) choose(ctx context.Context, x *requestState) (*selection.Choice, *result.Error) {
+	if err := g.checkBeforeAttempt(x); err != nil {
+		return nil, err
+	}
+	request := g.selectionRequest(x, x.model, x.excluded)
+	now := time.Now()
+	// A further attempt has got its place in the order already.
+	if len(x.servers) > 0 || x.started || x.call.ResumeAfter >= 0 {
+		if choice, ok := g.Chooser.Choose(now, x.candidates, request); ok {
+			return choice, nil
+		}
+	}
+	q := g.serviceQueue(x.service.Name)
+	if q.waiting.Load() == 0 {
+		if choice, room := g.chooseWithRoom(now, x, request); room == selection.RoomFound {
+			return choice, nil
+		}
+	}
+	if allTried(x.candidates, x.excluded) {
+		return nil, result.NoBackend.With("no backend server may take the request")
+	}
+	return g.wait(ctx, q, x, request)
+}
+
+// checkBeforeAttempt updates the candidates and refuses a request that must not be sent.
+func (g *Gateway) checkBeforeAttempt(x *requestState) *result.Error {
+	if err := g.refreshCandidates(x); err != nil {
+		return err
+	}
+	if !x.trial && g.Quarantine.Holds(x.parts) {
+		return result.Quarantined.With("since the request came")
+	}
+	return nil
+}
+
+func (g *Gateway) chooseWithRoom(now time.Time, x *requestState, request selection.Request) (*selection.Choice, selection.Room) {
+	limit := selection.BacklogLimit(x.route.LatencyTarget)
+	return g.Chooser.ChooseWithRoom(now, x.candidates, request, limit, x.route.LatencyTarget-now.Sub(x.startedAt))
+}
+
+// wait holds the request until it gets room or is refused.
+func (g *Gateway) wait(ctx context.Context, q *serviceQueue, x *requestState, request selection.Request) (*selection.Choice, *result.Error) {
+	w := &waiter{x: x, request: request, done: make(chan grant, 1)}
+	now := time.Now()
+	entry := g.newEntry(now, w)
+	q.mu.Lock()
+	if q.queue.Len() == 0 {
+		q.grantedAt = now
+	}
+	position, expected := q.queue.Position(entry), q.queue.ExpectedWait(now, entry)
+	refusal := q.queue.Offer(now, entry, g.capacity(x))
+	if refusal != nil {
+		refusal.Entry.Payload.(*waiter).refuse(refusal)
+	}
+	g.grantRoom(now, q)
+	q.mu.Unlock()
+	var end grant
+	select {
+	case end = <-w.done:
+	case <-ctx.Done():
+		end = g.abandon(ctx, q, entry)
+	}
+	g.recordWait(w, entry, end, now, position, expected)
+	return end.choice, end.err
+}
+
+// abandon ends the wait of a request whose caller has left or whose deadline has passed.
+func (g *Gateway) abandon(ctx context.Context, q *serviceQueue, entry *admission.Entry) grant {
+	q.mu.Lock()
+	q.queue.Remove(entry)
+	q.waiting.Store(int32(q.queue.Len()))
+	q.mu.Unlock()
+	w := entry.Payload.(*waiter)
+	select {
+	case end := <-w.done:
+		return end
+	default:
+		return grant{err: result.NoBackend.With("%v", ctx.Err()), how: "abandoned"}
+	}
+}
+
+func (w *waiter) refuse(refusal *admission.Refusal) {
+	code := result.NoBackend
+	if refusal.Reason == admission.CannotEnd {
+		code = result.DeadlineTooSoon
+	}
+	retryAfter := min(refusal.RetryAfter, time.Until(w.x.deadline)/3)
+	w.x.retryAfter = max(retryAfter, 10*time.Millisecond)
+	w.done <- grant{err: code.With("%s, expected wait %s", refusal.Reason, refusal.ExpectedWait.Round(time.Millisecond)), refusal: refusal, how: string(refusal.Reason)}
+}
+
+// newEntry describes a request to the queue.
+func (g *Gateway) newEntry(now time.Time, w *waiter) *admission.Entry {
+	x := w.x
+	entry := &admission.Entry{
+		Class: x.urgency, Workspace: x.workspace, Kind: x.route.Name, ArrivedAt: x.startedAt, CallerSince: x.startedAt,
+		Target: x.route.LatencyTarget, Deadline: x.deadline, Work: plainWork, Bytes: len(x.call.Body), Payload: w,
+	}
+	if x.call.PromptTokens > 0 {
+		if estimate, ok := g.Chooser.Estimate(now, x.candidates, w.request); ok {
+			entry.Work, entry.Answer = estimate.Prefill, x.expectedAnswerTime(estimate.EventInterval)
+		}
+	}
+	return entry
+}
+
+// capacity returns the work per second that this router's part of the servers should get done.
+func (g *Gateway) capacity(x *requestState) float64 {
+	places := len(x.candidates)
+	if x.call.PromptTokens == 0 {
+		places = 0
+		for _, s := range x.candidates {
+			places += max(s.Slots, 1)
+		}
+	}
+	return float64(places) / float64(max(len(x.view.Routers), 1))
+}
+
+// wakeWaiting gives room that may have become available to waiting requests.
+func (g *Gateway) wakeWaiting(service string) {
+	q, ok := g.admission.queues.Load(service)
+	if !ok || q.(*serviceQueue).waiting.Load() == 0 {
+		return
+	}
+	g.grantRoomLocked(q.(*serviceQueue))
+}
+
+// WakeWaiting gives room that may have become available at any service to waiting requests.
+func (g *Gateway) WakeWaiting() {
+	for _, q := range g.admission.queues.Range {
+		if q := q.(*serviceQueue); q.waiting.Load() > 0 {
+			g.grantRoomLocked(q)
+		}
+	}
+}
+
+func (g *Gateway) grantRoomLocked(q *serviceQueue) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	g.grantRoom(time.Now(), q)
+}
+
+// grantRoom sends the waiting requests that find room, in order, and decides on those whose
+// time has come. The caller holds the queue's lock.
+func (g *Gateway) grantRoom(now time.Time, q *serviceQueue) {
+	g.decideDue(now, q)
+	var passedOver []*admission.Entry
+	// Requests that are passed over keep their claim: a later one with a longer latency target
+	// must not fill the servers beyond the limit of the earlier ones.
+	limit := time.Duration(0)
+	q.closed = false
+	for len(passedOver) < maxFailedGrants {
+		entry := q.queue.Next(now)
+		if entry == nil {
+			break
+		}
+		w := entry.Payload.(*waiter)
+		if err := g.checkBeforeAttempt(w.x); err != nil {
+			w.done <- grant{err: err, how: "not_sent"}
+			continue
+		}
+		own := selection.BacklogLimit(entry.Target)
+		if limit > 0 && own > 0 {
+			own = min(own, limit)
+		}
+		choice, room := g.Chooser.ChooseWithRoom(now, w.x.candidates, w.request, own, entry.Target-now.Sub(entry.CallerSince))
+		if room == selection.RoomFound {
+			q.send(now, entry, choice, "room")
+			continue
+		}
+		q.closed = q.closed || room == selection.RoomClosed
+		passedOver = append(passedOver, entry)
+		limit = own
+	}
+	if len(passedOver) > 0 && g.grantOverdue(now, q, passedOver[0]) {
+		passedOver = passedOver[1:]
+	}
+	for _, entry := range passedOver {
+		q.queue.Return(now, entry)
+	}
+	q.waiting.Store(int32(q.queue.Len()))
+	g.setTimer(now, q)
+}
+
+// grantOverdue sends the first waiting request to a server without room if no request got any
+// for half of its latency target: the room must be misjudged then.
+func (g *Gateway) grantOverdue(now time.Time, q *serviceQueue, first *admission.Entry) bool {
+	if now.Sub(q.grantedAt) < max(first.Target/2, safetyInterval) {
+		return false
+	}
+	w := first.Payload.(*waiter)
+	choice, ok := g.Chooser.Choose(now, w.x.candidates, w.request)
+	if ok {
+		q.send(now, first, choice, "no_progress")
+	}
+	return ok
+}
+
+// send ends the wait of an entry that is not in the queue.
+func (q *serviceQueue) send(now time.Time, entry *admission.Entry, choice *selection.Choice, how string) {
+	q.queue.Granted(now, entry)
+	q.grantedAt = now
+	entry.Payload.(*waiter).done <- grant{choice: choice, how: how}
+}
+
+// decideDue refuses requests that can't end in time, and sends those that have been held as
+// long as they may be to a server without room.
+func (g *Gateway) decideDue(now time.Time, q *serviceQueue) {
+	for entry := q.queue.Due(now); entry != nil; entry = q.queue.Due(now) {
+		w := entry.Payload.(*waiter)
+		if err := g.checkBeforeAttempt(w.x); err != nil {
+			q.queue.Remove(entry)
+			w.done <- grant{err: err, how: "not_sent"}
+			continue
+		}
+		_, open := g.Chooser.Estimate(now, w.x.candidates, w.request)
+		if !entry.Committed() {
+			if refusal := q.queue.Decide(now, entry, !open); refusal != nil {
+				w.refuse(refusal)
+			}
+			continue
+		}
+		choice, ok := g.Chooser.Choose(now, w.x.candidates, w.request)
+		if !ok {
+			q.queue.Postpone(now, entry)
+			continue
+		}
+		q.queue.Remove(entry)
+		q.send(now, entry, choice, "held_enough")
+	}
+}
+
+// setTimer sets the time at which waiting requests look for room without an event.
+func (g *Gateway) setTimer(now time.Time, q *serviceQueue) {
+	if q.queue.Len() == 0 {
+		if q.timer != nil {
+			q.timer.Stop()
+		}
+		return
+	}
+	interval := safetyInterval
+	if q.closed {
+		interval = limitedInterval
+	}
+	if at, ok := q.queue.NextDue(); ok {
+		interval = max(min(interval, at.Sub(now)), time.Millisecond)
+	}
+	if q.timer == nil {
+		q.timer = time.AfterFunc(interval, func() { g.grantRoomLocked(q) })
+		return
+	}
+	q.timer.Reset(interval)
+}
--- /dev/null
+++ b/daemon/gateway/admission_test.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cactusknot.example/daemon/topology"
+)
+
+// Guards against requests that pile up at a full server in the order of their arrival, and
+// against a waiting request that nothing wakes when the server gets room.
+func TestWaitsForRoomByClass(t *testing.T) {
+	release := make(chan struct{}, 100)
+	s := newServer(t, "s1", func(n int, r receivedRequest, c net.Conn) bool {
+		<-release
+		return respond(200, "ok")(n, r, c)
+	})
+	s.Slots = 1
+	r := newHarness(t, topology.Route{LatencyTarget: 10 * time.Second, Timeout: 30 * time.Second}, s)
+	r.keys = map[string]*topology.Workspace{
+		"low":  {Name: "low", HasUrgency: true, Urgency: 2},
+		"high": {Name: "high", HasUrgency: true, Urgency: 0},
+	}
+	r.publish(topology.Route{LatencyTarget: 10 * time.Second, Timeout: 30 * time.Second}, s)
+	var calls sync.WaitGroup
+	call := func(id, key string) {
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			if a := r.call("GET", "/", "", "Id", id, "Key", key); a.status != 200 {
+				t.Errorf("%s: status %d, %v", id, a.status, a.err)
+			}
+		}()
+	}
+	const places = 4 // maxQueueFactor of selection times one slot
+	for range places {
+		call("first", "low")
+	}
+	eventually(t, 2*time.Second, "the server is full", func() bool { return totalRequests(s) == places })
+	waiting := func(n int32) func() bool {
+		return func() bool { return r.serviceQueue("svc").waiting.Load() == n }
+	}
+	call("low", "low")
+	eventually(t, 2*time.Second, "one waits", waiting(1))
+	call("high", "high")
+	eventually(t, 2*time.Second, "two wait", waiting(2))
+	release <- struct{}{}
+	eventually(t, 2*time.Second, "one was sent", func() bool { return totalRequests(s) == places+1 })
+	if last := s.requests()[places].head.Get("Id"); last != "high" {
+		t.Errorf("request %q was sent first, not the more urgent one", last)
+	}
+	for range places + 1 {
+		release <- struct{}{}
+	}
+	calls.Wait()
+	if !strings.Contains(r.logs.String(), "waited for room") {
+		t.Error("the wait was not logged")
+	}
+}
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -26,9 +26,6 @@
 	silenceFactor = 3
 	// silenceCheckInterval is the interval at which an attempt checks for silence.
 	silenceCheckInterval = 250 * time.Millisecond
-	// noServerRetryDelay is the delay before servers are considered again when every
-	// one is at its limit.
-	noServerRetryDelay = 25 * time.Millisecond
 )
 
 // attempt is one request to one backend server.
@@ -99,6 +96,7 @@
 	a := &attempt{requestState: x, choice: to, sentAt: time.Now()}
 	done, failure := g.runAttempt(ctx, a)
 	to.End(time.Now(), a.outcome)
+	g.wakeWaiting(x.service.Name)
 	g.recordViolation(a)
 	g.observeEnd(a)
 	g.observeCrash(a)
@@ -116,31 +114,6 @@
 // Pause returns at once; Choose waits while no server may take the request.
 func (d directSender) Pause(context.Context, *result.Error) bool { return true }
 
-// choose waits for a server that may take the request. It gives up when all candidates
-// were tried or half of the route's latency target has passed.
-func (g *Gateway) choose(ctx context.Context, x *requestState) (*selection.Choice, *result.Error) {
-	request := g.selectionRequest(x, x.model, x.excluded)
-	for {
-		if err := g.refreshCandidates(x); err != nil {
-			return nil, err
-		}
-		if !x.trial && g.Quarantine.Holds(x.parts) {
-			return nil, result.Quarantined.With("since the request came")
-		}
-		if choice, ok := g.Chooser.Choose(time.Now(), x.candidates, request); ok {
-			return choice, nil
-		}
-		if allTried(x.candidates, x.excluded) || time.Since(x.startedAt) > x.route.LatencyTarget/2 {
-			return nil, result.NoBackend.With("no backend server may take the request")
-		}
-		select {
-		case <-ctx.Done():
-			return nil, result.NoBackend.With("%v", ctx.Err())
-		case <-time.After(noServerRetryDelay):
-		}
-	}
-}
-
 // selectionRequest describes the request to the server selection.
 func (g *Gateway) selectionRequest(x *requestState, model string, excluded map[string]bool) selection.Request {
 	r := selection.Request{
@@ -196,6 +169,7 @@
 	a.begun.Store(true)
 	g.Crashes.RecordAlive(a.incarnation(), a.sentAt)
 	a.choice.RecordFirstByte(a.begunAt)
+	g.wakeWaiting(a.service.Name)
 	g.releasePendingFailures(a)
 	if a.escalation = g.escalate(a); a.escalation != nil {
 		a.outcome = selection.Cancelled
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -78,6 +78,9 @@
 	Crashes    *quarantine.Recorder
 	Quarantine *quarantine.List
 
+	// admission holds the waiting requests of each service.
+	admission admissions
+
 	mu      sync.Mutex
 	budgets map[string]*limit.RetryBudget
 	// metrics counts requests by kind and outcome. The number of series is bounded:
