admission: late requests wait behind those in time; load patterns in virtual time

Late requests get room only while the prompts ahead at a server are few, and are refused within half of their latency target if they can't end. The age of a caller is told from the timeouts that the callers of a route usually state.

--- a/daemon/admission/admission.go
+++ b/daemon/admission/admission.go
@@ -19,12 +19,22 @@
 	// MaxEntries and MaxBytes bound a queue. The bytes are those of the requests' bodies.
 	MaxEntries = 20_000
 	MaxBytes   = 256 << 20
-	// maxHoldShare is the part of the time to its deadline for which a request is held at
-	// most.
-	maxHoldShare = 0.5
+	// maxRefusalShare is the part of the time to its deadline up to which a request may be
+	// refused after it was held, if its latency target is long or it has none.
+	maxRefusalShare = 0.25
+	// certainShare is the part of an expected wait and of an expected answer that counts when
+	// a request is refused: the wait is the estimate for the end of the queue, and callers
+	// often state an upper bound as the length of the answer. With 1 in place of 0.5, requests
+	// were refused at 80% load.
+	certainShare = 0.5
+	// minSpareShare is the least part of the room that late requests are expected to get.
+	minSpareShare = 0.25
 	// refusalHoldShare is the part of its latency target from its arrival up to which a
 	// request may be refused after it was held.
 	refusalHoldShare = 0.5
+	// delayPerWork times its work is the delay of a request that weighs as much as the delay of
+	// others by the same multiple of theirs.
+	delayPerWork = 10
 	// rateTime is the time constant of the rate at which work is sent while requests wait.
 	rateTime = time.Second
 	// minRateShare times the rate that the servers should reach is the lowest rate used for
@@ -69,6 +79,10 @@
 
 	// onTimeUntil is the latest start at which the request meets its latency target.
 	onTimeUntil time.Time
+	// order is the place of the request among those that can meet their latency target.
+	order time.Time
+	// refusable is until when the request may be refused.
+	refusable time.Time
 	// latestStart is until when the request may be held.
 	latestStart time.Time
 	// committed is set once the request may no longer be refused.
@@ -87,6 +101,9 @@
 // Returned reports whether the caller has sent the request before and was refused.
 func (e *Entry) Returned() bool { return e.CallerSince.Before(e.ArrivedAt) }
 
+// Late reports whether the request can no longer meet its latency target.
+func (e *Entry) Late() bool { return e.late }
+
 // Committed reports whether the request may no longer be refused.
 func (e *Entry) Committed() bool { return e.committed }
 
@@ -175,28 +192,28 @@
 	if e.Target > 0 {
 		e.onTimeUntil = e.CallerSince.Add(e.Target - e.Work)
 	}
+	e.order = e.CallerSince.Add(delayPerWork * e.Work)
+	if e.onTimeUntil.Before(e.order) && delayPerWork == 0 {
+		e.order = e.onTimeUntil
+	}
 	e.late = !now.Before(e.onTimeUntil)
 	refusable := e.ArrivedAt.Add(time.Duration(refusalHoldShare * float64(e.Target)))
-	if half := e.ArrivedAt.Add(time.Duration(maxHoldShare * float64(e.Deadline.Sub(e.ArrivedAt)))); e.Target <= 0 || half.Before(refusable) {
+	if half := e.ArrivedAt.Add(time.Duration(maxRefusalShare * float64(e.Deadline.Sub(e.ArrivedAt)))); e.Target <= 0 || half.Before(refusable) {
 		refusable = half
 	}
-	e.latestStart = e.Deadline.Add(-e.Work - e.Answer)
-	if half := e.ArrivedAt.Add(time.Duration(maxHoldShare * float64(e.Deadline.Sub(e.ArrivedAt)))); half.Before(e.latestStart) {
-		e.latestStart = half
-	}
+	e.latestStart = e.Deadline.Add(-e.Work - e.Answer - e.Target)
 	if e.latestStart.Before(refusable) {
 		e.latestStart = refusable
 	}
-	e.due = refusable
+	e.refusable = refusable
 }
 
-// cannotEnd reports whether a request can't end before its deadline after a wait. The expected
-// length of an answer is an upper bound in many requests, so only the half of it counts.
+// cannotEnd reports whether a request can't end before its deadline after a wait.
 func (q *Queue) cannotEnd(now time.Time, e *Entry, wait time.Duration) bool {
 	if e.large && q.kinds.protects(e.Kind) {
 		return !now.Add(e.Work).Before(e.Deadline)
 	}
-	return now.Add(wait + e.Work + e.Answer/2).After(e.Deadline)
+	return now.Add(time.Duration(certainShare*float64(wait+e.Answer)) + e.Work).After(e.Deadline)
 }
 
 // refuse returns the refusal of an entry that is not in the queue.
@@ -220,6 +237,7 @@
 func (q *Queue) insert(now time.Time, e *Entry) {
 	e.late = !now.Before(e.onTimeUntil)
 	q.flowsOf(e).push(e, q.usual.weight(now, e.Workspace))
+	q.schedule(e)
 	heap.Push(&q.due, e)
 	q.entries++
 	q.bytes += e.Bytes
@@ -252,7 +270,7 @@
 // Next removes the entry that is to get room first and returns it, or nil if none waits. The
 // caller calls either Granted or Return with it.
 func (q *Queue) Next(now time.Time) *Entry {
-	q.demote(now)
+	q.advance(now)
 	e := q.first()
 	if e == nil {
 		return nil
@@ -319,26 +337,40 @@
 	q.flowsOf(e).spend(e)
 }
 
-// demote moves entries that can no longer meet their latency target behind those that can.
-func (q *Queue) demote(now time.Time) {
-	for i := range q.classes {
-		c := &q.classes[i]
-		for {
-			e := c.onTime.earliest(now)
-			if e == nil {
-				break
-			}
-			c.onTime.remove(e)
-			e.late = true
-			c.late.push(e, q.usual.weight(now, e.Workspace))
+// advance moves entries that can no longer meet their latency target behind those that can. It
+// stops at an entry on which a decision is due.
+func (q *Queue) advance(now time.Time) {
+	for len(q.due) > 0 {
+		e := q.due[0]
+		if e.late || now.Before(e.onTimeUntil) {
+			return
 		}
+		q.classes[e.Class].onTime.remove(e)
+		e.late = true
+		q.classes[e.Class].late.push(e, q.usual.weight(now, e.Workspace))
+		q.schedule(e)
+	}
+}
+
+// schedule sets the time of an entry's next event.
+func (q *Queue) schedule(e *Entry) {
+	e.due = e.refusable
+	if e.committed {
+		e.due = e.latestStart
+	}
+	if !e.late && e.onTimeUntil.Before(e.due) {
+		e.due = e.onTimeUntil
+	}
+	if e.dueIndex >= 0 {
+		heap.Fix(&q.due, e.dueIndex)
 	}
 }
 
 // Due returns the next entry on which a decision is due, or nil. It stays in the queue. A
-// committed entry has been held as long as it may be and must be sent. Any other one must be
-// refused or committed to; see CannotEndNow and Commit.
+// committed entry has been held as long as it may be and must be sent; see Postpone. For any
+// other one, see Decide.
 func (q *Queue) Due(now time.Time) *Entry {
+	q.advance(now)
 	if len(q.due) == 0 || now.Before(q.due[0].due) {
 		return nil
 	}
@@ -354,8 +386,7 @@
 		reason = NoServer
 	} else if !q.cannotEnd(now, e, wait) {
 		e.committed = true
-		e.due = e.latestStart
-		heap.Fix(&q.due, e.dueIndex)
+		q.schedule(e)
 		return nil
 	}
 	q.Remove(e)
@@ -365,27 +396,40 @@
 // ExpectedWait estimates how long an entry waits, whether it is in the queue or not: the work
 // that precedes it by the rate at which work was sent lately.
 func (q *Queue) ExpectedWait(now time.Time, e *Entry) time.Duration {
-	var ahead time.Duration
+	var onTime, late time.Duration
 	for i := range q.classes {
 		c := &q.classes[i]
-		if i < e.Class || i > e.Class && e.late {
-			ahead += c.onTime.work
+		if i < e.Class || i != e.Class && e.late {
+			onTime += c.onTime.work
 		}
 		if i < e.Class && e.late {
-			ahead += c.late.work
+			late += c.late.work
 		}
 	}
+	// When a decision is due, an entry that can meet its target is not at the end of its group.
 	own := &q.classes[e.Class]
-	if e.late {
-		ahead += own.onTime.work
+	group := q.flowsOf(e).work
+	switch {
+	case e.line == nil:
+	case e.late:
+		group -= e.Work
+	default:
+		group = (group - e.Work) / 2
 	}
-	if group := q.flowsOf(e).work; e.line == nil {
-		ahead += group
-	} else {
-		// An entry whose decision is due is not at the end of its group.
-		ahead += (group - e.Work) / 2
+	if !e.late {
+		return dividedBy(onTime+group, q.rate.perSecond(now))
 	}
-	return time.Duration(float64(max(ahead, 0)) / q.rate.perSecond(now))
+	return dividedBy(onTime+own.onTime.work, q.rate.perSecond(now)) + dividedBy(late+group, q.spare())
+}
+
+func dividedBy(work time.Duration, perSecond float64) time.Duration {
+	return time.Duration(float64(work) / max(perSecond, 1e-3))
+}
+
+// spare returns the work per second that is left for late requests: those that arrive
+// meanwhile and can meet their target precede them.
+func (q *Queue) spare() float64 {
+	return max(q.rate.expected-q.usual.perSecond(), minSpareShare*q.rate.expected)
 }
 
 // Position returns the number of waiting requests in the classes that precede an entry and in
@@ -455,7 +499,7 @@
 // refused. Late requests come first, then less urgent classes, then the workspace furthest
 // beyond its share.
 func (q *Queue) cheapest(now time.Time, added *Entry) *Entry {
-	q.demote(now)
+	q.advance(now)
 	for _, late := range []bool{true, false} {
 		for i := maxClasses - 1; i >= 0; i-- {
 			f := &q.classes[i].onTime
--- a/daemon/admission/flows.go
+++ b/daemon/admission/flows.go
@@ -124,19 +124,6 @@
 	f.virtual = max(f.virtual, lowest)
 }
 
-// earliest returns an entry that can no longer meet its latency target, or nil.
-func (f *flows) earliest(now time.Time) *Entry {
-	if f.entries == 0 {
-		return nil
-	}
-	for _, l := range f.byName {
-		if len(l.list) > 0 && !now.Before(l.list[0].onTimeUntil) {
-			return l.list[0]
-		}
-	}
-	return nil
-}
-
 // cheapest returns an entry of the workspace furthest ahead of its share whose refusal costs
 // little, or nil if none may be refused.
 func (f *flows) cheapest(q *Queue) *Entry {
@@ -167,10 +154,12 @@
 	return best
 }
 
-// entryBefore orders the entries of a class that are all late or all on time: first those
-// whose time runs out first, then those that need less work.
+// entryBefore orders the entries of a class that are all late or all on time. Those on time
+// go by what a delay costs relative to the work: each may be delayed in proportion to its work,
+// so that a long prompt does not make many short ones late. Late ones go by the time that is
+// left to serve them, then by their work.
 func entryBefore(a, b *Entry) bool {
-	x, y := a.onTimeUntil, b.onTimeUntil
+	x, y := a.order, b.order
 	if a.late {
 		x, y = a.latestStart, b.latestStart
 	}
--- a/daemon/admission/history.go
+++ b/daemon/admission/history.go
@@ -8,6 +8,8 @@
 const (
 	// usualTime is the time constant of a workspace's usual load.
 	usualTime = time.Minute
+	// minUsualTime is the least time over which the usual load is averaged.
+	minUsualTime = 10 * time.Second
 	// maxWorkspaces bounds the workspaces whose usual load is known.
 	maxWorkspaces = 1024
 	// minWeightShare times the mean is the least weight of a workspace, so that one without
@@ -29,6 +31,8 @@
 type usualLoad struct {
 	byWorkspace map[string]*load
 	total       load
+	// since is the time of the first record.
+	since time.Time
 }
 
 type load struct {
@@ -48,6 +52,7 @@
 
 func (u *usualLoad) record(now time.Time, workspace string, work time.Duration) {
 	if u.byWorkspace == nil {
+		u.since = now
 		u.byWorkspace = make(map[string]*load)
 	}
 	l := u.byWorkspace[workspace]
@@ -63,6 +68,16 @@
 	u.total.add(now, seconds)
 }
 
+// perSecond returns the mean work per second over the time constant, or since the first
+// record if that is shorter.
+func (u *usualLoad) perSecond() float64 {
+	passed := u.total.at.Sub(u.since)
+	if u.since.IsZero() || passed < minUsualTime {
+		passed = minUsualTime
+	}
+	return u.total.work / (usualTime.Seconds() * (1 - math.Exp(-float64(passed)/float64(usualTime))))
+}
+
 // forget drops the workspaces without load for a long time, or all if there are none.
 func (u *usualLoad) forget(now time.Time) {
 	for name, l := range u.byWorkspace {
--- a/daemon/gateway/admission.go
+++ b/daemon/gateway/admission.go
@@ -21,12 +21,38 @@
 	// since no event tells when they open.
 	safetyInterval  = 200 * time.Millisecond
 	limitedInterval = 25 * time.Millisecond
+	// leastUrgent is the urgency at the server of a late request that is sent without room, so
+	// that it does not delay others.
+	leastUrgent = 9
 	// plainWork is the expected time that a request of a service without a model takes a slot.
 	plainWork = 100 * time.Millisecond
 )
 
-// admissions holds the queue of each service, by name.
-type admissions struct{ queues sync.Map }
+// admissions holds the queue of each service by its name, and what the callers of each route
+// state as their timeouts.
+type admissions struct{ queues, timeouts sync.Map }
+
+// routeTimeouts are the timeouts that the callers of a route state.
+type routeTimeouts struct {
+	mu       sync.Mutex
+	timeouts admission.Timeouts
+}
+
+// callerAge returns how long ago the caller first sent the request, as far as its timeout
+// tells.
+func (g *Gateway) callerAge(x *requestState) time.Duration {
+	if x.call.Timeout <= 0 {
+		return 0
+	}
+	found, ok := g.admission.timeouts.Load(x.route.Name)
+	if !ok {
+		found, _ = g.admission.timeouts.LoadOrStore(x.route.Name, &routeTimeouts{})
+	}
+	t := found.(*routeTimeouts)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.timeouts.Age(x.call.Timeout)
+}
 
 // serviceQueue holds the requests that wait for room at the servers of a service.
 type serviceQueue struct {
@@ -83,9 +109,17 @@
 			return choice, nil
 		}
 	}
+	if len(x.servers) == 0 {
+		x.age = g.callerAge(x)
+	}
 	q := g.serviceQueue(x.service.Name)
 	if q.waiting.Load() == 0 {
 		if choice, room := g.chooseWithRoom(now, x, request); room == selection.RoomFound {
+			work := plainWork
+			if x.call.PromptTokens > 0 {
+				work = choice.Prefill()
+			}
+			q.arrive(now, x.workspace, work)
 			return choice, nil
 		}
 	}
@@ -95,6 +129,13 @@
 	return g.wait(ctx, q, x, request)
 }
 
+// arrive records a request that does not wait.
+func (q *serviceQueue) arrive(now time.Time, workspace string, work time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queue.Arrive(now, workspace, work)
+}
+
 // checkBeforeAttempt updates the candidates and refuses a request that must not be sent.
 func (g *Gateway) checkBeforeAttempt(x *requestState) *result.Error {
 	if err := g.refreshCandidates(x); err != nil {
@@ -108,7 +149,7 @@
 
 func (g *Gateway) chooseWithRoom(now time.Time, x *requestState, request selection.Request) (*selection.Choice, selection.Room) {
 	limit := selection.BacklogLimit(x.route.LatencyTarget)
-	return g.Chooser.ChooseWithRoom(now, x.candidates, request, limit, x.route.LatencyTarget-now.Sub(x.startedAt))
+	return g.Chooser.ChooseWithRoom(now, x.candidates, request, limit, x.route.LatencyTarget-x.age-now.Sub(x.startedAt))
 }
 
 // wait holds the request until it gets room or is refused.
@@ -120,6 +161,7 @@
 	if q.queue.Len() == 0 {
 		q.grantedAt = now
 	}
+	q.queue.Arrive(now, entry.Workspace, entry.Work)
 	position, expected := q.queue.Position(entry), q.queue.ExpectedWait(now, entry)
 	refusal := q.queue.Offer(now, entry, g.capacity(x))
 	if refusal != nil {
@@ -166,7 +208,7 @@
 func (g *Gateway) newEntry(now time.Time, w *waiter) *admission.Entry {
 	x := w.x
 	entry := &admission.Entry{
-		Class: x.urgency, Workspace: x.workspace, Kind: x.route.Name, ArrivedAt: x.startedAt, CallerSince: x.startedAt,
+		Class: x.urgency, Workspace: x.workspace, Kind: x.route.Name, ArrivedAt: x.startedAt, CallerSince: x.startedAt.Add(-x.age),
 		Target: x.route.LatencyTarget, Deadline: x.deadline, Work: plainWork, Bytes: len(x.call.Body), Payload: w,
 	}
 	if x.call.PromptTokens > 0 {
@@ -233,6 +275,9 @@
 			continue
 		}
 		own := selection.BacklogLimit(entry.Target)
+		if entry.Late() {
+			own = selection.LateBacklogLimit(entry.Target)
+		}
 		if limit > 0 && own > 0 {
 			own = min(own, limit)
 		}
@@ -299,6 +344,7 @@
 			continue
 		}
 		q.queue.Remove(entry)
+		w.x.urgency = leastUrgent
 		q.send(now, entry, choice, "held_enough")
 	}
 }
--- /dev/null
+++ b/daemon/gateway/admission_load_test.go
@@ -0,0 +1,322 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cactusknot.example/coord/limit"
+	"cactusknot.example/daemon/selection"
+	"cactusknot.example/daemon/topology"
+)
+
+// loadEngine reads prompts one after the other, the most urgent first, as model engines do.
+type loadEngine struct {
+	mu      sync.Mutex
+	waiting []*loadJob
+	busy    bool
+}
+
+type loadJob struct {
+	class int
+	work  time.Duration
+	done  chan struct{}
+}
+
+func (e *loadEngine) run(class int, work time.Duration) {
+	job := &loadJob{class, work, make(chan struct{})}
+	e.mu.Lock()
+	e.waiting = append(e.waiting, job)
+	if !e.busy {
+		e.busy = true
+		go e.serve()
+	}
+	e.mu.Unlock()
+	<-job.done
+}
+
+func (e *loadEngine) serve() {
+	for {
+		e.mu.Lock()
+		if len(e.waiting) == 0 {
+			e.busy = false
+			e.mu.Unlock()
+			return
+		}
+		slices.SortStableFunc(e.waiting, func(a, b *loadJob) int { return cmp.Compare(a.class, b.class) })
+		job := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		e.mu.Unlock()
+		time.Sleep(job.work)
+		close(job.done)
+	}
+}
+
+// loadCaller is a request in a load pattern.
+type loadCaller struct {
+	at        time.Duration
+	class     int
+	workspace string
+	tokens    int
+	// age is how long ago the caller sent the request to a router that was lost.
+	age time.Duration
+	// The result.
+	took    time.Duration
+	refused int
+	tries   int
+}
+
+// loadCluster is a number of routers with engines in virtual time.
+type loadCluster struct {
+	routers []*Gateway
+	engines map[string]*loadEngine
+	view    *topology.View
+	poll    bool
+	target  time.Duration
+	timeout time.Duration
+	stream  time.Duration
+}
+
+const loadTokenTime = 60 * time.Microsecond
+
+func newLoadCluster(routers, engines int) *loadCluster {
+	c := &loadCluster{engines: map[string]*loadEngine{}, target: 600 * time.Millisecond, timeout: 8 * time.Second, stream: time.Second}
+	c.view = &topology.View{Config: topology.NewConfig(1, nil, []*topology.Service{{Name: "svc"}}, nil, topology.Limits{})}
+	var list []*topology.Server
+	for i := range engines {
+		id := fmt.Sprintf("s%d", i)
+		list = append(list, &topology.Server{ID: id, Service: "svc", Slots: 32})
+		c.engines[id] = &loadEngine{}
+	}
+	c.view.Servers = map[string][]*topology.Server{"svc": list}
+	for i := range routers {
+		name := fmt.Sprintf("r%d", i)
+		c.view.Routers = append(c.view.Routers, name)
+		c.routers = append(c.routers, New(Config{
+			Name: name, Codec: testCodec{}, View: func() *topology.View { return c.view }, Observe: func(Sample) {},
+			Retries: limit.RetryConfig{Ratio: 0.1, Extra: 10, Window: 10 * time.Second}, Log: zerolog.Nop(),
+		}))
+	}
+	return c
+}
+
+// exchange reports the routers' work to each other until the context ends.
+func (c *loadCluster) exchange(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(200 * time.Millisecond)
+		for _, g := range c.routers {
+			sum := map[string]selection.OutstandingWork{}
+			for _, other := range c.routers {
+				if other != g {
+					for id, w := range other.Chooser.OutstandingWork() {
+						sum[id] = sum[id].Add(w)
+					}
+				}
+			}
+			g.Chooser.SetPeerWork(time.Now(), sum)
+		}
+		if !c.poll {
+			for _, g := range c.routers {
+				g.WakeWaiting()
+			}
+		}
+	}
+}
+
+// call makes a request, and once more after a refusal.
+func (c *loadCluster) call(q *loadCaller) {
+	began := time.Now()
+	// age is how long the caller has waited for routers that were lost.
+	for q.tries = 1; ; q.tries++ {
+		g := c.routers[rand.IntN(len(c.routers))]
+		x := &requestState{
+			call: &Call{ID: fmt.Sprint(q.at, q.tokens), PromptTokens: q.tokens, AnswerTokens: 20, ResumeAfter: -1, Timeout: (c.timeout - q.age - time.Since(began)).Round(time.Millisecond)},
+			view: c.view, startedAt: time.Now(), deadline: began.Add(c.timeout - q.age), workspace: q.workspace, urgency: q.class,
+			route:    &topology.Route{Name: "route", LatencyTarget: c.target, Timeout: c.timeout, Urgency: q.class},
+			service:  c.view.Config.Services["svc"],
+			excluded: map[string]bool{},
+		}
+		ctx, cancel := context.WithDeadline(context.Background(), x.deadline)
+		x.ctx = ctx
+		var choice *selection.Choice
+		ok := false
+		if c.poll {
+			_ = g.refreshCandidates(x)
+			choice, ok = g.Chooser.Choose(time.Now(), x.candidates, g.selectionRequest(x, "", x.excluded))
+		} else if found, err := g.choose(ctx, x); err == nil {
+			choice, ok = found, true
+		}
+		cancel()
+		if ok {
+			c.engines[choice.Server.ID].run(x.urgency, 10*time.Millisecond+time.Duration(q.tokens)*loadTokenTime)
+			choice.RecordFirstByte(time.Now())
+			if !c.poll {
+				g.wakeWaiting("svc")
+			}
+			q.took = q.age + time.Since(began)
+			time.Sleep(c.stream)
+			choice.End(time.Now(), selection.Succeeded)
+			if !c.poll {
+				g.wakeWaiting("svc")
+			}
+			return
+		}
+		q.refused++
+		wait := x.retryAfter
+		if q.tries == 2 || wait > time.Until(x.deadline)/3 {
+			return
+		}
+		time.Sleep(wait)
+	}
+}
+
+// run makes all calls and returns when they have ended.
+func (c *loadCluster) run(calls []*loadCaller) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go c.exchange(ctx)
+	var wg sync.WaitGroup
+	for _, q := range calls {
+		wg.Go(func() {
+			time.Sleep(q.at)
+			c.call(q)
+		})
+	}
+	wg.Wait()
+	cancel()
+	time.Sleep(time.Second)
+}
+
+// loadResult sums up calls.
+type loadResult struct {
+	onTime, late, missed float64
+	median               time.Duration
+}
+
+func (c *loadCluster) result(calls []*loadCaller, keep func(*loadCaller) bool) loadResult {
+	var r loadResult
+	var took []time.Duration
+	n := 0.0
+	for _, q := range calls {
+		if !keep(q) {
+			continue
+		}
+		n++
+		switch {
+		case q.took == 0 || q.took+c.stream > c.timeout:
+			r.missed++
+		case q.took <= c.target:
+			r.onTime++
+		default:
+			r.late++
+		}
+		if q.took > 0 {
+			took = append(took, q.took)
+		}
+	}
+	slices.Sort(took)
+	if len(took) > 0 {
+		r.median = took[len(took)/2]
+	}
+	r.onTime, r.late, r.missed = r.onTime/n, r.late/n, r.missed/n
+	return r
+}
+
+func (r loadResult) String() string {
+	return fmt.Sprintf("value %.3f on time %.2f late %.2f missed %.2f median %s", r.onTime+0.3*r.late, r.onTime, r.late, r.missed, r.median.Round(time.Millisecond))
+}
+
+// loadPrompt returns the tokens of a prompt: a mean of about 1,300, one in ten long.
+func loadPrompt(r *rand.Rand) int {
+	if r.IntN(10) == 0 {
+		return 4000 + r.IntN(8000)
+	}
+	return 100 + r.IntN(1200)
+}
+
+// herd returns calls at a steady share of the capacity, with a crowd in the first two seconds
+// that is as large as the steady load of some seconds.
+func herd(r *rand.Rand, engines int, share, crowdSeconds float64, crowdAge, length time.Duration) []*loadCaller {
+	const meanWork = 0.010 + 0.06e-3*(0.1*8000+0.9*700)
+	perSecond := share * float64(engines) / meanWork
+	var calls []*loadCaller
+	add := func(at time.Duration) {
+		calls = append(calls, &loadCaller{at: at, class: r.IntN(3), workspace: fmt.Sprint("w", r.IntN(4)), tokens: loadPrompt(r)})
+	}
+	for at := 0.0; at < length.Seconds(); at += r.ExpFloat64() / perSecond {
+		add(time.Duration(at * 1e9))
+	}
+	for range int(crowdSeconds * perSecond) {
+		add(time.Duration(r.Int64N(int64(2 * time.Second))))
+		calls[len(calls)-1].age = time.Duration(r.Int64N(int64(crowdAge)) + 1)
+	}
+	return calls
+}
+
+// everyCall keeps all calls of a result.
+func everyCall(*loadCaller) bool { return true }
+
+func refusals(calls []*loadCaller) (n int) {
+	for _, q := range calls {
+		n += q.refused
+	}
+	return n
+}
+
+// simulate runs a load pattern with the queue and without it.
+func simulate(t *testing.T, pattern func(r *rand.Rand) []*loadCaller) (c *loadCluster, queued, direct []*loadCaller) {
+	for _, poll := range []bool{false, true} {
+		synctest.Test(t, func(*testing.T) {
+			c = newLoadCluster(4, 12)
+			c.poll = poll
+			calls := pattern(rand.New(rand.NewPCG(1, 2)))
+			c.run(calls)
+			if poll {
+				direct = calls
+			} else {
+				queued = calls
+			}
+		})
+	}
+	return c, queued, direct
+}
+
+// Guards against a crowd of callers that return after a loss of all routers and make each
+// other and those that come after them late.
+func TestCrowdAfterLoss(t *testing.T) {
+	c, queued, direct := simulate(t, func(r *rand.Rand) []*loadCaller {
+		return herd(r, 12, 0.6, 8, 800*time.Millisecond, 10*time.Second)
+	})
+	with, without := c.result(queued, everyCall), c.result(direct, everyCall)
+	t.Logf("queue: %v, refused %d; without: %v", with, refusals(queued), without)
+	if with.onTime < without.onTime+0.05 || with.missed > without.missed+0.05 {
+		t.Errorf("the queue gains too little: %v, without it %v", with, without)
+	}
+	var class [3]loadResult
+	for i := range class {
+		class[i] = c.result(queued, func(q *loadCaller) bool { return q.class == i })
+	}
+	if class[0].onTime < class[1].onTime || class[1].onTime < class[2].onTime {
+		t.Errorf("a less urgent class was served better: %v", class)
+	}
+}
+
+// Guards against waits and refusals while the servers have room, and against worse times than
+// without the queue.
+func TestNoScarcity(t *testing.T) {
+	c, queued, direct := simulate(t, func(r *rand.Rand) []*loadCaller {
+		return herd(r, 12, 0.5, 0, 1, 20*time.Second)
+	})
+	with, without := c.result(queued, everyCall), c.result(direct, everyCall)
+	t.Logf("queue: %v; without: %v", with, without)
+	if refusals(queued) > 0 || with.onTime < without.onTime-0.02 {
+		t.Errorf("%d refused, %v, without the queue %v", refusals(queued), with, without)
+	}
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -121,6 +121,8 @@
 	view      *topology.View
 	route     *topology.Route
 	startedAt time.Time
+	// age is how long before its arrival the caller first sent the request, as far as known.
+	age time.Duration
 	// dispatch holds the retry rules and the attempts made so far.
 	dispatch dispatch.Request
 	// workspace is the name of the caller's workspace; empty on anonymous routes.
--- a/daemon/selection/room.go
+++ b/daemon/selection/room.go
@@ -10,7 +10,9 @@
 const (
 	// roomShare is the part of a request's latency target that a server may need for the
 	// prompts sent to it before. The rest is left for the request's own prompt.
-	roomShare = 0.5
+	roomShare = 0.3
+	// lateRoomShare is the same for a request that can no longer meet its target.
+	lateRoomShare = 0.15
 	// minBacklogLimit keeps a short latency target from declaring a server full because of
 	// the base latency of a few concurrent requests.
 	minBacklogLimit = 4 * baseLatency
@@ -34,7 +36,8 @@
 	// RoomFound: a server was chosen.
 	RoomFound Room = iota
 	// RoomElsewhere: the best server is full. Others have room, but would have to read so
-	// much of the prompt again that the request would be late there.
+	// much of the prompt again that the request would be late there, and later than at the
+	// full one.
 	RoomElsewhere
 	// RoomFull: every server that may take the request is full.
 	RoomFull
@@ -52,6 +55,15 @@
 	return max(time.Duration(roomShare*float64(target)), minBacklogLimit)
 }
 
+// LateBacklogLimit is BacklogLimit for a request that can no longer meet its latency target. It
+// keeps a server at work and leaves those that come next the time to meet theirs.
+func LateBacklogLimit(target time.Duration) time.Duration {
+	if target <= 0 {
+		return 0
+	}
+	return max(time.Duration(lateRoomShare*float64(target)), minBacklogLimit)
+}
+
 // ChooseWithRoom is Choose restricted to servers that are not full for a request with the
 // backlog limit; see BacklogLimit. timeLeft is the time left to the latency target. While the
 // server that Choose would return has room, the result is the same.
@@ -67,7 +79,7 @@
 	}
 	if c.full(now, best.Server, r, limit) {
 		var room Room
-		if best, room = c.bestWithRoom(now, candidates, r, limit, timeLeft); best == nil {
+		if best, room = c.bestWithRoom(now, candidates, r, limit, max(timeLeft, best.ExpectedFirstByte)); best == nil {
 			return nil, room
 		}
 	}
@@ -77,9 +89,9 @@
 	return best, RoomFound
 }
 
-// bestWithRoom returns the best of the servers that are not full, unless the request would
-// be late there.
-func (c *Chooser) bestWithRoom(now time.Time, candidates []*topology.Server, r Request, limit, timeLeft time.Duration) (*Choice, Room) {
+// bestWithRoom returns the best of the servers that are not full, unless the first byte is
+// expected there after more than the given time.
+func (c *Chooser) bestWithRoom(now time.Time, candidates []*topology.Server, r Request, limit, within time.Duration) (*Choice, Room) {
 	excluded := maps.Clone(r.Excluded)
 	if excluded == nil {
 		excluded = make(map[string]bool)
@@ -94,7 +106,7 @@
 	switch {
 	case best == nil:
 		return nil, RoomFull
-	case r.PromptTokens > 0 && best.ExpectedFirstByte > timeLeft:
+	case r.PromptTokens > 0 && best.ExpectedFirstByte > within:
 		return nil, RoomElsewhere
 	}
 	return best, RoomFound
@@ -138,3 +150,6 @@
 	}
 	return own+peers > limit || own > equal+peerRoomShare*max(limit-equal-peers, 0)
 }
+
+// Prefill returns the expected time that the server spends on the prompt.
+func (c *Choice) Prefill() time.Duration { return c.prefill }
