--- a/daemon/admission/admission.go
+++ b/daemon/admission/admission.go
@@ -449,17 +449,27 @@
 
 // ClassState describes the waiting requests of a class.
 type ClassState struct {
-	Class, OnTime, Late int
-	Work                time.Duration
+	Class int
+	// OnTime requests can still meet their latency target, Late ones can't.
+	OnTime, Late int
+	// Work is the time that servers need for all of them.
+	Work time.Duration
+	// ExpectedWait is that of a request that would arrive now.
+	ExpectedWait time.Duration
 }
 
 // State returns the classes with waiting requests.
-func (q *Queue) State() []ClassState {
+func (q *Queue) State(now time.Time) []ClassState {
 	var list []ClassState
 	for i := range q.classes {
-		if c := &q.classes[i]; c.waiting() > 0 {
-			list = append(list, ClassState{Class: i, OnTime: c.onTime.entries, Late: c.late.entries, Work: c.onTime.work + c.late.work})
+		c := &q.classes[i]
+		if c.waiting() == 0 {
+			continue
 		}
+		list = append(list, ClassState{
+			Class: i, OnTime: c.onTime.entries, Late: c.late.entries, Work: c.onTime.work + c.late.work,
+			ExpectedWait: q.ExpectedWait(now, &Entry{Class: i}),
+		})
 	}
 	return list
 }
--- a/daemon/admission/flows.go
+++ b/daemon/admission/flows.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxFlows bounds the workspaces of a class that are served in turn; more share a flow.
-	maxFlows = 64
+	maxFlows = 32
 	// burst is the work by which a workspace may be ahead of its share, in work divided by
 	// weight. Within it, requests go by their time.
 	burst = 50 * time.Millisecond
@@ -23,6 +23,8 @@
 // proportion to their weights (start-time fair queueing).
 type flows struct {
 	byName map[string]*line
+	// lines lists the same lines; it is faster to scan.
+	lines []*line
 	// virtual is the start of the latest served request in virtual time: work divided by
 	// weight.
 	virtual float64
@@ -37,6 +39,8 @@
 	// served is the virtual time up to which the workspace has been served.
 	served float64
 	weight float64
+	// index is the line's place in the list of its flows.
+	index int
 }
 
 // name returns the flow of a workspace.
@@ -47,16 +51,33 @@
 	return "#" + strconv.FormatUint(maphash.String(flowSeed, workspace)%maxFlows, 10)
 }
 
-func (f *flows) push(e *Entry, weight float64) {
-	if f.byName == nil {
-		f.byName = make(map[string]*line)
-	}
-	name := f.name(e.Workspace)
+// line returns the line of a workspace.
+func (f *flows) line(workspace string) *line {
+	name := f.name(workspace)
 	l := f.byName[name]
 	if l == nil {
-		l = &line{name: name, served: f.virtual}
+		if f.byName == nil {
+			f.byName = make(map[string]*line)
+		}
+		l = &line{name: name, served: f.virtual, index: len(f.lines)}
 		f.byName[name] = l
+		f.lines = append(f.lines, l)
 	}
+	return l
+}
+
+// drop removes a line without entries.
+func (f *flows) drop(l *line) {
+	last := len(f.lines) - 1
+	f.lines[l.index] = f.lines[last]
+	f.lines[l.index].index = l.index
+	f.lines[last] = nil
+	f.lines = f.lines[:last]
+	delete(f.byName, l.name)
+}
+
+func (f *flows) push(e *Entry, weight float64) {
+	l := f.line(e.Workspace)
 	l.weight, e.weight = weight, weight
 	e.line = l
 	heap.Push(l, e)
@@ -72,14 +93,14 @@
 	f.work -= e.Work
 	// An idle workspace keeps its place only while it is ahead of its share.
 	if len(l.list) == 0 && l.served <= f.virtual {
-		delete(f.byName, l.name)
+		f.drop(l)
 	}
 }
 
 // first returns the first entry of the workspace that is furthest behind its share.
 func (f *flows) first() *Entry {
 	var best *line
-	for _, l := range f.byName {
+	for _, l := range f.lines {
 		if len(l.list) > 0 && (best == nil || l.before(best, f.virtual)) {
 			best = l
 		}
@@ -105,20 +126,16 @@
 
 // spend charges a sent entry to its workspace.
 func (f *flows) spend(e *Entry) {
-	name := f.name(e.Workspace)
-	l := f.byName[name]
-	if l == nil {
-		l = &line{name: name, served: f.virtual, weight: e.weight}
-		f.byName[name] = l
-	}
+	l := f.line(e.Workspace)
+	l.weight = e.weight
 	l.served = max(l.served, f.virtual) + e.Work.Seconds()/l.weight
 	lowest := l.served
-	for name, other := range f.byName {
-		switch {
+	for i := len(f.lines) - 1; i >= 0; i-- {
+		switch other := f.lines[i]; {
 		case len(other.list) > 0:
 			lowest = min(lowest, max(other.served, f.virtual))
 		case other.served <= f.virtual:
-			delete(f.byName, name)
+			f.drop(other)
 		}
 	}
 	f.virtual = max(f.virtual, lowest)
@@ -129,7 +146,7 @@
 func (f *flows) cheapest(q *Queue) *Entry {
 	var best *Entry
 	var of *line
-	for _, l := range f.byName {
+	for _, l := range f.lines {
 		if of != nil && l.excess() <= of.excess() {
 			continue
 		}
--- a/daemon/ctl/edge.go
+++ b/daemon/ctl/edge.go
@@ -127,6 +127,9 @@
 		fmt.Fprintf(t, "  roll-out of %s\tto %s\tphase %s\tordered %s\tcondemned %v\tnew %d good, %d bad\told %d good, %d bad\n", r.Service, r.Target, r.Phase,
 			formatAge(r.AgeMS), r.Rejected, r.Evidence.Target.Good, r.Evidence.Target.Bad, r.Evidence.Base.Good, r.Evidence.Base.Bad)
 	}
+	for _, q := range s.Waiting {
+		fmt.Fprintf(t, "  waiting for %s\tclass %d\t%d in time\t%d late\twork %d ms\texpected wait %d ms\n", q.Service, q.Class, q.OnTime, q.Late, q.WorkMS, q.ExpectedWaitMS)
+	}
 	t.Flush()
 }
 
--- a/daemon/edge/state.go
+++ b/daemon/edge/state.go
@@ -38,6 +38,8 @@
 	Routers         []RouterState  `json:"routers"`
 	Servers         []ServerState  `json:"servers"`
 	Rollouts        []RolloutState `json:"rollouts"`
+	// Waiting describes the requests that wait for room at backend servers.
+	Waiting []WaitingState `json:"waiting,omitempty"`
 	// QuarantinedParts are the prompt parts whose requests are refused, as log lines name
 	// them.
 	QuarantinedParts []string `json:"quarantined_parts,omitempty"`
@@ -82,6 +84,21 @@
 	ViolationAgeMS int64  `json:"violation_age_ms,omitempty"`
 }
 
+// WaitingState describes the requests of a priority class that wait for room at the servers of
+// a service.
+type WaitingState struct {
+	Service string `json:"service"`
+	// Class is the priority class; 0 is the most urgent.
+	Class int `json:"class"`
+	// OnTime requests can still meet their latency target, Late ones can't.
+	OnTime int `json:"on_time"`
+	Late   int `json:"late"`
+	// WorkMS is the time that servers need for them, ExpectedWaitMS the wait of a request that
+	// would arrive now.
+	WorkMS         int64 `json:"work_ms"`
+	ExpectedWaitMS int64 `json:"expected_wait_ms"`
+}
+
 // RolloutState is the state of a rollout with the evidence for its decisions.
 type RolloutState struct {
 	Service  string        `json:"service"`
@@ -149,6 +166,12 @@
 	}
 	sort.Slice(s.Servers, func(i, j int) bool { return s.Servers[i].ID < s.Servers[j].ID })
 	s.Rollouts = c.rollouts.states(now)
+	for _, w := range e.gateway.Waiting() {
+		s.Waiting = append(s.Waiting, WaitingState{
+			Service: w.Service, Class: w.Class, OnTime: w.OnTime, Late: w.Late,
+			WorkMS: w.Work.Milliseconds(), ExpectedWaitMS: w.ExpectedWait.Milliseconds(),
+		})
+	}
 	return s
 }
 
--- a/daemon/gateway/admission_metrics.go
+++ b/daemon/gateway/admission_metrics.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
+	"io"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"cactusknot.example/daemon/admission"
@@ -22,3 +26,35 @@
 		Dur("work_ms", entry.Work).Dur("answer_ms", entry.Answer).Dur("target_ms", entry.Target).Dur("left_ms", time.Until(entry.Deadline)).
 		Bool("returned", entry.Returned()).Dur("view_age_ms", time.Since(w.x.view.At)).Str("end", end.how).Msg("waited for room")
 }
+
+// WaitingClass describes the requests of a class that wait for room at a service.
+type WaitingClass struct {
+	Service string
+	admission.ClassState
+}
+
+// Waiting returns the waiting requests by service and class, sorted.
+func (g *Gateway) Waiting() []WaitingClass {
+	var list []WaitingClass
+	for _, value := range g.admission.queues.Range {
+		q := value.(*serviceQueue)
+		q.mu.Lock()
+		for _, class := range q.queue.State(time.Now()) {
+			list = append(list, WaitingClass{q.service, class})
+		}
+		q.mu.Unlock()
+	}
+	slices.SortFunc(list, func(a, b WaitingClass) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), cmp.Compare(a.Class, b.Class))
+	})
+	return list
+}
+
+// writeWaiting writes the metrics of the waiting requests.
+func (g *Gateway) writeWaiting(w io.Writer) {
+	for _, c := range g.Waiting() {
+		fmt.Fprintf(w, "cactusknot_admission_waiting{service=%q,class=\"%d\",late=\"false\"} %d\n", c.Service, c.Class, c.OnTime)
+		fmt.Fprintf(w, "cactusknot_admission_waiting{service=%q,class=\"%d\",late=\"true\"} %d\n", c.Service, c.Class, c.Late)
+		fmt.Fprintf(w, "cactusknot_admission_waiting_work_seconds{service=%q,class=\"%d\"} %.3f\n", c.Service, c.Class, c.Work.Seconds())
+	}
+}
--- a/daemon/gateway/metrics.go
+++ b/daemon/gateway/metrics.go
@@ -14,6 +14,7 @@
 func (g *Gateway) WriteMetrics(w io.Writer) {
 	g.metrics.WritePrometheus(w)
 	g.writeRetryBudgets(w)
+	g.writeWaiting(w)
 	work := selection.OutstandingWork{}
 	for _, server := range g.Chooser.OutstandingWork() {
 		work = work.Add(server)
