--- a/daemon/admission/admission.go
+++ b/daemon/admission/admission.go
@@ -88,6 +88,9 @@
 	// committed is set once the request may no longer be refused.
 	committed bool
 	large     bool
+	// favoured is set if the request goes before others of its class because too few large
+	// ones of its kind were served.
+	favoured bool
 	// due is the next time at which the queue has to decide on the entry.
 	due time.Time
 	// line is the heap that holds the entry, at lineIndex; dueIndex is its place in the heap
@@ -161,6 +164,7 @@
 	e.Work = max(e.Work, time.Millisecond)
 	e.lineIndex, e.dueIndex = -1, -1
 	e.large = q.kinds.arrive(e.Kind, e.Work)
+	e.favoured = e.large && q.kinds.protects(e.Kind)
 	q.setTimes(now, e)
 	// Without a wait the request is sent to find out whether it can end: the estimate of an
 	// answer's length may be wrong, and nothing is gained by refusing it.
@@ -193,10 +197,6 @@
 		e.onTimeUntil = e.CallerSince.Add(e.Target - e.Work)
 	}
 	e.order = e.CallerSince.Add(delayPerWork * e.Work)
-	if e.onTimeUntil.Before(e.order) && delayPerWork == 0 {
-		e.order = e.onTimeUntil
-	}
-	e.late = !now.Before(e.onTimeUntil)
 	refusable := e.ArrivedAt.Add(time.Duration(refusalHoldShare * float64(e.Target)))
 	if half := e.ArrivedAt.Add(time.Duration(maxRefusalShare * float64(e.Deadline.Sub(e.ArrivedAt)))); e.Target <= 0 || half.Before(refusable) {
 		refusable = half
@@ -206,11 +206,15 @@
 		e.latestStart = refusable
 	}
 	e.refusable = refusable
+	if e.favoured {
+		e.onTimeUntil, e.order = e.latestStart, e.ArrivedAt
+	}
+	e.late = !now.Before(e.onTimeUntil)
 }
 
 // cannotEnd reports whether a request can't end before its deadline after a wait.
 func (q *Queue) cannotEnd(now time.Time, e *Entry, wait time.Duration) bool {
-	if e.large && q.kinds.protects(e.Kind) {
+	if e.favoured {
 		return !now.Add(e.Work).Before(e.Deadline)
 	}
 	return now.Add(time.Duration(certainShare*float64(wait+e.Answer)) + e.Work).After(e.Deadline)
@@ -218,7 +222,7 @@
 
 // refuse returns the refusal of an entry that is not in the queue.
 func (q *Queue) refuse(e *Entry, reason Reason, wait time.Duration) *Refusal {
-	q.kinds.refused(e.Kind, e.large)
+	q.kinds.end(e.Kind, e.large, false)
 	return &Refusal{Entry: e, Reason: reason, ExpectedWait: wait, RetryAfter: q.retryAfter(wait)}
 }
 
@@ -324,6 +328,7 @@
 // Granted records that an entry is sent.
 func (q *Queue) Granted(now time.Time, e *Entry) {
 	q.rate.record(now, e.Work)
+	q.kinds.end(e.Kind, e.large, !e.committed || now.Before(e.latestStart))
 	for i := range q.classes {
 		switch c := &q.classes[i]; {
 		case c.waiting() == 0:
@@ -530,7 +535,7 @@
 
 // refusable reports whether a waiting entry may be refused to make room in the queue.
 func (q *Queue) refusable(e *Entry) bool {
-	return !e.committed && !e.Returned() && (!e.large || !q.kinds.protects(e.Kind))
+	return !e.committed && !e.Returned() && !e.favoured
 }
 
 // cheaper reports whether the refusal of a costs less than that of b, of the same class: the
