--- a/daemon/admission/admission.go
+++ b/daemon/admission/admission.go
@@ -20,7 +20,7 @@
 	MaxEntries = 20_000
 	MaxBytes   = 256 << 20
 	// maxRefusalShare is the part of the time to its deadline up to which a request may be
-	// refused after it was held, if its latency target is long or it has none.
+	// refused after it was held, if its latency target is longer than half of that.
 	maxRefusalShare = 0.25
 	// certainShare is the part of an expected wait and of an expected answer that counts when
 	// a request is refused: the wait is the estimate for the end of the queue, and callers
@@ -198,8 +198,8 @@
 	}
 	e.order = e.CallerSince.Add(delayPerWork * e.Work)
 	refusable := e.ArrivedAt.Add(time.Duration(refusalHoldShare * float64(e.Target)))
-	if half := e.ArrivedAt.Add(time.Duration(maxRefusalShare * float64(e.Deadline.Sub(e.ArrivedAt)))); e.Target <= 0 || half.Before(refusable) {
-		refusable = half
+	if share := e.ArrivedAt.Add(time.Duration(maxRefusalShare * float64(e.Deadline.Sub(e.ArrivedAt)))); share.Before(refusable) {
+		refusable = share
 	}
 	e.latestStart = e.Deadline.Add(-e.Work - e.Answer - e.Target)
 	if e.latestStart.Before(refusable) {
--- a/daemon/edge/exchange.go
+++ b/daemon/edge/exchange.go
@@ -66,7 +66,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, loadInterval)
 		now := time.Now()
-		if schedule.due(now, e.gateway.Chooser.Busy()) {
+		if schedule.due(now, e.gateway.Chooser.Busy() || e.gateway.HasWaiting()) {
 			e.exchangeOnce(ctx, e.report(now), failures)
 		}
 	}
--- a/daemon/gateway/admission.go
+++ b/daemon/gateway/admission.go
@@ -10,6 +10,7 @@
 	"cactusknot.example/daemon/admission"
 	"cactusknot.example/daemon/result"
 	"cactusknot.example/daemon/selection"
+	"cactusknot.example/daemon/topology"
 )
 
 const (
@@ -21,6 +22,12 @@
 	// since no event tells when they open.
 	safetyInterval  = 200 * time.Millisecond
 	limitedInterval = 25 * time.Millisecond
+	// minTimerInterval bounds how often the timer runs when many decisions are due.
+	minTimerInterval = 5 * time.Millisecond
+	// maxRetryAfterShare is the part of the time to its deadline up to which a caller waits
+	// before it returns. leastRetryAfter is the shortest time that callers can be told.
+	maxRetryAfterShare = 0.33
+	leastRetryAfter    = 10 * time.Millisecond
 	// leastUrgent is the urgency at the server of a late request that is sent without room, so
 	// that it does not delay others.
 	leastUrgent = 9
@@ -199,8 +206,11 @@
 	if refusal.Reason == admission.CannotEnd {
 		code = result.DeadlineTooSoon
 	}
-	retryAfter := min(refusal.RetryAfter, time.Until(w.x.deadline)/3)
-	w.x.retryAfter = max(retryAfter, 10*time.Millisecond)
+	longest := time.Duration(maxRetryAfterShare * float64(time.Until(w.x.deadline)))
+	if w.x.retryAfter = refusal.RetryAfter; w.x.retryAfter > longest {
+		w.x.retryAfter = longest - time.Duration(rand.Float64()*float64(longest)/4)
+	}
+	w.x.retryAfter = max(w.x.retryAfter, leastRetryAfter)
 	w.done <- grant{err: code.With("%s, expected wait %s", refusal.Reason, refusal.ExpectedWait.Round(time.Millisecond)), refusal: refusal, how: string(refusal.Reason)}
 }
 
@@ -240,6 +250,16 @@
 	g.grantRoomLocked(q.(*serviceQueue))
 }
 
+// HasWaiting reports whether a request waits for room.
+func (g *Gateway) HasWaiting() bool {
+	for _, q := range g.admission.queues.Range {
+		if q.(*serviceQueue).waiting.Load() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // WakeWaiting gives room that may have become available at any service to waiting requests.
 func (g *Gateway) WakeWaiting() {
 	for _, q := range g.admission.queues.Range {
@@ -263,6 +283,10 @@
 	// Requests that are passed over keep their claim: a later one with a longer latency target
 	// must not fill the servers beyond the limit of the earlier ones.
 	limit := time.Duration(0)
+	// full holds the candidates of the latest request for which all servers were full, and
+	// fullLimit its limit.
+	var full []*topology.Server
+	var fullLimit time.Duration
 	q.closed = false
 	for len(passedOver) < maxFailedGrants {
 		entry := q.queue.Next(now)
@@ -281,14 +305,23 @@
 		if limit > 0 && own > 0 {
 			own = min(own, limit)
 		}
+		if own > 0 && own <= fullLimit && sameServers(full, w.x.candidates) {
+			passedOver = append(passedOver, entry)
+			continue
+		}
 		choice, room := g.Chooser.ChooseWithRoom(now, w.x.candidates, w.request, own, entry.Target-now.Sub(entry.CallerSince))
 		if room == selection.RoomFound {
 			q.send(now, entry, choice, "room")
 			continue
 		}
 		q.closed = q.closed || room == selection.RoomClosed
+		if room == selection.RoomFull && len(w.request.Excluded) == 0 {
+			full, fullLimit = w.x.candidates, own
+		}
 		passedOver = append(passedOver, entry)
-		limit = own
+		if !entry.Late() {
+			limit = own
+		}
 	}
 	if len(passedOver) > 0 && g.grantOverdue(now, q, passedOver[0]) {
 		passedOver = passedOver[1:]
@@ -300,6 +333,12 @@
 	g.setTimer(now, q)
 }
 
+// sameServers reports whether two lists are the same slice, as the candidates of most requests
+// are.
+func sameServers(a, b []*topology.Server) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
 // grantOverdue sends the first waiting request to a server without room if no request got any
 // for half of its latency target: the room must be misjudged then.
 func (g *Gateway) grantOverdue(now time.Time, q *serviceQueue, first *admission.Entry) bool {
@@ -362,7 +401,7 @@
 		interval = limitedInterval
 	}
 	if at, ok := q.queue.NextDue(); ok {
-		interval = max(min(interval, at.Sub(now)), time.Millisecond)
+		interval = max(min(interval, at.Sub(now)), minTimerInterval)
 	}
 	if q.timer == nil {
 		q.timer = time.AfterFunc(interval, func() { g.grantRoomLocked(q) })
--- a/daemon/gateway/admission_load_test.go
+++ b/daemon/gateway/admission_load_test.go
@@ -333,6 +333,35 @@
 	}
 }
 
+// Guards against room that waiting requests only notice by the safety timer.
+func TestRoomWakesWaitingRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newLoadCluster(1, 1)
+		c.view.Servers["svc"][0].Slots = 1
+		g, began := c.routers[0], time.Now()
+		request := func() *requestState {
+			return &requestState{
+				call: &Call{ResumeAfter: -1}, view: c.view, startedAt: time.Now(), deadline: time.Now().Add(c.timeout), ctx: t.Context(),
+				route: &topology.Route{LatencyTarget: c.target}, service: c.view.Config.Services["svc"], excluded: map[string]bool{},
+			}
+		}
+		first, err := g.choose(t.Context(), request())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			time.Sleep(37 * time.Millisecond)
+			first.End(time.Now(), selection.Succeeded)
+			g.wakeWaiting("svc")
+		}()
+		second, err := g.choose(t.Context(), request())
+		if waited := time.Since(began); err != nil || waited != 37*time.Millisecond {
+			t.Fatalf("waited %s, %v", waited, err)
+		}
+		second.End(time.Now(), selection.Succeeded)
+	})
+}
+
 // Guards against refused callers that come back at once and so make the crowd larger.
 func TestCrowdThatRetriesAtOnce(t *testing.T) {
 	c, queued, direct := simulate(t, true, func(r *rand.Rand) []*loadCaller {
--- a/daemon/gateway/admission_test.go
+++ b/daemon/gateway/admission_test.go
@@ -60,3 +60,51 @@
 		t.Error("the wait was not logged")
 	}
 }
+
+// Guards against a request that is held although it can't end before its deadline, and against
+// a refusal after which the caller has no time to return.
+func TestRefusedAtOnce(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(t, "s1", func(n int, r receivedRequest, c net.Conn) bool {
+		<-release
+		return respond(200, "ok")(n, r, c)
+	})
+	s.Slots = 1
+	r := newHarness(t, topology.Route{LatencyTarget: 10 * time.Second, Timeout: 30 * time.Second}, s)
+	var calls sync.WaitGroup
+	const places, waiting = 4, 8
+	for range places + waiting {
+		calls.Go(func() { r.call("GET", "/", "") })
+	}
+	eventually(t, 2*time.Second, "requests wait", func() bool { return r.serviceQueue("svc").waiting.Load() == waiting })
+	began := time.Now()
+	a := r.call("GET", "/", "", "Id", "hopeless", "Wait", "400")
+	if took := time.Since(began); a.status != 503 || took > 300*time.Millisecond {
+		t.Errorf("status %d after %s", a.status, took)
+	}
+	if wait, err := time.ParseDuration(a.header.Get("Retry-After")); err != nil || wait > 134*time.Millisecond {
+		t.Errorf("Retry-After %q, want at most a third of 400 ms", a.header.Get("Retry-After"))
+	}
+	close(release)
+	calls.Wait()
+	for _, request := range s.requests() {
+		if request.head.Get("Id") == "hopeless" {
+			t.Error("the refused request was sent")
+		}
+	}
+	if n := totalRequests(s); n != places+waiting {
+		t.Errorf("%d requests were sent, want %d", n, places+waiting)
+	}
+	if !strings.Contains(r.logs.String(), `"end":"cannot_end"`) {
+		t.Error("the refusal was not logged")
+	}
+}
+
+// Guards against allocations in the queue for requests that find room.
+func TestNoAllocationWithRoom(t *testing.T) {
+	q := (&Gateway{}).serviceQueue("svc")
+	now := time.Now()
+	if n := testing.AllocsPerRun(1000, func() { q.arrive(now, "w", time.Millisecond) }); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
