--- a/daemon/gateway/pending_failures_test.go
+++ b/daemon/gateway/pending_failures_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,9 +14,9 @@
 // that had most of the crashed engines (scale-2 of petitspas-diary and mulaz-ticketing,
 // seed 11). Broken connections count only if their server answers again.
 func TestCrashIsNoEvidence(t *testing.T) {
-	alive := false
+	var alive atomic.Bool
 	a := newServer(t, "a", func(n int, x receivedRequest, c net.Conn) bool {
-		return alive && respond(200, "ok")(n, x, c)
+		return alive.Load() && respond(200, "ok")(n, x, c)
 	})
 	r := newHarness(t, topology.Route{Kind: topology.Idempotent, MaxAttempts: 1}, a)
 	for range 3 {
@@ -24,7 +25,7 @@
 	if n := r.samples.Load(); n != 0 {
 		t.Errorf("%d samples from a server that may have crashed", n)
 	}
-	alive = true
+	alive.Store(true)
 	if got := r.call(http.MethodGet, "/x", ""); got.status != http.StatusOK {
 		t.Fatalf("got %d", got.status)
 	}
