--- a/daemon/admission/admission.go
+++ b/daemon/admission/admission.go
@@ -17,8 +17,8 @@
 	// last.
 	maxClasses = 10
 	// MaxEntries and MaxBytes bound a queue. The bytes are those of the requests' bodies.
-	MaxEntries = 20_000
-	MaxBytes   = 256 << 20
+	MaxEntries = 12_000
+	MaxBytes   = 64 << 20
 	// maxRefusalShare is the part of the time to its deadline up to which a request may be
 	// refused after it was held, if its latency target is longer than half of that.
 	maxRefusalShare = 0.25
@@ -91,6 +91,8 @@
 	// favoured is set if the request goes before others of its class because too few large
 	// ones of its kind were served.
 	favoured bool
+	// postponedTo is when the decision on an entry that must be sent is repeated.
+	postponedTo time.Time
 	// due is the next time at which the queue has to decide on the entry.
 	due time.Time
 	// line is the heap that holds the entry, at lineIndex; dueIndex is its place in the heap
@@ -159,7 +161,7 @@
 // part of the servers should get done. The result is nil if nothing is refused; otherwise the
 // refused entry is the new one or one that had waited, which is no longer in the queue.
 func (q *Queue) Offer(now time.Time, e *Entry, capacity float64) *Refusal {
-	q.rate.expect(capacity)
+	q.rate.expected = capacity
 	e.Class = min(max(e.Class, 0), maxClasses-1)
 	e.Work = max(e.Work, time.Millisecond)
 	e.lineIndex, e.dueIndex = -1, -1
@@ -362,6 +364,9 @@
 	e.due = e.refusable
 	if e.committed {
 		e.due = e.latestStart
+		if e.postponedTo.After(e.due) {
+			e.due = e.postponedTo
+		}
 	}
 	if !e.late && e.onTimeUntil.Before(e.due) {
 		e.due = e.onTimeUntil
@@ -486,8 +491,6 @@
 	at       time.Time
 }
 
-func (r *rate) expect(capacity float64) { r.expected = capacity }
-
 func (r *rate) record(now time.Time, work time.Duration) {
 	if r.at.IsZero() {
 		r.at, r.measured = now, r.expected
@@ -547,8 +550,8 @@
 
 // Postpone repeats the decision on a due entry a little later.
 func (q *Queue) Postpone(now time.Time, e *Entry) {
-	e.due = now.Add(postponement)
-	heap.Fix(&q.due, e.dueIndex)
+	e.postponedTo = now.Add(postponement)
+	q.schedule(e)
 }
 
 // NextDue returns the time of the next decision. ok is false if no entry waits.
--- a/daemon/ctl/edge_test.go
+++ b/daemon/ctl/edge_test.go
@@ -28,6 +28,7 @@
 		VM: "edge-1", Ready: true, ConfigVersion: 7, ConfigAgeMS: 1200, LoadReportAgeMS: -1,
 		Servers:     []edge.ServerState{{ID: "i-1", Service: "svc", State: edge.ServerEvacuated, AvoidedMS: 300, Violation: "stalled", ViolationAgeMS: 2500}},
 		StoreReader: "edge-7", StoreReaders: []string{"edge-7", "edge-8"},
+		Waiting:  []edge.WaitingState{{Service: "svc", Class: 2, OnTime: 3, Late: 4, WorkMS: 900, ExpectedWaitMS: 450}},
 		Rollouts: []edge.RolloutState{{Service: "svc", Target: "v2", Phase: rollout.Canary, Rejected: true}},
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -40,7 +41,7 @@
 	defer server.Close()
 	address := server.Listener.Addr().String()
 	code, out, _ := runCommand(runState, address)
-	for _, want := range []string{"edge-1", "7, 1.2s ago", "never", "i-1", "evacuated", "300 ms", "stalled 2.5s ago", "changes from edge-7", "edge-7 edge-8", "canary", "condemned true"} {
+	for _, want := range []string{"edge-1", "7, 1.2s ago", "never", "i-1", "evacuated", "300 ms", "stalled 2.5s ago", "changes from edge-7", "edge-7 edge-8", "canary", "condemned true", "waiting for svc", "3 in time", "expected wait 450 ms"} {
 		if !strings.Contains(out, want) {
 			t.Errorf("%q is missing in\n%s", want, out)
 		}
--- a/daemon/gateway/admission.go
+++ b/daemon/gateway/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,9 +62,12 @@
 	return t.timeouts.Age(x.call.Timeout)
 }
 
-// serviceQueue holds the requests that wait for room at the servers of a service.
+// serviceQueue holds the requests that wait for room at the servers of a service, or at a
+// group of them.
 type serviceQueue struct {
 	service string
+	// name is that of the service and the group.
+	name string
 	// waiting is the number of waiting requests, readable without the lock.
 	waiting atomic.Int32
 
@@ -93,15 +97,36 @@
 	how string
 }
 
-// serviceQueue returns the queue of a service.
-func (g *Gateway) serviceQueue(service string) *serviceQueue {
-	if q, ok := g.admission.queues.Load(service); ok {
+// serviceQueue returns the queue of a service, or of the group of its servers with the name.
+func (g *Gateway) serviceQueue(service, group string) *serviceQueue {
+	name := service
+	if group != "" {
+		name += " " + group
+	}
+	if q, ok := g.admission.queues.Load(name); ok {
 		return q.(*serviceQueue)
 	}
-	q, _ := g.admission.queues.LoadOrStore(service, &serviceQueue{service: service, queue: admission.New(rand.Float64)})
+	q, _ := g.admission.queues.LoadOrStore(name, &serviceQueue{service: service, name: name, queue: admission.New(rand.Float64)})
 	return q.(*serviceQueue)
 }
 
+// serverGroup names the servers that the request may use, if it may not use all of its service.
+// Requests for other servers must not wait behind it.
+func (x *requestState) serverGroup() string {
+	all := x.view.Servers[x.service.Name]
+	if len(x.candidates) == len(all) || len(x.candidates) == 0 {
+		return ""
+	}
+	group := "old"
+	if x.candidates[0].Version == x.view.Splits[x.service.Name].Target {
+		group = "target"
+	}
+	if len(x.route.Regions) > 0 || len(x.regions) > 0 {
+		group += " " + strings.Join(x.route.Regions, ",") + " " + strings.Join(x.regions, ",")
+	}
+	return group
+}
+
 // choose returns the server for the next attempt. If none has room, the request waits in the
 // queue of its service.
 func (g *Gateway) choose(ctx context.Context, x *requestState) (*selection.Choice, *result.Error) {
@@ -119,7 +144,7 @@
 	if len(x.servers) == 0 {
 		x.age = g.callerAge(x)
 	}
-	q := g.serviceQueue(x.service.Name)
+	q := g.serviceQueue(x.service.Name, x.serverGroup())
 	if q.waiting.Load() == 0 {
 		if choice, room := g.chooseWithRoom(now, x, request); room == selection.RoomFound {
 			work := plainWork
@@ -171,7 +196,16 @@
 	q.queue.Arrive(now, entry.Workspace, entry.Work)
 	position, expected := q.queue.Position(entry), q.queue.ExpectedWait(now, entry)
 	refusal := q.queue.Offer(now, entry, g.capacity(x))
-	if refusal != nil {
+	switch {
+	case refusal == nil:
+	case refusal.Entry == entry:
+		// The expected wait may be that of requests for which there is no room.
+		if choice, room := g.chooseWithRoom(now, x, request); room == selection.RoomFound {
+			q.send(now, entry, choice, "room")
+			break
+		}
+		w.refuse(refusal)
+	default:
 		refusal.Entry.Payload.(*waiter).refuse(refusal)
 	}
 	g.grantRoom(now, q)
@@ -243,11 +277,11 @@
 
 // wakeWaiting gives room that may have become available to waiting requests.
 func (g *Gateway) wakeWaiting(service string) {
-	q, ok := g.admission.queues.Load(service)
-	if !ok || q.(*serviceQueue).waiting.Load() == 0 {
-		return
+	for _, q := range g.admission.queues.Range {
+		if q := q.(*serviceQueue); q.waiting.Load() > 0 && (service == "" || q.service == service) {
+			g.grantRoomLocked(q)
+		}
 	}
-	g.grantRoomLocked(q.(*serviceQueue))
 }
 
 // HasWaiting reports whether a request waits for room.
@@ -261,13 +295,7 @@
 }
 
 // WakeWaiting gives room that may have become available at any service to waiting requests.
-func (g *Gateway) WakeWaiting() {
-	for _, q := range g.admission.queues.Range {
-		if q := q.(*serviceQueue); q.waiting.Load() > 0 {
-			g.grantRoomLocked(q)
-		}
-	}
-}
+func (g *Gateway) WakeWaiting() { g.wakeWaiting("") }
 
 func (g *Gateway) grantRoomLocked(q *serviceQueue) {
 	q.mu.Lock()
--- a/daemon/gateway/admission_load_test.go
+++ b/daemon/gateway/admission_load_test.go
@@ -297,26 +297,28 @@
 }
 
 // Guards against a crowd of callers that return after a loss of all routers and make each
-// other and those that come after them late.
+// other and those that come after them late, also if refused callers come back at once.
 func TestCrowdAfterLoss(t *testing.T) {
-	c, queued, direct := simulate(t, false, func(r *rand.Rand) []*loadCaller {
-		return herd(r, 12, 0.6, 8, 800*time.Millisecond, 10*time.Second)
-	})
-	with, without := c.result(queued, everyCall), c.result(direct, everyCall)
-	t.Logf("queue: %v, refused %d; without: %v", with, refusals(queued), without)
-	if with.onTime < without.onTime+0.05 || with.missed > without.missed+0.05 {
-		t.Errorf("the queue gains too little: %v, without it %v", with, without)
-	}
-	long := c.result(queued, func(q *loadCaller) bool { return q.tokens >= 4000 })
-	if 1-long.missed < (1-with.missed)/2 {
-		t.Errorf("the largest tenth is served too seldom: %v, all: %v", long, with)
-	}
-	var class [3]loadResult
-	for i := range class {
-		class[i] = c.result(queued, func(q *loadCaller) bool { return q.class == i })
-	}
-	if class[0].onTime < class[1].onTime || class[1].onTime < class[2].onTime {
-		t.Errorf("a less urgent class was served better: %v", class)
+	for _, retryAtOnce := range []bool{false, true} {
+		c, queued, direct := simulate(t, retryAtOnce, func(r *rand.Rand) []*loadCaller {
+			return herd(r, 12, 0.6, 8, 800*time.Millisecond, 10*time.Second)
+		})
+		with, without := c.result(queued, everyCall), c.result(direct, everyCall)
+		t.Logf("queue: %v, refused %d; without: %v", with, refusals(queued), without)
+		if with.onTime < without.onTime+0.05 || with.missed > without.missed+0.05 {
+			t.Errorf("the queue gains too little: %v, without it %v", with, without)
+		}
+		long := c.result(queued, func(q *loadCaller) bool { return q.tokens >= 4000 })
+		if 1-long.missed < (1-with.missed)/2 {
+			t.Errorf("the largest tenth is served too seldom: %v, all: %v", long, with)
+		}
+		var class [3]loadResult
+		for i := range class {
+			class[i] = c.result(queued, func(q *loadCaller) bool { return q.class == i })
+		}
+		if class[0].onTime < class[1].onTime || class[1].onTime < class[2].onTime {
+			t.Errorf("a less urgent class was served better: %v", class)
+		}
 	}
 }
 
@@ -362,18 +364,6 @@
 	})
 }
 
-// Guards against refused callers that come back at once and so make the crowd larger.
-func TestCrowdThatRetriesAtOnce(t *testing.T) {
-	c, queued, direct := simulate(t, true, func(r *rand.Rand) []*loadCaller {
-		return herd(r, 12, 0.6, 8, 800*time.Millisecond, 10*time.Second)
-	})
-	with, without := c.result(queued, everyCall), c.result(direct, everyCall)
-	t.Logf("queue: %v, refused %d; without: %v", with, refusals(queued), without)
-	if with.onTime < without.onTime+0.05 {
-		t.Errorf("the queue gains too little: %v, without it %v", with, without)
-	}
-}
-
 // Guards against a workspace with many times its usual load that makes the others late.
 func TestWorkspaceWithManyTimesItsLoad(t *testing.T) {
 	burst := func(q *loadCaller) bool { return q.workspace == "w0" }
--- a/daemon/gateway/admission_metrics.go
+++ b/daemon/gateway/admission_metrics.go
@@ -21,14 +21,20 @@
 	class := strconv.Itoa(min(max(entry.Class, 0), maxClassLabel))
 	g.metrics.GetOrCreateCounter(fmt.Sprintf("cactusknot_admission_waits_total{class=%q,end=%q}", class, end.how)).Inc()
 	g.metrics.GetOrCreateHistogram(fmt.Sprintf("cactusknot_admission_wait_seconds{class=%q}", class)).Update(took.Seconds())
+	reportAge := time.Duration(-1)
+	if age, ok := g.Chooser.PeerWorkAge(time.Now()); ok {
+		reportAge = age
+	}
 	g.logEvent(g.Log.Info()).Str("request", w.x.call.ID).Str("service", w.x.service.Name).Int("class", entry.Class).
 		Str("workspace", entry.Workspace).Int("position", position).Dur("expected_wait_ms", expected).Dur("took_ms", took).
 		Dur("work_ms", entry.Work).Dur("answer_ms", entry.Answer).Dur("target_ms", entry.Target).Dur("left_ms", time.Until(entry.Deadline)).
-		Bool("returned", entry.Returned()).Dur("view_age_ms", time.Since(w.x.view.At)).Str("end", end.how).Msg("waited for room")
+		Bool("late", entry.Late()).Dur("load_report_age_ms", reportAge).Bool("returned", entry.Returned()).Dur("view_age_ms", time.Since(w.x.view.At)).Str("end", end.how).Msg("waited for room")
 }
 
 // WaitingClass describes the requests of a class that wait for room at a service.
 type WaitingClass struct {
+	// Service is the name of the service, followed by that of the group of servers if the
+	// requests may not use all.
 	Service string
 	admission.ClassState
 }
@@ -40,7 +46,7 @@
 		q := value.(*serviceQueue)
 		q.mu.Lock()
 		for _, class := range q.queue.State(time.Now()) {
-			list = append(list, WaitingClass{q.service, class})
+			list = append(list, WaitingClass{q.name, class})
 		}
 		q.mu.Unlock()
 	}
--- a/daemon/gateway/admission_test.go
+++ b/daemon/gateway/admission_test.go
@@ -41,7 +41,7 @@
 	}
 	eventually(t, 2*time.Second, "the server is full", func() bool { return totalRequests(s) == places })
 	waiting := func(n int32) func() bool {
-		return func() bool { return r.serviceQueue("svc").waiting.Load() == n }
+		return func() bool { return r.serviceQueue("svc", "").waiting.Load() == n }
 	}
 	call("low", "low")
 	eventually(t, 2*time.Second, "one waits", waiting(1))
@@ -76,7 +76,7 @@
 	for range places + waiting {
 		calls.Go(func() { r.call("GET", "/", "") })
 	}
-	eventually(t, 2*time.Second, "requests wait", func() bool { return r.serviceQueue("svc").waiting.Load() == waiting })
+	eventually(t, 2*time.Second, "requests wait", func() bool { return r.serviceQueue("svc", "").waiting.Load() == waiting })
 	began := time.Now()
 	a := r.call("GET", "/", "", "Id", "hopeless", "Wait", "400")
 	if took := time.Since(began); a.status != 503 || took > 300*time.Millisecond {
@@ -102,9 +102,45 @@
 
 // Guards against allocations in the queue for requests that find room.
 func TestNoAllocationWithRoom(t *testing.T) {
-	q := (&Gateway{}).serviceQueue("svc")
+	q := (&Gateway{}).serviceQueue("svc", "")
 	now := time.Now()
 	if n := testing.AllocsPerRun(1000, func() { q.arrive(now, "w", time.Millisecond) }); n != 0 {
 		t.Errorf("%v allocations", n)
 	}
 }
+
+// Guards against a request that waits behind, or is refused because of, requests for servers
+// that it does not use: here those of the other version in a rollout.
+func TestFullVersionDelaysNoOther(t *testing.T) {
+	release := make(chan struct{})
+	old := newServer(t, "old", func(n int, r receivedRequest, c net.Conn) bool {
+		<-release
+		return respond(200, "old")(n, r, c)
+	})
+	target := newServer(t, "target", respond(200, "target"))
+	old.Slots, target.Version = 1, "v2"
+	r := newHarness(t, topology.Route{LatencyTarget: 10 * time.Second, Timeout: 30 * time.Second}, old, target)
+	view := *r.view.Load()
+	view.Splits = map[string]topology.TrafficSplit{"svc": {Target: "v2", Share: 0.5}}
+	r.view.Store(&view)
+	var calls sync.WaitGroup
+	reached := false
+	for i := range 40 {
+		id := strings.Repeat("x", i+1)
+		if !InRolloutShare("v2", id, 0.5) {
+			calls.Go(func() { r.call("GET", "/", "", "Id", id) })
+			continue
+		}
+		if reached = r.serviceQueue("svc", "old").waiting.Load() >= 4; reached {
+			if a := r.call("GET", "/", "", "Id", id, "Wait", "300"); a.body != "target" {
+				t.Errorf("%s: status %d", id, a.status)
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	close(release)
+	calls.Wait()
+	if !reached {
+		t.Error("no request was sent to the target while others waited")
+	}
+}
