--- a/daemon/gateway/admission.go
+++ b/daemon/gateway/admission.go
@@ -196,19 +196,19 @@
 	q.queue.Arrive(now, entry.Workspace, entry.Work)
 	position, expected := q.queue.Position(entry), q.queue.ExpectedWait(now, entry)
 	refusal := q.queue.Offer(now, entry, g.capacity(x))
-	switch {
-	case refusal == nil:
-	case refusal.Entry == entry:
+	if refusal != nil && refusal.Entry != entry {
+		refusal.Entry.Payload.(*waiter).refuse(refusal)
+		refusal = nil
+	}
+	g.grantRoom(now, q)
+	if refusal != nil {
 		// The expected wait may be that of requests for which there is no room.
-		if choice, room := g.chooseWithRoom(now, x, request); room == selection.RoomFound {
+		if choice, room := g.Chooser.ChooseWithRoom(now, x.candidates, request, limitOf(entry), 0); room == selection.RoomFound {
 			q.send(now, entry, choice, "room")
-			break
+		} else {
+			w.refuse(refusal)
 		}
-		w.refuse(refusal)
-	default:
-		refusal.Entry.Payload.(*waiter).refuse(refusal)
 	}
-	g.grantRoom(now, q)
 	q.mu.Unlock()
 	var end grant
 	select {
@@ -326,10 +326,7 @@
 			w.done <- grant{err: err, how: "not_sent"}
 			continue
 		}
-		own := selection.BacklogLimit(entry.Target)
-		if entry.Late() {
-			own = selection.LateBacklogLimit(entry.Target)
-		}
+		own := limitOf(entry)
 		if limit > 0 && own > 0 {
 			own = min(own, limit)
 		}
@@ -361,6 +358,14 @@
 	g.setTimer(now, q)
 }
 
+// limitOf returns the backlog limit of the servers for an entry.
+func limitOf(entry *admission.Entry) time.Duration {
+	if entry.Late() {
+		return selection.LateBacklogLimit(entry.Target)
+	}
+	return selection.BacklogLimit(entry.Target)
+}
+
 // sameServers reports whether two lists are the same slice, as the candidates of most requests
 // are.
 func sameServers(a, b []*topology.Server) bool {
