--- a/daemon/admission/age.go
+++ b/daemon/admission/age.go
@@ -13,6 +13,9 @@
 	// maxTimeouts bounds the different timeouts that are counted.
 	timeoutSamples = 1024
 	maxTimeouts    = 256
+	// refreshInterval is the number of requests after which the list of frequent timeouts is
+	// made again, once there are as many.
+	refreshInterval = 64
 	// minAge is the least age that is told from the time that a request takes to arrive.
 	minAge = 20 * time.Millisecond
 )
@@ -22,6 +25,8 @@
 type Timeouts struct {
 	counts map[time.Duration]int
 	total  int
+	// frequent lists the timeouts that callers begin with.
+	frequent []time.Duration
 }
 
 // Age records the timeout that a request states and returns how long ago its caller first
@@ -31,11 +36,11 @@
 		return 0
 	}
 	t.record(timeout)
+	if t.total < refreshInterval || t.total%refreshInterval == 0 {
+		t.refresh()
+	}
 	age := time.Duration(0)
-	for value, count := range t.counts {
-		if count < minFrequentCount || float64(count) < frequentShare*float64(t.total) {
-			continue
-		}
+	for _, value := range t.frequent {
 		if value == timeout {
 			return 0
 		}
@@ -49,6 +54,16 @@
 	return age
 }
 
+// refresh lists the frequent timeouts.
+func (t *Timeouts) refresh() {
+	t.frequent = t.frequent[:0]
+	for value, count := range t.counts {
+		if count >= minFrequentCount && float64(count) >= frequentShare*float64(t.total) {
+			t.frequent = append(t.frequent, value)
+		}
+	}
+}
+
 func (t *Timeouts) record(timeout time.Duration) {
 	if t.counts == nil {
 		t.counts = make(map[time.Duration]int)
