Usage duty: an elected owner counts, settles and reports begun requests

coord/duty elects the owner of a duty by a record under a lease; its token is the position of the record. Routers count begun requests by window and workspace, the exchange carries the counts, and the owner writes each window once to the store before it reports it to the platform's API.

--- a/daemon/ctl/edge.go
+++ b/daemon/ctl/edge.go
@@ -127,6 +127,10 @@
 		fmt.Fprintf(t, "  roll-out of %s\tto %s\tphase %s\tordered %s\tcondemned %v\tnew %d good, %d bad\told %d good, %d bad\n", r.Service, r.Target, r.Phase,
 			formatAge(r.AgeMS), r.Rejected, r.Evidence.Target.Good, r.Evidence.Target.Bad, r.Evidence.Base.Good, r.Evidence.Base.Bad)
 	}
+	for _, d := range s.Duties {
+		fmt.Fprintf(t, "  duty %s\towner %s\town %v\ttoken %d\tlast call %s %s %s\tsettled %d\tsent %d\tunsettled %d\n", d.Name, d.Owner, d.Own, d.Token,
+			d.LastCall, d.LastResult, formatAge(d.LastCallAgeMS), d.LastSettled, d.LastSent, d.UnsettledCount)
+	}
 	t.Flush()
 }
 
--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -321,6 +321,9 @@
 // merge applies one change to the controller's state.
 func (c *controller) merge(change mirror.Change, b changeBatch) {
 	decoder := c.edge.settings.Decoder
+	if c.edge.duties.merge(change) {
+		return
+	}
 	if c.routers.merge(change) || c.rollouts.merge(change, decoder) || c.quarantines.merge(change, b.restored) {
 		return
 	}
--- /dev/null
+++ b/daemon/edge/duties.go
@@ -0,0 +1,386 @@
+package edge
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cactusknot.example/coord/duty"
+	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/mirror"
+	"cactusknot.example/daemon/relay"
+)
+
+const (
+	// dutyPrefix is followed by the name of a duty.
+	dutyPrefix = keyPrefix + "duty/"
+	// dutyMarginShare is the margin of the local lease deadline, as a share of the lease
+	// duration. It covers the drift of the clocks.
+	dutyMarginShare = 6
+	// dutyInterval is the time between two looks of a duty's work.
+	dutyInterval = 100 * time.Millisecond
+	// apiCallTimeout limits one call of the API.
+	apiCallTimeout = 3 * time.Second
+	// apiRateShare is the share of the API's rate that one duty uses. A router that has just
+	// lost the duty may have used some of it.
+	apiRateShare = 0.4
+	// firstAPIBackoff and maxAPIBackoff bound the backoff after failed API calls.
+	firstAPIBackoff = 250 * time.Millisecond
+	maxAPIBackoff   = 2 * time.Second
+)
+
+// dutyWork is what the owner of a duty does. Its methods are called by one goroutine.
+type dutyWork interface {
+	// act does what is due. It is called about every dutyInterval at each router, also at
+	// those that do not own the duty. A call of the API is made by role.call.
+	act(ctx context.Context, now time.Time, role *dutyRole)
+	// observe takes over a change of the store, and reports whether it was one of its keys.
+	observe(change mirror.Change) bool
+}
+
+// duties are this router's parts in the duties that one router at a time fulfils.
+type duties struct {
+	edge  *Edge
+	roles []*dutyRole
+	// usage counts the requests; its work is that of the role named UsageDuty.
+	usage *usageWork
+
+	mu sync.Mutex
+	// members holds the registered routers by name.
+	members map[string]relay.Member
+	// ranked holds the names of members in the order in which they try to own a duty.
+	ranked []string
+}
+
+// newDuties returns the duties that the settings name. There are none without an API.
+func newDuties(e *Edge) *duties {
+	d := &duties{edge: e, members: make(map[string]relay.Member)}
+	d.usage = newUsageWork(e)
+	if d.usage.enabled {
+		d.add(UsageDuty, d.usage)
+	}
+	return d
+}
+
+// has reports whether the routers have a duty.
+func (s *Settings) has(name string) bool {
+	return s.CloudAPI != nil && slices.Contains(s.Duties.Names, name)
+}
+
+// add adds a duty with its work.
+func (d *duties) add(name string, work dutyWork) {
+	settings := d.edge.settings
+	incarnation := binary.BigEndian.AppendUint64(nil, d.usage.incarnation)
+	role := &dutyRole{edge: d.edge, name: name, work: work, log: d.edge.log.With().Str("duty", name).Logger()}
+	began := time.Now()
+	owner, err := duty.New(duty.Config{
+		Store: dutyStore{settings.Store}, Key: dutyPrefix + name,
+		Self: duty.Record{Holder: settings.VM, Incarnation: hex.EncodeToString(incarnation)},
+		TTL:  settings.Duties.LeaseDuration, Margin: settings.Duties.LeaseDuration / dutyMarginShare,
+		Now: func() duty.Instant {
+			now := time.Now()
+			return duty.Instant{Monotonic: now.Sub(began), Wall: now.Round(0)}
+		},
+		Rank: d.rank, Notify: role.notify,
+	})
+	if err != nil {
+		d.edge.log.Error().Err(err).Str("duty", name).Msg("duty not taken part in")
+		return
+	}
+	role.owner = owner
+	d.roles = append(d.roles, role)
+}
+
+// start runs the duties until ctx ends.
+func (d *duties) start(ctx context.Context) {
+	for _, role := range d.roles {
+		go role.owner.Run(ctx)
+		go role.run(ctx)
+	}
+}
+
+// release gives up the duties, so that other routers take them over at once.
+func (d *duties) release() {
+	for _, role := range d.roles {
+		role.owner.Release(context.Background())
+	}
+}
+
+// merge applies a change of a duty's record or of the keys of its work. It reports whether the
+// change was one. It also notes the registered routers.
+func (d *duties) merge(change mirror.Change) bool {
+	if name, ok := strings.CutPrefix(change.Key, routerPrefix); ok {
+		d.noteMember(name, change)
+		return false
+	}
+	name, ok := strings.CutPrefix(change.Key, dutyPrefix)
+	for _, role := range d.roles {
+		if ok && role.name == name {
+			value := change.Value
+			if change.Deleted {
+				value = nil
+			}
+			role.owner.Observe(value, change.Position())
+		}
+		if role.work.observe(change) {
+			return true
+		}
+	}
+	return ok
+}
+
+func (d *duties) noteMember(name string, change mirror.Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if change.Deleted {
+		delete(d.members, name)
+	} else {
+		d.members[name] = decodeMember(name, change.Value)
+	}
+	d.ranked = d.ranked[:0]
+	list := make([]relay.Member, 0, len(d.members))
+	for _, member := range d.members {
+		list = append(list, member)
+	}
+	for _, member := range relay.Rank(list) {
+		d.ranked = append(d.ranked, member.Name)
+	}
+}
+
+// rank returns the position of this router among the candidates for a duty; ok is false while
+// it does not reach the store or is not registered.
+func (d *duties) rank() (rank int, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rank = slices.Index(d.ranked, d.edge.settings.VM)
+	if rank < 0 {
+		return len(d.ranked), false
+	}
+	return rank, d.edge.controller.storeOutage() == 0 && !d.edge.stopping.Load()
+}
+
+// registered returns the names of the registered routers.
+func (d *duties) registered() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.ranked)
+}
+
+// dutyRole is this router's part in one duty.
+type dutyRole struct {
+	edge  *Edge
+	name  string
+	owner *duty.Owner
+	work  dutyWork
+	log   zerolog.Logger
+
+	mu sync.Mutex
+	// last is the latest call of the API.
+	last apiCall
+	// notBefore is the earliest time of the next call, backoff the delay after a failure.
+	notBefore time.Time
+	backoff   time.Duration
+}
+
+// apiCall is a call of the API with its result.
+type apiCall struct {
+	at      time.Time
+	subject string
+	result  string
+	token   duty.Token
+}
+
+// run lets the work act until ctx ends. Once all keys of the store are known, it tells the owner
+// if there is no record: the absence of a key is no change.
+func (r *dutyRole) run(ctx context.Context) {
+	if !r.edge.controller.waitForView(ctx) {
+		return
+	}
+	at := r.edge.mirror.Position()
+	if _, ok := r.edge.mirror.Get(dutyPrefix + r.name); !ok {
+		r.owner.Observe(nil, at)
+	}
+	for ctx.Err() == nil {
+		sleep(ctx, dutyInterval)
+		r.work.act(ctx, time.Now(), r)
+	}
+}
+
+// errNotOwner is returned for a call that is not made because this router does not own the duty,
+// or because it is too early for the next call.
+var errNotOwner = errors.New("edge: no call of the API may be made now")
+
+// ready reports whether a call may be made at a time, apart from the ownership.
+func (r *dutyRole) ready(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !now.Before(r.notBefore)
+}
+
+// call makes one call of the API under this router's token, if it owns the duty and the rate
+// allows for it. subject names what the call is about, age how long it has been due.
+func (r *dutyRole) call(ctx context.Context, subject string, age time.Duration, send func(context.Context, DutyCaller) error) error {
+	began := time.Now()
+	if !r.ready(began) {
+		return errNotOwner
+	}
+	token := r.owner.BeginCall()
+	if token == 0 {
+		return errNotOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, apiCallTimeout)
+	err := send(ctx, DutyCaller{Holder: r.edge.settings.VM, Token: uint64(token)})
+	cancel()
+	r.owner.EndCall(token, errors.Is(err, ErrTokenRefused))
+	result := apiResult(err)
+	r.pace(time.Now(), err)
+	r.mu.Lock()
+	r.last = apiCall{at: began, subject: subject, result: result, token: token}
+	r.mu.Unlock()
+	r.edge.storeMetrics.GetOrCreateCounter(fmt.Sprintf("cactusknot_duty_calls_total{duty=%q,result=%q}", r.name, result)).Inc()
+	event := r.log.Info()
+	if err != nil {
+		event = r.log.Warn()
+	}
+	event.Err(err).Str("subject", subject).Uint64("token", uint64(token)).Str("result", result).
+		Dur("age_ms", age).Dur("took_ms", time.Since(began)).Msg("duty call finished")
+	return err
+}
+
+// pace sets the earliest time of the next call.
+func (r *dutyRole) pace(now time.Time, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delay := time.Duration(float64(time.Second) / (apiRateShare * r.edge.settings.Duties.CallsPerSecond))
+	if err == nil {
+		r.backoff = 0
+	} else {
+		r.backoff = min(max(2*r.backoff, firstAPIBackoff), maxAPIBackoff)
+		delay = max(delay, r.backoff/2+rand.N(r.backoff))
+	}
+	r.notBefore = now.Add(delay)
+}
+
+// Values of the result of an API call.
+const (
+	resultOK           = "ok"
+	resultTokenRefused = "token_refused"
+	resultOverRate     = "over_rate"
+	resultUnavailable  = "unavailable"
+	resultUnknown      = "unknown"
+	resultFailed       = "failed"
+)
+
+func apiResult(err error) string {
+	switch {
+	case err == nil:
+		return resultOK
+	case errors.Is(err, ErrTokenRefused):
+		return resultTokenRefused
+	case errors.Is(err, ErrOverRate):
+		return resultOverRate
+	case errors.Is(err, ErrAPIUnavailable):
+		return resultUnavailable
+	case errors.Is(err, ErrAPIUnknownOutcome):
+		return resultUnknown
+	}
+	return resultFailed
+}
+
+// notify logs and counts the events of the owner.
+func (r *dutyRole) notify(e duty.Event) {
+	r.edge.storeMetrics.GetOrCreateCounter(fmt.Sprintf("cactusknot_duty_events_total{duty=%q,event=%q}", r.name, e.Kind)).Inc()
+	event := r.log.Info()
+	if e.Err != nil {
+		event = r.log.Warn()
+	}
+	event.Err(e.Err).Str("event", string(e.Kind)).Str("holder", e.Holder.Holder).Uint64("token", uint64(e.Token)).
+		Stringer("position", e.At).Str("reason", e.Reason).Dur("lease_age_ms", e.Age).Msg("duty ownership event")
+}
+
+// dutyStore adapts a Store to the interface of package duty.
+type dutyStore struct{ store Store }
+
+// Grant implements duty.Store.
+func (s dutyStore) Grant(ctx context.Context, ttl time.Duration) (duty.Lease, error) {
+	lease, err := s.store.Grant(ctx, ttl)
+	return duty.Lease(lease), err
+}
+
+// Create implements duty.Store.
+func (s dutyStore) Create(ctx context.Context, key string, value []byte, lease duty.Lease) (kv.Position, error) {
+	return s.store.Commit(ctx, Txn{
+		Era: lease.Era, Conditions: []Condition{{Key: key}}, Writes: []Write{{Key: key, Value: value, Lease: lease.ID}},
+	})
+}
+
+// KeepAlive implements duty.Store.
+func (s dutyStore) KeepAlive(ctx context.Context, lease duty.Lease) error {
+	return s.store.KeepAlive(ctx, Lease(lease))
+}
+
+// Revoke implements duty.Store.
+func (s dutyStore) Revoke(ctx context.Context, lease duty.Lease) error {
+	return s.store.Revoke(ctx, Lease(lease))
+}
+
+// DutyState is the state of a duty as one process sees it.
+type DutyState struct {
+	Name string `json:"name"`
+	// Owner is the known owner; empty for none. Own is set if it is this process.
+	Owner string `json:"owner"`
+	Own   bool   `json:"own"`
+	Token uint64 `json:"token"`
+	// LastCall names the subject of the latest call of this process; empty for none.
+	LastCall       string `json:"last_call,omitempty"`
+	LastResult     string `json:"last_result,omitempty"`
+	LastCallAgeMS  int64  `json:"last_call_age_ms"`
+	LastSettled    int64  `json:"last_settled,omitempty"`
+	LastSent       int64  `json:"last_sent,omitempty"`
+	UnsettledCount int    `json:"unsettled,omitempty"`
+}
+
+// states returns the states of the duties.
+func (d *duties) states(now time.Time) []DutyState {
+	var list []DutyState
+	for _, role := range d.roles {
+		holder, token := role.owner.Holder()
+		s := DutyState{Name: role.name, Owner: holder.Holder, Own: role.owner.Token() != 0, Token: uint64(token), LastCallAgeMS: -1}
+		role.mu.Lock()
+		if last := role.last; !last.at.IsZero() {
+			s.LastCall, s.LastResult, s.LastCallAgeMS = last.subject, last.result, now.Sub(last.at).Milliseconds()
+		}
+		role.mu.Unlock()
+		if role.name == UsageDuty {
+			ledger := d.usage.ledger.State(now)
+			s.LastSettled, s.LastSent, s.UnsettledCount = ledger.LastSettled, ledger.LastSent, ledger.Unsettled
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+// writeMetrics writes the state of the duties in the Prometheus text format.
+func (d *duties) writeMetrics(w io.Writer) {
+	for _, s := range d.states(time.Now()) {
+		own := 0
+		if s.Own {
+			own = 1
+		}
+		fmt.Fprintf(w, "cactusknot_duty_owned{duty=%q} %d\n", s.Name, own)
+		if s.Name == UsageDuty {
+			fmt.Fprintf(w, "cactusknot_usage_unsettled_windows %d\n", s.UnsettledCount)
+			fmt.Fprintf(w, "cactusknot_usage_last_settled_window %d\n", s.LastSettled)
+		}
+	}
+}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -63,6 +63,8 @@
 	Era        uint64
 	Conditions []Condition
 	Writes     []Write
+	// Removes lists the keys to be removed.
+	Removes []string
 }
 
 // Store is the interface to the platform's store. Its methods return the errors of
@@ -133,6 +135,9 @@
 	// ModelPolicy and ServerPolicy select the policies; the zero values are the defaults.
 	ModelPolicy  gateway.ModelPolicy
 	ServerPolicy selection.Policy
+	// CloudAPI is the client of the platform's API; nil if there is none.
+	CloudAPI CloudAPI
+	Duties   DutySettings
 }
 
 const (
@@ -175,6 +180,7 @@
 	// exchanged lists the kinds of facts that the routers exchange.
 	exchanged []exchanged
 	config    configExchange
+	duties    *duties
 	// prepared is set once the peers were asked for the configuration.
 	prepared atomic.Bool
 	// storeMetrics holds the counters of store calls.
@@ -197,13 +203,15 @@
 	e.peerHTTP = &http.Client{Timeout: peerTimeout}
 	e.pollHTTP = &http.Client{}
 	e.controller = newController(e)
+	e.duties = newDuties(e)
 	e.gateway = gateway.New(gateway.Config{
 		Name: settings.VM, Codec: settings.HeaderCodec, View: e.view.Load, Observe: e.controller.observe,
 		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Retries: settings.Retries,
 		ModelPolicy: settings.ModelPolicy, ServerPolicy: settings.ServerPolicy, Log: e.log,
+		Count: e.duties.usage.count,
 	})
 	e.config.edge = e
-	e.exchanged = []exchanged{loadExchange{e}, e.controller.quarantines, &limitExchange{edge: e}, &e.config}
+	e.exchanged = []exchanged{loadExchange{e}, e.controller.quarantines, &limitExchange{edge: e}, &e.config, e.duties.usage}
 	return e
 }
 
@@ -237,6 +245,7 @@
 	go e.prepare(background)
 	go e.exchangeFacts(background)
 	go e.watchSettings(background)
+	e.duties.start(background)
 	e.log.Info().Str("listen", e.settings.FrontendAddress).Msg("edge started")
 	<-ctx.Done()
 	e.shutdown(frontend)
@@ -286,6 +295,7 @@
 	began := time.Now()
 	e.log.Info().Msg("graceful shutdown started; reporting not ready")
 	e.stopping.Store(true)
+	go e.duties.release()
 	time.Sleep(min(drainDelay, e.settings.GracePeriod/2))
 	stopAt := began.Add(e.settings.GracePeriod - shutdownMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), stopAt)
--- a/daemon/edge/helpers_test.go
+++ b/daemon/edge/helpers_test.go
@@ -185,6 +185,13 @@
 		c.store.write(kv.Entry{Key: w.Key, Value: w.Value, Lease: w.Lease})
 		c.store.commits[w.Key]++
 	}
+	for _, key := range t.Removes {
+		if _, ok := c.store.entries[key]; ok {
+			c.store.revision++
+			delete(c.store.entries, key)
+			c.store.appendHistory(mirror.Change{Entry: kv.Entry{Key: key, Revision: c.store.revision}, Era: c.store.era, Deleted: true})
+		}
+	}
 	if c.dropResponses.Load() {
 		return kv.Position{}, kv.ErrUnknownOutcome
 	}
--- a/daemon/edge/metrics.go
+++ b/daemon/edge/metrics.go
@@ -11,6 +11,7 @@
 	e.gateway.WriteMetrics(w)
 	e.controller.rollouts.writeMetrics(w)
 	e.controller.quarantines.writeMetrics(w)
+	e.duties.writeMetrics(w)
 	e.storeMetrics.WritePrometheus(w)
 	now := time.Now()
 	fmt.Fprintf(w, "cactusknot_store_answer_age_seconds %.3f\n", e.controller.storeResponseAge(now).Seconds())
--- a/daemon/edge/state.go
+++ b/daemon/edge/state.go
@@ -41,6 +41,8 @@
 	// QuarantinedParts are the prompt parts whose requests are refused, as log lines name
 	// them.
 	QuarantinedParts []string `json:"quarantined_parts,omitempty"`
+	// Duties are the duties that one router at a time fulfils.
+	Duties []DutyState `json:"duties,omitempty"`
 }
 
 // RouterState is a router that uses a share of the fleet's limits.
@@ -149,6 +151,7 @@
 	}
 	sort.Slice(s.Servers, func(i, j int) bool { return s.Servers[i].ID < s.Servers[j].ID })
 	s.Rollouts = c.rollouts.states(now)
+	s.Duties = e.duties.states(now)
 	return s
 }
 
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -56,6 +56,10 @@
 	connectionLost bool
 	// violation names the protocol violation that ended the attempt; empty for none.
 	violation string
+	// notSent is set if the request did not reach the backend server.
+	notSent bool
+	// countedAt is the time as of which this attempt was counted as begun; zero if it was not.
+	countedAt time.Time
 	// sampled is set once the attempt has been counted as evidence on its version.
 	sampled atomic.Bool
 }
@@ -97,7 +101,9 @@
 	g, x := d.gateway, d.requestState
 	x.excluded[to.Server.ID] = true
 	a := &attempt{requestState: x, choice: to, sentAt: time.Now()}
+	g.countSent(a)
 	done, failure := g.runAttempt(ctx, a)
+	g.settleCount(a)
 	to.End(time.Now(), a.outcome)
 	g.recordViolation(a)
 	g.observeEnd(a)
@@ -194,6 +200,7 @@
 	// The headers arrive with the first token, so the prompt has been processed.
 	a.begunAt = time.Now()
 	a.begun.Store(true)
+	g.countBegun(a)
 	g.Crashes.RecordAlive(a.incarnation(), a.sentAt)
 	a.choice.RecordFirstByte(a.begunAt)
 	g.releasePendingFailures(a)
@@ -272,6 +279,7 @@
 func (a *attempt) sendError(ctx context.Context, err error) *result.Error {
 	a.outcome = selection.Unreachable
 	if errors.Is(err, upstream.ErrNotSent) {
+		a.notSent = true
 		if a.callerGone() {
 			a.outcome = selection.Cancelled
 			return result.CallerGone.With("")
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -57,6 +57,9 @@
 	View func() *topology.View
 	// Observe receives the samples; it must not block.
 	Observe func(Sample)
+	// Count receives the number of requests of a workspace that began to run at a time: 1, or
+	// -1 to take one back that has turned out not to run. It must not block; nil for none.
+	Count func(workspace string, at time.Time, n int32)
 	// ColdFactor and ColdExtra set the limit on requests per second to a cold server:
 	// ColdFactor times the service's rate, plus ColdExtra.
 	ColdFactor, ColdExtra float64
@@ -156,6 +159,8 @@
 	firstByte time.Duration
 	// servers lists the IDs of the backend servers that were tried, in order.
 	servers []string
+	// counted is set once the request was counted as begun.
+	counted bool
 }
 
 // ServeHTTP handles a caller's request.
--- /dev/null
+++ b/daemon/usage/settle.go
@@ -0,0 +1,303 @@
+package usage
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"cactusknot.example/coord/duty"
+)
+
+const (
+	// openWindows is the number of windows for which counts are kept while they can't be
+	// settled, and the age up to which a record is sent. A report with the counts of 24
+	// workspaces then has at most 12 KB.
+	openWindows = 24
+	// recordWindows is the number of windows after which a record is removed. It exceeds
+	// openWindows, so that no window is settled a second time after its record was removed.
+	recordWindows = 5 * openWindows
+	// maxRemovals bounds the records that one transaction removes.
+	maxRemovals = 16
+	// clockSkew is the largest difference between the clocks of two routers. A window that
+	// ends later than this after a router has heard of an era was not settled in an earlier
+	// one.
+	clockSkew = time.Second
+	// takeoverGrace is the time that a new owner gives the routers to report before it
+	// settles a window that has waited for long.
+	takeoverGrace = 2 * time.Second
+	// openWindowGrace is added to it for each window that is not settled: long reports come
+	// less often.
+	openWindowGrace = 250 * time.Millisecond
+)
+
+// Record is the settled count of a window, as the store keeps it. A record never changes.
+type Record struct {
+	Counts map[string]uint64 `json:"counts"`
+	// Era is the era of the store in which the window was settled.
+	Era uint64 `json:"era"`
+	// CertainFrom is the first window that was certainly not settled in an earlier era.
+	CertainFrom int64 `json:"certain_from"`
+	// SentThrough is the last window up to which all records were sent before this one was
+	// written.
+	SentThrough int64 `json:"sent_through"`
+}
+
+// Settings configure a Ledger.
+type Settings struct {
+	Window Windows
+	// Delay is the time after the end of a window at which its report is due.
+	Delay time.Duration
+}
+
+// Settlement is a window whose counts are to be written to the store, with records to be
+// removed by the same transaction.
+type Settlement struct {
+	Window int64
+	Record Record
+	Remove []int64
+	// Missing are the routers whose counts may be incomplete.
+	Missing []string
+}
+
+// Ledger holds what one router knows of the settled windows. It is safe for concurrent use.
+type Ledger struct {
+	cfg Settings
+
+	mu sync.Mutex
+	// era is the era of the store; entered is set once it is known. certainFrom is the first
+	// window that was certainly not settled in an earlier one.
+	era         uint64
+	entered     bool
+	certainFrom int64
+	// known holds the records of all eras. stored are those that the store has in this era.
+	known  map[int64]Record
+	stored map[int64]bool
+	// mine are the windows that this router has settled.
+	mine map[int64]bool
+	// pending are records whose write has an unknown outcome, written under a token.
+	pending map[int64]Record
+	token   duty.Token
+	ownedAt time.Time
+	// sentThrough is the last window up to which all records were sent.
+	sentThrough int64
+	lastSent    int64
+	lastSentAt  time.Time
+}
+
+// NewLedger returns an empty Ledger.
+func NewLedger(cfg Settings) *Ledger {
+	return &Ledger{cfg: cfg, known: make(map[int64]Record), stored: make(map[int64]bool), mine: make(map[int64]bool), pending: make(map[int64]Record)}
+}
+
+// EnterEra records that the store is in an era. What an earlier era held may be gone, and what
+// was settled in it may be unknown.
+func (l *Ledger) EnterEra(now time.Time, era uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.entered && era <= l.era {
+		return
+	}
+	l.era, l.entered = era, true
+	l.certainFrom = l.cfg.Window.At(now.Add(clockSkew))
+	clear(l.stored)
+	clear(l.pending)
+}
+
+// Observe takes over a record that the store holds in an era, or its removal if record is nil.
+func (l *Ledger) Observe(now time.Time, window int64, record *Record, era uint64) {
+	l.EnterEra(now, era)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if era != l.era {
+		return
+	}
+	if record == nil {
+		delete(l.stored, window)
+		return
+	}
+	l.learn(window, *record)
+	if record.Era == era {
+		l.certainFrom = min(l.certainFrom, record.CertainFrom)
+	}
+	l.prune(now)
+}
+
+// learn records that the store holds a record. The first one known for a window stays.
+func (l *Ledger) learn(window int64, record Record) {
+	if _, ok := l.known[window]; !ok {
+		l.known[window] = record
+	}
+	l.stored[window] = true
+	delete(l.pending, window)
+	l.sentThrough = max(l.sentThrough, record.SentThrough)
+}
+
+func (l *Ledger) prune(now time.Time) {
+	oldest := l.cfg.Window.At(now) - 2*recordWindows
+	maps.DeleteFunc(l.known, func(w int64, _ Record) bool { return w < oldest })
+	maps.DeleteFunc(l.stored, func(w int64, _ bool) bool { return w < oldest })
+	maps.DeleteFunc(l.mine, func(w int64, _ bool) bool { return w < oldest })
+}
+
+// Open reports whether the counts of a window are still needed.
+func (l *Ledger) Open(now time.Time, window int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open(now, window)
+}
+
+func (l *Ledger) open(now time.Time, window int64) bool {
+	if window <= l.cfg.Window.At(now)-openWindows {
+		return false
+	}
+	_, known := l.known[window]
+	return !known
+}
+
+// Own records under which token this router owns the duty, 0 if it does not. Writes under
+// another token no longer take effect.
+func (l *Ledger) Own(now time.Time, token duty.Token) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if token == l.token {
+		return
+	}
+	l.token, l.ownedAt = token, now
+	clear(l.pending)
+}
+
+// Settle returns the oldest window that the owner can settle now, with the counts of the
+// table. routers are the names of the registered routers.
+func (l *Ledger) Settle(now time.Time, table *Table, routers []string) (s Settlement, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.token == 0 || l.token.Position().Era != l.era {
+		return Settlement{}, false
+	}
+	current := l.cfg.Window.At(now)
+	first := max(l.certainFrom, current-openWindows+1)
+	unsettled := 0
+	for w := first; w < current; w++ {
+		if l.open(now, w) {
+			unsettled++
+		}
+	}
+	for w := first; w < current; w++ {
+		if !l.open(now, w) {
+			continue
+		}
+		if record, tried := l.pending[w]; tried {
+			return Settlement{Window: w, Record: record, Remove: l.removable(current)}, true
+		}
+		end := l.cfg.Window.End(w)
+		missing := table.Missing(routers, end)
+		grace := l.ownedAt.Add(takeoverGrace + time.Duration(unsettled)*openWindowGrace)
+		if len(missing) > 0 && (now.Before(end.Add(l.cfg.Delay/2)) || now.Before(grace)) {
+			return Settlement{}, false
+		}
+		record := Record{Counts: table.Sum(w), Era: l.era, CertainFrom: l.certainFrom, SentThrough: l.sentThrough}
+		l.pending[w] = record
+		return Settlement{Window: w, Record: record, Remove: l.removable(current), Missing: missing}, true
+	}
+	return Settlement{}, false
+}
+
+// removable returns stored records that are old enough to be removed.
+func (l *Ledger) removable(current int64) []int64 {
+	var list []int64
+	for w := range l.stored {
+		if w < current-recordWindows {
+			list = append(list, w)
+		}
+	}
+	slices.Sort(list)
+	return list[:min(len(list), maxRemovals)]
+}
+
+// Settled records that the store has acknowledged a settlement under a token.
+func (l *Ledger) Settled(token duty.Token, s Settlement) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if token.Position().Era != l.era {
+		return
+	}
+	l.learn(s.Window, s.Record)
+	l.mine[s.Window] = true
+	for _, w := range s.Remove {
+		delete(l.stored, w)
+	}
+}
+
+// Lost returns the oldest record that the store lacks, because it was restored from an older
+// copy, and that this router writes again: as the owner each one that it knows, otherwise those
+// that it has settled itself, which the owner may not know.
+func (l *Ledger) Lost(now time.Time) (window int64, record Record, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	current := l.cfg.Window.At(now)
+	for w := current - openWindows + 1; w <= current; w++ {
+		if record, known := l.known[w]; known && !l.stored[w] && (l.token != 0 || l.mine[w]) {
+			return w, record, true
+		}
+	}
+	return 0, Record{}, false
+}
+
+// Restored records that the store holds a known record again in an era.
+func (l *Ledger) Restored(window int64, era uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if era == l.era {
+		l.stored[window] = true
+	}
+}
+
+// Unsent returns the oldest record that is to be sent.
+func (l *Ledger) Unsent(now time.Time) (window int64, record Record, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	current := l.cfg.Window.At(now)
+	for w := max(l.sentThrough+1, current-openWindows+1); w <= current; w++ {
+		if record, known := l.known[w]; known && l.stored[w] {
+			return w, record, true
+		}
+	}
+	return 0, Record{}, false
+}
+
+// Sent records that a record was accepted.
+func (l *Ledger) Sent(now time.Time, window int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sentThrough, l.lastSent, l.lastSentAt = max(l.sentThrough, window), window, now
+}
+
+// State is the state of the ledger for operators.
+type State struct {
+	// LastSettled and LastSent are the latest windows that are known as settled, and that
+	// this router has sent; 0 for none.
+	LastSettled, LastSent int64
+	LastSentAt            time.Time
+	// Unsettled is the number of windows that have ended and are not settled.
+	Unsettled int
+	// CertainFrom is the first window that was certainly not settled in an earlier era.
+	CertainFrom int64
+}
+
+// State returns the state.
+func (l *Ledger) State(now time.Time) State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := State{LastSent: l.lastSent, LastSentAt: l.lastSentAt, CertainFrom: l.certainFrom}
+	for w := range l.known {
+		s.LastSettled = max(s.LastSettled, w)
+	}
+	current := l.cfg.Window.At(now)
+	for w := max(l.certainFrom, current-openWindows+1); w < current; w++ {
+		if l.open(now, w) {
+			s.Unsettled++
+		}
+	}
+	return s
+}
