daemon/edge: test of the usage duty waits for the first certain window

Windows that end within a second of the start of a process may have been settled in an earlier era as far as it knows, and are not reported; the test counted in one of them.

--- a/daemon/edge/duties_test.go
+++ b/daemon/edge/duties_test.go
@@ -96,6 +96,9 @@
 			eventually(t, 3*waitTimeout, "the first router owns the duty", func() bool { return e.duties.owns(UsageDuty) })
 		}
 	}
+	for _, e := range edges {
+		eventually(t, waitTimeout, "the routers know each other", func() bool { return len(e.duties.registered()) == n && len(e.controller.peers()) == n-1 })
+	}
 	return edges, stop
 }
 
@@ -104,6 +107,7 @@
 func TestUsageOfAllRoutersIsReportedOnce(t *testing.T) {
 	store, api := newMemoryStore(), newFakeAPI(t)
 	edges, _ := startDutyEdges(t, store, api, 3)
+	eventually(t, 3*waitTimeout, "the first window is reported", func() bool { n, _ := api.windows(); return n > 0 })
 	for i := range 300 {
 		edges[i%3].duties.usage.count("creche", time.Now(), 1)
 	}
