edge: bound the waits between the store's return and the configuration

Cause: a router that had lost a call waited for an exponential backoff of up to 1.2 s, then for a long poll of up to 2 s on the restored store, which had nothing to report because its revision had passed the router's again, and then for another backoff before the listing.

Change: type callSchedule decides when the store is called again. The first call after a loss is due at once and does not wait for changes; further ones start every 300 ms, overlap, and the first answer counts. A long poll that is 0.4 s late is probed beside. A new era or a dropped history leads to a listing without backoff; listings are at least one interval apart. For 10 s after an outage long polls are short. The interval grows with the number of routers, so that all probes use at most a quarter of the store's reads. Type contact holds what was in several atomics.

--- a/daemon/ctl/edge.go
+++ b/daemon/ctl/edge.go
@@ -164,6 +164,9 @@
 	ColdFactor    float64  `json:"cold_factor"`
 	ColdExtra     float64  `json:"cold_extra"`
 	ExposureShare float64  `json:"exposure_share"`
+	ContactMS     int64    `json:"contact_ms"`
+	ConfigApplyMS int64    `json:"config_apply_ms"`
+	StoreReads    float64  `json:"store_reads_per_s"`
 }
 
 func runDecodeSettings(ctx context.Context, env Env, args []string) int {
@@ -180,6 +183,7 @@
 			VM: in.VM, DataCentre: in.DataCentre, Frontend: in.FrontendAddress, Ready: in.ReadyAddress, Peer: in.PeerAddress, SeedPeers: in.SeedPeers,
 			MemoryBytes: in.MemoryLimitBytes, GraceMS: in.GracePeriod.Milliseconds(), RetryRatio: in.Retries.Ratio, RetryExtra: in.Retries.Extra,
 			RetryWindowMS: in.Retries.Window.Milliseconds(), ColdFactor: in.ColdFactor, ColdExtra: in.ColdExtra, ExposureShare: in.ExposureShare,
+			ContactMS: in.Contact.Milliseconds(), ConfigApplyMS: in.ConfigApply.Milliseconds(), StoreReads: in.StoreReadsPerS,
 		}
 		inv.json = true
 		inv.print(out, nil)
--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -77,18 +77,12 @@
 	// restored holds what a restore of the store leaves in doubt.
 	restored restoreDoubts
 
-	// outageStartedAt is the start of the current store outage as Unix time in
-	// nanoseconds, or 0 while the store responds.
-	outageStartedAt atomic.Int64
-	// outageEndedAt is the end of the last store outage as Unix time in nanoseconds.
-	outageEndedAt atomic.Int64
+	// contact records when this router reaches the store.
+	contact contact
 	// era is the latest era of the store that this router has heard of; 0 before the first.
 	era atomic.Uint64
 	// currentReader is the reader that this router polls; empty while it reads the store.
 	currentReader atomic.Pointer[string]
-	// lastResponseAt is the time of the store's last response, or of the start of the
-	// process, as Unix time in nanoseconds.
-	lastResponseAt atomic.Int64
 
 	// peerMu guards the address lists below.
 	peerMu          sync.Mutex
@@ -114,7 +108,7 @@
 		edge: e, batches: make(chan changeBatch, changeQueueSize), queries: make(chan stateQuery), servers: make(map[string]*serverState),
 		evacuations: make(map[string]bool), firstView: make(chan struct{}),
 	}
-	c.recordStoreResponse()
+	c.contact.respondedAt = time.Now()
 	c.routers = newRouters(e)
 	c.rollouts = newRollouts(e, c.routers)
 	c.quarantines = newQuarantines(e)
@@ -152,61 +146,41 @@
 	}
 }
 
-// recordStoreResponse records that the store has just responded.
-func (c *controller) recordStoreResponse() { c.lastResponseAt.Store(time.Now().UnixNano()) }
+// recordStoreResponse records a response of the store.
+func (c *controller) recordStoreResponse(now time.Time) {
+	if away := c.contact.responded(now); away > 0 {
+		c.edge.log.Info().Dur("away_ms", away).Msg("store available again")
+	}
+}
 
 // storeResponseAge returns the time since the store last responded, or since the
 // start of the process.
-func (c *controller) storeResponseAge(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, c.lastResponseAt.Load()))
-}
-
-func (c *controller) beginStoreOutage() { c.outageStartedAt.CompareAndSwap(0, time.Now().UnixNano()) }
-
-func (c *controller) endStoreOutage() {
-	c.outageStartedAt.Store(0)
-	c.outageEndedAt.Store(time.Now().UnixNano())
-}
+func (c *controller) storeResponseAge(now time.Time) time.Duration { return c.contact.responseAge(now) }
 
-// noteEra records the era of the store. A new one counts as the end of an outage: entries
+// noteEra records the era of the store. A new one counts as the end of a disruption: entries
 // that are missing in the restored copy are written again.
 func (c *controller) noteEra(era uint64) {
 	before := c.era.Load()
 	if era <= before || !c.era.CompareAndSwap(before, era) || !c.firstViewPublished() {
 		return
 	}
-	c.endStoreOutage()
+	c.contact.restored(time.Now())
 	c.routers.storeRestored()
 	c.edge.log.Warn().Uint64("era", era).Uint64("era_before", before).Msg("store was restored from an older copy")
 }
 
-// recordReader records what a reader knows of the store: when it last responded and when
-// its last outage ended; zero if there was none.
-func (c *controller) recordReader(responseAt, outageEndedAt time.Time) {
-	c.lastResponseAt.Store(responseAt.UnixNano())
-	if !outageEndedAt.IsZero() && outageEndedAt.UnixNano() > c.outageEndedAt.Load() {
-		c.outageEndedAt.Store(outageEndedAt.UnixNano())
-	}
-}
-
 // outageEndedAgo returns the time since the end of the last store outage, or 0 if there
 // was none.
 func (c *controller) outageEndedAgo(now time.Time) time.Duration {
-	ended := c.outageEndedAt.Load()
-	if ended == 0 {
+	ended := c.contact.holdSince()
+	if ended.IsZero() {
 		return 0
 	}
-	return now.Sub(time.Unix(0, ended))
+	return now.Sub(ended)
 }
 
 // storeOutage returns the duration of the current store outage, or 0.
-func (c *controller) storeOutage() time.Duration {
-	started := c.outageStartedAt.Load()
-	if started == 0 {
-		return 0
-	}
-	return time.Since(time.Unix(0, started))
-}
+func (c *controller) storeOutage() time.Duration { return c.contact.outage(time.Now()) }
 
 // peers returns the addresses of the other routers, or the seed peers while none is
 // registered.
@@ -466,9 +440,8 @@
 	if !ok || s == nil {
 		return
 	}
-	outageEnd := c.outageEndedAt.Load()
-	until := time.Unix(0, outageEnd).Add(reregistrationGrace)
-	if outageEnd != 0 && b.receivedAt.Before(until) && !s.Draining {
+	until := c.contact.hold()
+	if b.receivedAt.Before(until) && !s.Draining {
 		s.removeAfter = until
 		return
 	}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -127,6 +127,12 @@
 	// ColdFactor and ColdExtra limit the requests per second to a cold server: its
 	// service's cold rate times the factor, plus the extra.
 	ColdFactor, ColdExtra float64
+	// Contact is how long after the end of a disruption between it and the store this process
+	// counts as in touch, ConfigApply how long after its acknowledgement a configuration must
+	// be in force, and StoreReadsPerS the reads per second that the store allows all
+	// processes together. Zero stands for a safe value.
+	Contact, ConfigApply time.Duration
+	StoreReadsPerS       float64
 	// ExposureShare is the maximum share of a service's requests that a bad version
 	// may receive.
 	ExposureShare float64
--- a/daemon/edge/follow.go
+++ b/daemon/edge/follow.go
@@ -52,12 +52,12 @@
 	}
 	s.selector.Succeeded(reader.Name)
 	s.answered = reader.Name
-	s.markAvailable()
 	var outageEndedAt time.Time
 	if ago := reply.GetOutageEndedAgoMs(); ago > 0 {
 		outageEndedAt = now.Add(-time.Duration(ago) * time.Millisecond)
 	}
-	s.edge.controller.recordReader(now.Add(-age), outageEndedAt)
+	s.edge.controller.recordStoreResponse(now)
+	s.edge.controller.contact.followReader(now.Add(-age), outageEndedAt)
 	s.edge.mergeReply(reply)
 }
 
--- /dev/null
+++ b/daemon/edge/recovery.go
@@ -0,0 +1,189 @@
+package edge
+
+import (
+	"sync"
+	"time"
+)
+
+// Bounds of a deployment that leaves them out: the shortest ones that are known.
+const (
+	DefaultContact     = 3 * time.Second
+	DefaultConfigApply = 2 * time.Second
+	DefaultReadsPerS   = 2000
+)
+
+const (
+	// probeInterval is the time between the starts of two probes while the store is away.
+	probeInterval = 300 * time.Millisecond
+	// probeJitter is the largest random extension of the interval, as a share of it. The
+	// interval is only extended, so that all probes together stay within probeReadsShare.
+	probeJitter = 0.25
+	// probeReadsShare is the share of the store's reads per second that the probes of all
+	// routers may use.
+	probeReadsShare = 0.25
+	// listingIntervals is the time after which a listing without an answer is requested once
+	// more, in probe intervals. A listing takes several round trips.
+	listingIntervals = 2
+	// pollAllowance is how much longer than its wait a long poll may take before a probe is
+	// started beside it. A slow store answers after 240 ms.
+	pollAllowance = 400 * time.Millisecond
+	// settleTime is how long after an outage or a restore the long polls are short, and
+	// settleWait is their length. A store that has just come back may be restored or go
+	// away once more without any call being lost.
+	settleTime = 10 * time.Second
+	settleWait = 500 * time.Millisecond
+)
+
+// recoveryBound is the longest time from the end of an outage, as this router sees it, until
+// the newest configuration is in force, if no call takes more than a fifth of it.
+func (s *Settings) recoveryBound() time.Duration {
+	return min(s.contact(), orDefault(s.ConfigApply, DefaultConfigApply)) * 95 / 100
+}
+
+func (s *Settings) contact() time.Duration { return orDefault(s.Contact, DefaultContact) }
+
+// probeInterval returns the interval between the probes of one of some routers.
+func (s *Settings) probeInterval(routers int) time.Duration {
+	share := probeReadsShare * orDefault(s.StoreReadsPerS, DefaultReadsPerS)
+	return max(min(probeInterval, s.recoveryBound()/6), time.Duration(float64(routers)/share*float64(time.Second)))
+}
+
+func orDefault[T int | float64 | time.Duration](value, fallback T) T {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
+
+// callSchedule decides when a router calls the store again while a call has not been
+// answered. It has no clock and no network.
+type callSchedule struct {
+	interval time.Duration
+	// jitter returns a random number between 0 and 1.
+	jitter func() float64
+	due    time.Time
+	lost   bool
+}
+
+// first records the start of the first call, which may take some time before it is repeated.
+func (s *callSchedule) first(now time.Time, allowance time.Duration) { s.due = now.Add(allowance) }
+
+// loseCall records that a call was lost. The call after the first loss is due at once,
+// because it tells whether the store is away or has been restored.
+func (s *callSchedule) loseCall(now time.Time) {
+	if !s.lost {
+		s.lost, s.due = true, now
+	}
+}
+
+// repeat records the start of a further call.
+func (s *callSchedule) repeat(now time.Time) {
+	s.lost = true
+	s.due = now.Add(s.interval + time.Duration(probeJitter*s.jitter()*float64(s.interval)))
+}
+
+// contact records when this router reaches the store, and until when entries that vanish
+// after a disruption are held. It has no clock and is safe for concurrent use.
+type contact struct {
+	mu sync.Mutex
+	// respondedAt is the time of the store's last response, or of the start of the process.
+	respondedAt time.Time
+	// lostSince is when the first call of the current outage was lost; zero while the store
+	// responds.
+	lostSince time.Time
+	// holdUntil is when the hold on vanished entries ends.
+	holdUntil time.Time
+	// settledAt is when the store counts as settled after an outage or a restore.
+	settledAt time.Time
+}
+
+// responded records a response of the store. It returns how long the store was away; zero
+// if no call was lost before.
+func (c *contact) responded(now time.Time) (away time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lostSince.IsZero() {
+		away = now.Sub(c.respondedAt)
+		c.endDisruption(now)
+		c.lostSince = time.Time{}
+	}
+	c.respondedAt = now
+	return away
+}
+
+// lost records that a call has been lost. It reports whether it begins an outage.
+func (c *contact) lost(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lostSince.IsZero() {
+		return false
+	}
+	c.lostSince = now
+	return true
+}
+
+// restored records that the store is in a new era. Entries that are missing in the restored
+// copy are written again, as after an outage.
+func (c *contact) restored(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endDisruption(now)
+}
+
+// endDisruption begins the hold on vanished entries.
+func (c *contact) endDisruption(now time.Time) {
+	c.holdUntil = now.Add(reregistrationGrace)
+	c.settledAt = now.Add(settleTime)
+}
+
+// followReader takes over what the reader of a follower knows: when the store responded to it,
+// and from when its hold on vanished entries counts; zero for no hold.
+func (c *contact) followReader(respondedAt, holdSince time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.respondedAt = respondedAt
+	if holdSince.IsZero() {
+		return
+	}
+	c.holdUntil = latest(c.holdUntil, holdSince.Add(reregistrationGrace))
+}
+
+// hold returns when the hold on vanished entries ends; zero before the first disruption.
+func (c *contact) hold() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holdUntil
+}
+
+// holdSince returns the time from which the hold on vanished entries counts, for peers; zero
+// before the first disruption.
+func (c *contact) holdSince() time.Time {
+	if until := c.hold(); !until.IsZero() {
+		return until.Add(-reregistrationGrace)
+	}
+	return time.Time{}
+}
+
+// outage returns the duration of the current outage; 0 while the store responds.
+func (c *contact) outage(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lostSince.IsZero() {
+		return 0
+	}
+	return now.Sub(c.lostSince)
+}
+
+// responseAge returns the time since the store's last response.
+func (c *contact) responseAge(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.respondedAt)
+}
+
+// settled reports whether the last outage or restore is some time ago.
+func (c *contact) settled(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !now.Before(c.settledAt)
+}
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -25,9 +25,6 @@
 	watchPause = 300 * time.Millisecond
 	// allKeys is the prefix of all keys.
 	allKeys = ""
-	// firstBackoff and maxBackoff bound the exponential backoff after failed calls.
-	firstBackoff = 50 * time.Millisecond
-	maxBackoff   = 800 * time.Millisecond
 	// peerFallbackDelay is how long store calls must fail before changes are requested
 	// from peers.
 	peerFallbackDelay = 500 * time.Millisecond
@@ -36,24 +33,11 @@
 // syncStore keeps the mirror up to date by watching the store and, during a store
 // outage, by requesting changes from peers.
 func (e *Edge) syncStore(ctx context.Context) {
-	syncer := &storeSync{edge: e, lastResponse: time.Now()}
+	syncer := &storeSync{edge: e}
 	syncer.selector = relay.Selector{Self: e.settings.VM, Jitter: rand.Float64}
 	go e.pullFromPeers(ctx)
-	backoff := firstBackoff
 	for ctx.Err() == nil {
-		err := syncer.syncOnce(ctx)
-		switch {
-		case err == nil:
-			backoff = firstBackoff
-			continue
-		case errors.Is(err, ErrCompacted), errors.Is(err, ErrRestored):
-			e.log.Warn().Err(err).Stringer("position", e.mirror.Position()).Msg("store does not have the history; reading all keys again")
-			syncer.synced = false
-		default:
-			syncer.markUnavailable(err)
-		}
-		sleep(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, maxBackoff)
+		syncer.syncOnce(ctx)
 	}
 }
 
@@ -63,83 +47,172 @@
 	// synced is false until all keys have been read, at the start and each time that the
 	// store does not have the history.
 	synced bool
-	// unavailable is set during a store outage.
-	unavailable bool
+	// listedAt is the time of the last listing.
+	listedAt time.Time
 	// selector chooses between the store and its readers; reader is the latest choice, and
 	// empty while this router reads the store itself.
 	selector relay.Selector
 	reader   string
 	// answered is the reader that has answered the latest poll; empty after a failure.
 	answered string
-	// lastResponse is the time of the store's last response.
-	lastResponse time.Time
 }
 
 // syncOnce asks the store or a reader for changes once and merges them. It reads all keys
 // first if that is due.
-func (s *storeSync) syncOnce(ctx context.Context) error {
-	if !s.synced {
-		if err := s.readAll(ctx); err != nil {
-			return err
-		}
-	}
-	if reader, ok := s.selector.Next(time.Now(), s.edge.controller.readers()); ok {
+func (s *storeSync) syncOnce(ctx context.Context) {
+	if reader, ok := s.usableReader(); ok {
 		s.follow(ctx, reader)
-		return nil
+		return
 	}
 	s.setReader("")
+	if !s.synced {
+		s.readAll(ctx)
+		return
+	}
+	s.watch(ctx)
+}
+
+// usableReader returns the reader to poll. A router that holds nothing yet reads the store.
+func (s *storeSync) usableReader() (reader relay.Member, ok bool) {
+	if s.edge.mirror.Position().Revision == 0 {
+		return relay.Member{}, false
+	}
+	return s.selector.Next(time.Now(), s.edge.controller.readers())
+}
+
+// pollWait returns how long the next long poll waits. It is short for some time after an
+// outage.
+func (s *storeSync) pollWait() time.Duration {
 	wait := watchWait
 	if s.edge.controller.isReader() {
 		wait = readerWatchWait
 	}
-	changes, at, err := s.edge.settings.Store.Watch(ctx, allKeys, s.edge.mirror.Position(), wait)
-	if err != nil {
-		return err
+	if !s.edge.controller.contact.settled(time.Now()) {
+		wait = min(wait, max(settleWait, s.probeInterval()))
+	}
+	return wait
+}
+
+func (s *storeSync) probeInterval() time.Duration {
+	routers := 1 + len(s.edge.settings.SeedPeers)
+	if v := s.edge.view.Load(); v != nil {
+		routers = len(v.Routers)
+	}
+	return s.edge.settings.probeInterval(routers)
+}
+
+// watch waits for changes of the store and merges them.
+func (s *storeSync) watch(ctx context.Context) {
+	after, wait := s.edge.mirror.Position(), s.pollWait()
+	poll := func(wait time.Duration) storeCall {
+		return func(ctx context.Context) (a storeAnswer) {
+			a.changes, a.at, a.err = s.edge.settings.Store.Watch(ctx, allKeys, after, wait)
+			return a
+		}
+	}
+	answer, ok := s.call(ctx, poll(wait), poll(0), wait+pollAllowance, s.probeInterval())
+	if !ok {
+		return
 	}
-	s.markAvailable()
-	s.edge.controller.enqueue(s.edge.mirror.Apply(changes, at))
-	if len(changes) > 0 {
+	if answer.err != nil {
+		s.edge.log.Warn().Err(answer.err).Stringer("position", after).Msg("store does not have the history; reading all keys again")
+		s.synced = false
+		return
+	}
+	s.edge.controller.enqueue(s.edge.mirror.Apply(answer.changes, answer.at))
+	if len(answer.changes) > 0 {
 		sleep(ctx, watchPause)
 	}
-	return nil
 }
 
-// readAll reads all keys of the store into the mirror.
-func (s *storeSync) readAll(ctx context.Context) error {
-	listing, at, err := s.edge.settings.Store.Range(ctx, allKeys)
-	if err != nil {
-		return err
+// readAll reads all keys of the store into the mirror. There is no delay but the one between
+// two listings, which bounds their rate if the history is missing time and again.
+func (s *storeSync) readAll(ctx context.Context) {
+	sleep(ctx, s.probeInterval()-time.Since(s.listedAt))
+	list := func(ctx context.Context) (a storeAnswer) {
+		a.listing, a.at, a.err = s.edge.settings.Store.Range(ctx, allKeys)
+		return a
+	}
+	interval := listingIntervals * s.probeInterval()
+	answer, ok := s.call(ctx, list, list, interval, interval)
+	if !ok {
+		return
 	}
-	s.synced = true
-	s.markAvailable()
-	s.edge.controller.noteEra(at.Era)
+	s.synced, s.listedAt = true, time.Now()
+	s.edge.controller.noteEra(answer.at.Era)
 	before := s.edge.mirror.Position()
-	applied := s.edge.mirror.Reset(listing, at)
-	s.edge.log.Info().Stringer("position", at).Stringer("position_before", before).
-		Int("keys", len(listing)).Int("applied", len(applied)).Msg("all keys of the store read")
+	applied := s.edge.mirror.Reset(answer.listing, answer.at)
+	s.edge.log.Info().Stringer("position", answer.at).Stringer("position_before", before).
+		Int("keys", len(answer.listing)).Int("applied", len(applied)).Msg("all keys of the store read")
 	s.edge.controller.enqueue(applied)
-	return nil
 }
 
-// markAvailable records a response of the store. It is called before the content is
-// merged, because removals right after an outage may be of entries that expired only
-// because they couldn't be renewed.
-func (s *storeSync) markAvailable() {
-	if s.unavailable {
-		s.unavailable = false
-		s.edge.log.Info().Dur("away_ms", time.Since(s.lastResponse)).Msg("store available again")
-		s.edge.controller.endStoreOutage()
-	}
-	s.lastResponse = time.Now()
-	s.edge.controller.recordStoreResponse()
+// storeAnswer is the result of a call to the store.
+type storeAnswer struct {
+	listing []kv.Entry
+	changes []mirror.Change
+	at      kv.Position
+	err     error
+}
+
+// received reports whether the store has answered, if only that it does not have the history.
+func (a storeAnswer) received() bool {
+	return a.err == nil || errors.Is(a.err, ErrCompacted) || errors.Is(a.err, ErrRestored)
 }
 
-// markUnavailable records a failed call to the store.
-func (s *storeSync) markUnavailable(err error) {
-	if !s.unavailable {
-		s.unavailable = true
-		s.edge.controller.beginStoreOutage()
-		s.edge.log.Warn().Err(err).Msg("store unavailable")
+type storeCall func(ctx context.Context) storeAnswer
+
+// call calls the store until it answers. If the first call is lost, or is not answered within
+// its allowance, further calls are started while the older ones may still be answered; the
+// first answer counts. ok is false if this router is to use another source, or ctx has ended.
+func (s *storeSync) call(ctx context.Context, first, again storeCall, allowance, interval time.Duration) (answer storeAnswer, ok bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan storeAnswer)
+	start := func(call storeCall) {
+		go func() {
+			select {
+			case answers <- call(ctx):
+			case <-ctx.Done():
+			}
+		}()
+	}
+	schedule := callSchedule{interval: interval, jitter: rand.Float64}
+	schedule.first(time.Now(), allowance)
+	start(first)
+	timer := time.NewTimer(allowance)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return storeAnswer{}, false
+		case answer := <-answers:
+			if answer.received() {
+				s.markAvailable()
+				return answer, true
+			}
+			s.markLost(answer)
+			schedule.loseCall(time.Now())
+		case now := <-timer.C:
+			if _, ok := s.usableReader(); ok {
+				return storeAnswer{}, false
+			}
+			schedule.repeat(now)
+			start(again)
+		}
+		timer.Reset(time.Until(schedule.due))
+	}
+}
+
+// markAvailable records a response of the store. It is called before the content is merged,
+// because removals right after an outage may be of entries that expired only because they
+// couldn't be renewed.
+func (s *storeSync) markAvailable() { s.edge.controller.recordStoreResponse(time.Now()) }
+
+// markLost records a call to the store that was not answered.
+func (s *storeSync) markLost(answer storeAnswer) {
+	if s.edge.controller.contact.lost(time.Now()) {
+		s.edge.log.Warn().Err(answer.err).Msg("store unavailable")
 	}
 }
 
--- /dev/null
+++ b/daemon/edge/virtual_test.go
@@ -0,0 +1,261 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cactusknot.example/coord/kv"
+	"cactusknot.example/coord/limit"
+	"cactusknot.example/daemon/mirror"
+)
+
+// linkFault is what happens to the calls of one router to the store.
+type linkFault int
+
+const (
+	linkWorks linkFault = iota
+	// linkRefuses breaks calls in progress and refuses further ones.
+	linkRefuses
+	// linkSilent leaves calls in progress and further ones without an answer.
+	linkSilent
+)
+
+// storeLink is one router's connection to a store in virtual time. Unlike storeClient it waits
+// as long as a call asks for, and finds a restore only as the platform's store shows it.
+type storeLink struct {
+	*storeClient
+	mu      sync.Mutex
+	fault   linkFault
+	broken  chan struct{}
+	latency time.Duration
+	calls   int
+}
+
+// set changes the fault of the link. Calls in progress are lost at the start of a fault.
+func (l *storeLink) set(fault linkFault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault = fault
+	l.unavailable.Store(fault != linkWorks)
+	if fault != linkWorks {
+		close(l.broken)
+		l.broken = make(chan struct{})
+	}
+}
+
+func (l *storeLink) setLatency(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.latency = d
+}
+
+// callCount returns the number of reads since the last call.
+func (l *storeLink) callCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.calls
+	l.calls = 0
+	return n
+}
+
+// roundTrip performs a call with the faults of the link.
+func (l *storeLink) roundTrip(ctx context.Context, work func()) error {
+	l.mu.Lock()
+	l.calls++
+	fault, broken, latency := l.fault, l.broken, l.latency
+	l.mu.Unlock()
+	done := make(chan struct{})
+	if fault == linkWorks {
+		go func() {
+			sleep(ctx, latency/2)
+			work()
+			sleep(ctx, latency/2)
+			close(done)
+		}()
+		select {
+		case <-done:
+			return nil
+		case <-ctx.Done():
+			return errors.Join(kv.ErrUnavailable, ctx.Err())
+		case <-broken:
+		}
+		l.mu.Lock()
+		fault = l.fault
+		l.mu.Unlock()
+	}
+	if fault == linkRefuses {
+		sleep(ctx, time.Millisecond)
+	} else {
+		<-ctx.Done()
+	}
+	return kv.ErrUnavailable
+}
+
+func (l *storeLink) Range(ctx context.Context, prefix string) (list []kv.Entry, at kv.Position, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+	defer cancel()
+	var listed []kv.Entry
+	// A listing takes two pages.
+	if err := l.roundTrip(ctx, func() {}); err != nil {
+		return nil, kv.Position{}, err
+	}
+	err = l.roundTrip(ctx, func() { listed, at, _ = (&storeClient{store: l.store}).Range(ctx, prefix) })
+	if err != nil {
+		return nil, kv.Position{}, err
+	}
+	return listed, at, nil
+}
+
+func (l *storeLink) Watch(ctx context.Context, _ string, after kv.Position, wait time.Duration) ([]mirror.Change, kv.Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, max(wait+700*time.Millisecond, 1500*time.Millisecond))
+	defer cancel()
+	var (
+		changes []mirror.Change
+		at      kv.Position
+		result  error
+	)
+	if err := l.roundTrip(ctx, func() { changes, at, result = l.store.poll(ctx, after, wait) }); err != nil {
+		return nil, kv.Position{}, err
+	}
+	return changes, at, result
+}
+
+// poll waits for changes after a revision. Only the answer tells the era, so that a poll goes
+// on over a restore as long as the restored store has no later revision.
+func (s *memoryStore) poll(ctx context.Context, after kv.Position, wait time.Duration) ([]mirror.Change, kv.Position, error) {
+	end := time.After(wait)
+	for ended := false; ; {
+		s.mu.Lock()
+		at, changed, dropped := kv.Position{Era: s.era, Revision: s.revision}, s.changed, after.Revision < s.compactedAt
+		var changes []mirror.Change
+		for _, c := range s.history {
+			if c.Revision > after.Revision {
+				changes = append(changes, c)
+			}
+		}
+		s.mu.Unlock()
+		answered := dropped || len(changes) > 0 || after.Revision > at.Revision || ended
+		switch {
+		case answered && at.Era != after.Era:
+			return nil, kv.Position{}, ErrRestored
+		case dropped:
+			return nil, kv.Position{}, ErrCompacted
+		case answered:
+			return changes, at, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			ended = true
+		case <-ctx.Done():
+			return nil, at, ctx.Err()
+		}
+	}
+}
+
+// virtualFleet is a set of routers that run in virtual time, without a network.
+type virtualFleet struct {
+	store *memoryStore
+	edges []*Edge
+	links []*storeLink
+	peers map[string]http.Handler
+}
+
+// RoundTrip implements http.RoundTripper between the routers.
+func (f *virtualFleet) RoundTrip(r *http.Request) (*http.Response, error) {
+	handler, ok := f.peers[r.URL.Host]
+	if !ok {
+		return nil, errors.New("no such router")
+	}
+	recorder, done := httptest.NewRecorder(), make(chan struct{})
+	go func() {
+		handler.ServeHTTP(recorder, r)
+		close(done)
+	}()
+	select {
+	case <-done:
+		return recorder.Result(), nil
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+}
+
+// startVirtualFleet starts n routers in a synctest bubble and lets them find each other.
+func startVirtualFleet(t *testing.T, n, readers int) *virtualFleet {
+	t.Helper()
+	f := &virtualFleet{store: newMemoryStore(), peers: make(map[string]http.Handler)}
+	f.store.era = 1
+	f.store.put("config", testConfig{1})
+	f.store.put("servers/a", testServer{Service: "svc"})
+	f.store.put("servers/b", testServer{Service: "svc"})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	for i := range n {
+		link := &storeLink{storeClient: &storeClient{store: f.store}, broken: make(chan struct{}), latency: 4 * time.Millisecond}
+		name := fmt.Sprint("r", i+1)
+		e := New(&Settings{
+			VM: name, PeerAddress: name + ":1", DataCentre: "dc1", StoreReaders: readers, Store: link, Decoder: testDecoder{},
+			ExposureShare: 0.15, ColdFactor: 1, Retries: limit.RetryConfig{Ratio: 0.5, Extra: 10, Window: 10 * time.Second},
+		}, Reload{}, zerolog.Nop())
+		e.peerHTTP.Transport, e.pollHTTP.Transport = f, f
+		f.edges, f.links = append(f.edges, e), append(f.links, link)
+		f.peers[name+":1"] = e.peerHandler()
+	}
+	for _, e := range f.edges {
+		go e.syncStore(ctx)
+		go e.controller.run(ctx)
+		go e.exchangeFacts(ctx)
+	}
+	time.Sleep(6 * time.Second)
+	return f
+}
+
+// restoreUnnoticed restores the store and writes to it until one more write leads to the
+// revision that the routers hold, so that the store then has nothing to report to them.
+func (f *virtualFleet) restoreUnnoticed(c storeCopy) {
+	f.store.restore(c)
+	for f.store.revision+1 < f.edges[0].mirror.Position().Revision {
+		f.store.put("servers/a", testServer{Service: "svc"})
+	}
+}
+
+func (f *virtualFleet) version(i int) uint64 {
+	if v := f.edges[i].view.Load(); v != nil && v.Config != nil {
+		return v.Config.Version
+	}
+	return 0
+}
+
+// uses reports whether a router uses a backend server.
+func (f *virtualFleet) uses(i int, id string) bool {
+	if v := f.edges[i].view.Load(); v != nil {
+		for _, s := range v.Servers["svc"] {
+			if s.ID == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// within waits in virtual time for a condition and returns the time that it took.
+func within(t *testing.T, limit time.Duration, what string, holds func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for !holds() {
+		if time.Since(began) >= limit {
+			t.Errorf("not true within %s: %s", limit, what)
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(began)
+}
