edge: the era of the store spreads between routers

Cause: each router found a restore by its own calls only. One that waited in a long poll on the restored store learned of the new era when the poll ended, even if another router had known it for two seconds.

Change: reports and replies of the exchange, requests and replies of Changes and each response of the store, whatever its call, tell the era. A router that hears of a newer one cancels its long poll, lists all keys within 100 ms, and reports to its aggregator at once. Followers leave the listing to their readers where all routers together would exceed the share of the store's reads. The line about a new era says from whom it came.

--- a/daemon/edge/config_exchange.go
+++ b/daemon/edge/config_exchange.go
@@ -24,8 +24,8 @@
 	era uint64
 }
 
-// configExchange is the part of the exchange that keeps an acknowledged configuration in
-// force while the store does not hold it. It implements exchanged.
+// configExchange is the part of the exchange that spreads the era of the store and keeps an
+// acknowledged configuration in force while the store does not hold it. It implements exchanged.
 type configExchange struct {
 	edge    *Edge
 	current atomic.Pointer[configInForce]
@@ -46,11 +46,13 @@
 }
 
 func (c *configExchange) aggregate(_ time.Time, in *rpc.LoadReport, out *rpc.LoadReply) {
+	c.edge.controller.noteEra(in.GetStoreEra(), eraFromExchange)
+	storeEra := c.edge.controller.era.Load()
+	out.StoreEra = storeEra
 	current := c.current.Load()
 	if current == nil {
 		current = &configInForce{}
 	}
-	storeEra := max(c.edge.controller.era.Load(), in.GetStoreEra())
 	switch {
 	case current.version > in.GetConfigVersion() && current.era < storeEra:
 		out.Config = encodeStoredValue(current.entry)
@@ -63,6 +65,7 @@
 }
 
 func (c *configExchange) apply(_ time.Time, in *rpc.LoadReply) {
+	c.edge.controller.noteEra(in.GetStoreEra(), eraFromExchange)
 	if in.GetConfigWanted() {
 		c.wanted.Store(true)
 	}
--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -81,6 +81,9 @@
 	contact contact
 	// era is the latest era of the store that this router has heard of; 0 before the first.
 	era atomic.Uint64
+	// eraMu guards eraNews, which is closed and replaced when a newer era is heard of.
+	eraMu   sync.Mutex
+	eraNews chan struct{}
 	// currentReader is the reader that this router polls; empty while it reads the store.
 	currentReader atomic.Pointer[string]
 
@@ -106,7 +109,7 @@
 func newController(e *Edge) *controller {
 	c := &controller{
 		edge: e, batches: make(chan changeBatch, changeQueueSize), queries: make(chan stateQuery), servers: make(map[string]*serverState),
-		evacuations: make(map[string]bool), firstView: make(chan struct{}),
+		evacuations: make(map[string]bool), firstView: make(chan struct{}), eraNews: make(chan struct{}),
 	}
 	c.contact.respondedAt = time.Now()
 	c.routers = newRouters(e)
@@ -157,16 +160,38 @@
 // start of the process.
 func (c *controller) storeResponseAge(now time.Time) time.Duration { return c.contact.responseAge(now) }
 
-// noteEra records the era of the store. A new one counts as the end of a disruption: entries
-// that are missing in the restored copy are written again.
-func (c *controller) noteEra(era uint64) {
+// Values of the field source of the line about a new era.
+const (
+	eraFromStore    = "store"
+	eraFromPeer     = "peer"
+	eraFromExchange = "exchange"
+)
+
+// noteEra records an era of the store that this router has heard of. A new one counts as the
+// end of a disruption: entries that are missing in the restored copy are written again.
+func (c *controller) noteEra(era uint64, source string) {
 	before := c.era.Load()
-	if era <= before || !c.era.CompareAndSwap(before, era) || !c.firstViewPublished() {
+	for era > before && !c.era.CompareAndSwap(before, era) {
+		before = c.era.Load()
+	}
+	if era <= before || !c.firstViewPublished() {
 		return
 	}
 	c.contact.restored(time.Now())
 	c.routers.storeRestored()
-	c.edge.log.Warn().Uint64("era", era).Uint64("era_before", before).Msg("store was restored from an older copy")
+	c.eraMu.Lock()
+	close(c.eraNews)
+	c.eraNews = make(chan struct{})
+	c.eraMu.Unlock()
+	c.edge.log.Warn().Uint64("era", era).Uint64("era_before", before).Str("source", source).
+		Dur("answer_age_ms", c.storeResponseAge(time.Now())).Msg("store was restored from an older copy")
+}
+
+// newerEra returns a channel that is closed when this router hears of a newer era than now.
+func (c *controller) newerEra() <-chan struct{} {
+	c.eraMu.Lock()
+	defer c.eraMu.Unlock()
+	return c.eraNews
 }
 
 // outageEndedAgo returns the time since the end of the last store outage, or 0 if there
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -85,6 +85,14 @@
 	Revoke(ctx context.Context, l Lease) error
 }
 
+// eraObserver is a Store that reports the eras that its responses name, also those of calls
+// which return no position.
+type eraObserver interface {
+	// ObserveEra sets the function that is called with each new era. It must be called before
+	// the first call of the store.
+	ObserveEra(observe func(era uint64))
+}
+
 // Decoder decodes the platform's store entries. ok is false for keys of another kind.
 type Decoder interface {
 	Config(e kv.Entry) (config *topology.Config, ok bool, err error)
@@ -198,11 +206,15 @@
 // New returns an Edge. It opens no connections before Run.
 func New(settings *Settings, reload Reload, log zerolog.Logger) *Edge {
 	calls := metrics.NewSet()
+	store := settings.Store
 	settings.Store = meteredStore{settings.Store, calls}
 	e := &Edge{settings: settings, reload: reload, log: log.With().Str("vm", settings.VM).Logger(), mirror: mirror.New(), storeMetrics: calls}
 	e.peerHTTP = &http.Client{Timeout: peerTimeout}
 	e.pollHTTP = &http.Client{}
 	e.controller = newController(e)
+	if observer, ok := store.(eraObserver); ok {
+		observer.ObserveEra(func(era uint64) { e.controller.noteEra(era, eraFromStore) })
+	}
 	e.gateway = gateway.New(gateway.Config{
 		Name: settings.VM, Codec: settings.HeaderCodec, View: e.view.Load, Observe: e.controller.observe,
 		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Retries: settings.Retries,
--- a/daemon/edge/exchange.go
+++ b/daemon/edge/exchange.go
@@ -64,14 +64,28 @@
 	var schedule loadSchedule
 	failures := make(aggregatorFailures)
 	for ctx.Err() == nil {
-		sleep(ctx, loadInterval)
+		newEra := e.waitForExchange(ctx)
 		now := time.Now()
-		if schedule.due(now, e.gateway.Chooser.Busy()) {
+		if schedule.due(now, newEra || e.gateway.Chooser.Busy()) {
 			e.exchangeOnce(ctx, e.report(now), failures)
 		}
 	}
 }
 
+// waitForExchange waits for the next exchange. It ends early when the store has a new era, which
+// the other routers are to hear of at once, and reports whether that is so.
+func (e *Edge) waitForExchange(ctx context.Context) (newEra bool) {
+	timer := time.NewTimer(loadInterval)
+	defer timer.Stop()
+	select {
+	case <-e.controller.newerEra():
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // report returns what this router has observed.
 func (e *Edge) report(now time.Time) *rpc.LoadReport {
 	report := &rpc.LoadReport{Router: e.settings.VM}
--- a/daemon/edge/follow.go
+++ b/daemon/edge/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"cactusknot.example/daemon/relay"
@@ -30,6 +31,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+followMargin)
 	defer cancel()
+	go func() {
+		select {
+		case <-s.newerEra:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	client := rpc.NewEdgePeerProtobufClient("http://"+reader.Address, s.edge.pollHTTP)
 	after := s.edge.mirror.Position()
 	reply, err := client.Changes(ctx, &rpc.ChangesRequest{
@@ -37,6 +45,9 @@
 		WaitMs: uint32(wait.Milliseconds()), MaxAgeMs: uint32(maxReaderAge.Milliseconds()),
 	})
 	now := time.Now()
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
 	if err != nil {
 		s.leaveReader(now, reader, "no answer", err, 0)
 		return
--- a/daemon/edge/peer.go
+++ b/daemon/edge/peer.go
@@ -30,6 +30,7 @@
 // one if the caller asks for that, but not longer than the copy is fresh enough.
 func (p peerServer) Changes(ctx context.Context, in *rpc.ChangesRequest) (*rpc.ChangesReply, error) {
 	after := kv.Position{Era: in.GetAfterEra(), Revision: kv.Revision(in.GetAfterRevision())}
+	p.edge.controller.noteEra(after.Era, eraFromPeer)
 	if wait := p.changesWait(in); wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -28,6 +28,8 @@
 	// peerFallbackDelay is how long store calls must fail before changes are requested
 	// from peers.
 	peerFallbackDelay = 500 * time.Millisecond
+	// eraJitter spreads the listings of routers that hear of a new era at the same time.
+	eraJitter = 100 * time.Millisecond
 )
 
 // syncStore keeps the mirror up to date by watching the store and, during a store
@@ -55,12 +57,23 @@
 	reader   string
 	// answered is the reader that has answered the latest poll; empty after a failure.
 	answered string
+	// era is the latest era that this router has heard of and acted on; newerEra is closed when
+	// there is a newer one.
+	era      uint64
+	newerEra <-chan struct{}
 }
 
 // syncOnce asks the store or a reader for changes once and merges them. It reads all keys
 // first if that is due.
 func (s *storeSync) syncOnce(ctx context.Context) {
-	if reader, ok := s.usableReader(); ok {
+	s.newerEra = s.edge.controller.newerEra()
+	reader, ok := s.usableReader()
+	if s.enterEra(ok) {
+		sleep(ctx, rand.N(eraJitter))
+		s.readAll(ctx)
+		return
+	}
+	if ok {
 		s.follow(ctx, reader)
 		return
 	}
@@ -72,6 +85,24 @@
 	s.watch(ctx)
 }
 
+// enterEra reports whether all keys are to be read because this router has heard of a newer era
+// than that of its copy; once for each era. A follower reads them from the store too, unless the
+// listings of all routers would exceed the share of the store's reads; it then gets them from
+// its reader.
+func (s *storeSync) enterEra(follower bool) bool {
+	era := s.edge.controller.era.Load()
+	if era <= s.era {
+		return false
+	}
+	s.era = era
+	at := s.edge.mirror.Position()
+	if at.Revision == 0 || at.Era >= era {
+		return false
+	}
+	s.synced = false
+	return !follower || s.edge.settings.probeInterval(s.routers()) <= s.edge.settings.probeInterval(1)
+}
+
 // usableReader returns the reader to poll. A router that holds nothing yet reads the store.
 func (s *storeSync) usableReader() (reader relay.Member, ok bool) {
 	if s.edge.mirror.Position().Revision == 0 {
@@ -94,11 +125,15 @@
 }
 
 func (s *storeSync) probeInterval() time.Duration {
-	routers := 1 + len(s.edge.settings.SeedPeers)
+	return s.edge.settings.probeInterval(s.routers())
+}
+
+// routers returns the number of routers that call the store.
+func (s *storeSync) routers() int {
 	if v := s.edge.view.Load(); v != nil {
-		routers = len(v.Routers)
+		return len(v.Routers)
 	}
-	return s.edge.settings.probeInterval(routers)
+	return 1 + len(s.edge.settings.SeedPeers)
 }
 
 // watch waits for changes of the store and merges them.
@@ -110,7 +145,7 @@
 			return a
 		}
 	}
-	answer, ok := s.call(ctx, poll(wait), poll(0), wait+pollAllowance, s.probeInterval())
+	answer, ok := s.call(ctx, poll(wait), poll(0), wait+pollAllowance, s.probeInterval(), s.newerEra)
 	if !ok {
 		return
 	}
@@ -134,12 +169,13 @@
 		return a
 	}
 	interval := listingIntervals * s.probeInterval()
-	answer, ok := s.call(ctx, list, list, interval, interval)
+	// News of an era do not end a listing, which may be of that era already.
+	answer, ok := s.call(ctx, list, list, interval, interval, nil)
 	if !ok {
 		return
 	}
 	s.synced, s.listedAt = true, time.Now()
-	s.edge.controller.noteEra(answer.at.Era)
+	s.edge.controller.noteEra(answer.at.Era, eraFromStore)
 	before := s.edge.mirror.Position()
 	applied := s.edge.mirror.Reset(answer.listing, answer.at)
 	s.edge.log.Info().Stringer("position", answer.at).Stringer("position_before", before).
@@ -164,8 +200,9 @@
 
 // call calls the store until it answers. If the first call is lost, or is not answered within
 // its allowance, further calls are started while the older ones may still be answered; the
-// first answer counts. ok is false if this router is to use another source, or ctx has ended.
-func (s *storeSync) call(ctx context.Context, first, again storeCall, allowance, interval time.Duration) (answer storeAnswer, ok bool) {
+// first answer counts. ok is false if this router is to use another source, or ctx has ended, or
+// interrupt is closed.
+func (s *storeSync) call(ctx context.Context, first, again storeCall, allowance, interval time.Duration, interrupt <-chan struct{}) (answer storeAnswer, ok bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan storeAnswer)
@@ -186,6 +223,8 @@
 		select {
 		case <-ctx.Done():
 			return storeAnswer{}, false
+		case <-interrupt:
+			return storeAnswer{}, false
 		case answer := <-answers:
 			if answer.received() {
 				s.markAvailable()
@@ -219,7 +258,6 @@
 // mergeFromPeer merges changes from a peer, or its complete copy, into the mirror. It
 // returns the number of changes that were new.
 func (e *Edge) mergeFromPeer(changes []mirror.Change, at kv.Position, complete bool) int {
-	e.controller.noteEra(at.Era)
 	var merged []mirror.Change
 	if complete {
 		listing := make([]kv.Entry, 0, len(changes))
@@ -230,6 +268,9 @@
 	} else {
 		merged = e.mirror.Apply(changes, at)
 	}
+	// The copy comes first, so that it is not read from the store as well; the era comes
+	// before the changes, because they include removals that it makes doubtful.
+	e.controller.noteEra(at.Era, eraFromPeer)
 	e.controller.enqueue(merged)
 	return len(merged)
 }
