edge: the hold on vanished servers ends before the router is in touch

Found on the way: removals that a router heard of from a peer which itself still held them took effect at once.

Change: type contact keeps the latest time at which a disruption is known not to have ended (start of a lost call, last answer of an earlier era) and ends the hold 0.2 s before the router can count as in touch by contact_ms. What peers say of their contact during this router's outage shortens the hold: it counts from when the store served the first of them. The control loop ends holds by a timer. An evacuation that contradicts what is known is deferred no longer than that either. An answer without the history, which since counted as a confirmation of the copy for followers, does not.

--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -111,7 +111,7 @@
 		edge: e, batches: make(chan changeBatch, changeQueueSize), queries: make(chan stateQuery), servers: make(map[string]*serverState),
 		evacuations: make(map[string]bool), firstView: make(chan struct{}), eraNews: make(chan struct{}),
 	}
-	c.contact.respondedAt = time.Now()
+	c.contact.bound, c.contact.respondedAt = e.settings.contact(), time.Now()
 	c.routers = newRouters(e)
 	c.rollouts = newRollouts(e, c.routers)
 	c.quarantines = newQuarantines(e)
@@ -255,6 +255,8 @@
 	go c.routers.register(ctx)
 	ticker := time.NewTicker(controlInterval)
 	defer ticker.Stop()
+	due := time.NewTimer(0)
+	defer due.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -265,6 +267,11 @@
 			reply <- c.state(time.Now())
 		case now := <-ticker.C:
 			c.tick(ctx, now)
+		case now := <-due.C:
+			c.endHolds(now)
+		}
+		if at := c.nextHoldEnd(); !at.IsZero() {
+			due.Reset(time.Until(at))
 		}
 		if c.dirty {
 			c.publish(time.Now())
@@ -290,12 +297,6 @@
 }
 
 func (c *controller) tick(ctx context.Context, now time.Time) {
-	c.mergeDeferred(now)
-	for id, s := range c.servers {
-		if !s.removeAfter.IsZero() && now.After(s.removeAfter) {
-			c.removeServer(id, "gone")
-		}
-	}
 	if c.rollouts.tick(ctx, now) || c.routers.changed(now) {
 		c.dirty = true
 	}
@@ -306,6 +307,36 @@
 	}
 }
 
+// endHolds removes the servers and takes over the changes whose hold has ended.
+func (c *controller) endHolds(now time.Time) {
+	c.mergeDeferred(now)
+	for id, s := range c.servers {
+		if !s.removeAfter.IsZero() && !now.Before(s.removeAfter) {
+			c.removeServer(id, "gone")
+		}
+	}
+}
+
+// nextHoldEnd returns when the next hold ends; zero if there is none.
+func (c *controller) nextHoldEnd() time.Time {
+	var next time.Time
+	for _, s := range c.servers {
+		next = earliest(next, s.removeAfter)
+	}
+	for _, at := range c.restored.deferred {
+		next = earliest(next, at)
+	}
+	return next
+}
+
+// earliest returns the earlier one of two times, of which zero stands for none.
+func earliest(a, b time.Time) time.Time {
+	if b.IsZero() || !a.IsZero() && a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // prune drops connections to and observations of removed servers.
 func (c *controller) prune(now time.Time) {
 	inUse := make(map[upstream.Target]bool, len(c.servers))
@@ -468,6 +499,8 @@
 	until := c.contact.hold()
 	if b.receivedAt.Before(until) && !s.Draining {
 		s.removeAfter = until
+		c.edge.log.Info().Str("server", id).Dur("hold_ms", until.Sub(b.receivedAt)).Uint64("revision", uint64(change.Revision)).
+			Msg("vanished backend server held")
 		return
 	}
 	c.removeServer(id, "removed")
--- a/daemon/edge/follow.go
+++ b/daemon/edge/follow.go
@@ -63,15 +63,24 @@
 	}
 	s.selector.Succeeded(reader.Name)
 	s.answered = reader.Name
-	var outageEndedAt time.Time
-	if ago := reply.GetOutageEndedAgoMs(); ago > 0 {
-		outageEndedAt = now.Add(-time.Duration(ago) * time.Millisecond)
-	}
+	holdSince := holdSince(now, reply)
+	s.edge.controller.contact.peerResponse(now.Add(-age), holdSince)
 	s.edge.controller.recordStoreResponse(now)
-	s.edge.controller.contact.followReader(now.Add(-age), outageEndedAt)
+	if reply.GetAtEra() == after.Era {
+		s.edge.controller.contact.inEra(now.Add(-age - contactMargin))
+	}
+	s.edge.controller.contact.followReader(now.Add(-age), holdSince)
 	s.edge.mergeReply(reply)
 }
 
+// holdSince returns from when a peer's hold on vanished entries counts; zero for none.
+func holdSince(now time.Time, reply *rpc.ChangesReply) time.Time {
+	if ago := reply.GetOutageEndedAgoMs(); ago > 0 {
+		return now.Add(-time.Duration(ago) * time.Millisecond)
+	}
+	return time.Time{}
+}
+
 // leaveReader stops using a reader for some time.
 func (s *storeSync) leaveReader(now time.Time, reader relay.Member, reason string, err error, age time.Duration) {
 	s.selector.Failed(now, reader.Name)
--- a/daemon/edge/peer.go
+++ b/daemon/edge/peer.go
@@ -121,6 +121,8 @@
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
+	now := time.Now()
+	e.controller.contact.peerResponse(now.Add(-time.Duration(reply.GetAgeMs())*time.Millisecond), holdSince(now, reply))
 	return e.mergeReply(reply), nil
 }
 
--- a/daemon/edge/recovery.go
+++ b/daemon/edge/recovery.go
@@ -32,6 +32,9 @@
 	// away once more without any call being lost.
 	settleTime = 10 * time.Second
 	settleWait = 500 * time.Millisecond
+	// contactMargin is how long before this router counts as in touch the hold on vanished
+	// entries ends, and the error of the times that peers state.
+	contactMargin = 200 * time.Millisecond
 )
 
 // recoveryBound is the longest time from the end of an outage, as this router sees it, until
@@ -48,6 +51,12 @@
 	return max(min(probeInterval, s.recoveryBound()/6), time.Duration(float64(routers)/share*float64(time.Second)))
 }
 
+// mayListTogether reports whether the listings of some routers, started within eraJitter, stay
+// within the share of the store's reads.
+func (s *Settings) mayListTogether(routers int) bool {
+	return float64(routers) <= probeReadsShare*orDefault(s.StoreReadsPerS, DefaultReadsPerS)*eraJitter.Seconds()
+}
+
 func orDefault[T int | float64 | time.Duration](value, fallback T) T {
 	if value <= 0 {
 		return fallback
@@ -82,15 +91,26 @@
 	s.due = now.Add(s.interval + time.Duration(probeJitter*s.jitter()*float64(s.interval)))
 }
 
-// contact records when this router reaches the store, and until when entries that vanish
-// after a disruption are held. It has no clock and is safe for concurrent use.
+// contact records when this router reaches the store. It determines from when the router
+// counts as in touch after a disruption, and until when entries that vanish are held. It has
+// no clock and is safe for concurrent use.
 type contact struct {
 	mu sync.Mutex
+	// bound is how long after the end of a disruption the router counts as in touch.
+	bound time.Duration
 	// respondedAt is the time of the store's last response, or of the start of the process.
 	respondedAt time.Time
+	// sameEraAt is the latest time at which the store was in the era that this router holds.
+	sameEraAt time.Time
 	// lostSince is when the first call of the current outage was lost; zero while the store
 	// responds.
 	lostSince time.Time
+	// disruptedAt is the latest time at which a disruption is known not to have ended: the
+	// start of the latest call that was lost, or the last response of an earlier era. The first
+	// response of a new era says nothing of when that era began.
+	disruptedAt time.Time
+	// servedSince is since when, during the current outage, the store has served a peer.
+	servedSince time.Time
 	// holdUntil is when the hold on vanished entries ends.
 	holdUntil time.Time
 	// settledAt is when the store counts as settled after an outage or a restore.
@@ -105,16 +125,18 @@
 	if !c.lostSince.IsZero() {
 		away = now.Sub(c.respondedAt)
 		c.endDisruption(now)
-		c.lostSince = time.Time{}
+		c.lostSince, c.servedSince = time.Time{}, time.Time{}
 	}
 	c.respondedAt = now
 	return away
 }
 
-// lost records that a call has been lost. It reports whether it begins an outage.
-func (c *contact) lost(now time.Time) bool {
+// lost records that a call that was started at a time has been lost. It reports whether it
+// begins an outage.
+func (c *contact) lost(now, started time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.disruptedAt = latest(c.disruptedAt, started)
 	if !c.lostSince.IsZero() {
 		return false
 	}
@@ -122,20 +144,61 @@
 	return true
 }
 
+// inEra records that the store was in the era that this router holds.
+func (c *contact) inEra(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sameEraAt = latest(c.sameEraAt, at)
+}
+
 // restored records that the store is in a new era. Entries that are missing in the restored
 // copy are written again, as after an outage.
 func (c *contact) restored(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.disruptedAt = latest(c.disruptedAt, c.sameEraAt)
 	c.endDisruption(now)
 }
 
-// endDisruption begins the hold on vanished entries.
+// endDisruption begins the hold on vanished entries: live servers write their entries again
+// within reregistrationGrace of the time from which the store serves them. The hold ends
+// before this router counts as in touch.
 func (c *contact) endDisruption(now time.Time) {
-	c.holdUntil = now.Add(reregistrationGrace)
+	since := now
+	if !c.servedSince.IsZero() && c.servedSince.Before(now) {
+		since = c.servedSince
+	}
+	c.holdUntil = since.Add(reregistrationGrace)
+	if inTouch := c.inTouchAt(); inTouch.Before(c.holdUntil) {
+		c.holdUntil = inTouch
+	}
 	c.settledAt = now.Add(settleTime)
 }
 
+// inTouchAt returns the earliest time at which this router may count as in touch, less the
+// margin.
+func (c *contact) inTouchAt() time.Time { return c.disruptedAt.Add(c.bound - contactMargin) }
+
+// peerResponse records what a peer knows of the store: when it responded to the peer, and from
+// when the peer's hold on vanished entries counts; zero if it was never out of contact. If the
+// store served the peer during this router's outage, the servers could write their entries
+// since then.
+func (c *contact) peerResponse(respondedAt, holdSince time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lostSince.IsZero() || respondedAt.Before(c.lostSince.Add(contactMargin)) {
+		return
+	}
+	if holdSince.IsZero() {
+		holdSince = c.lostSince.Add(-reregistrationGrace)
+	}
+	if c.servedSince.IsZero() || holdSince.Before(c.servedSince) {
+		c.servedSince = holdSince
+	}
+	// The peer's changes may be removals that it still doubts.
+	c.holdUntil = latest(c.holdUntil, c.servedSince.Add(reregistrationGrace))
+}
+
 // followReader takes over what the reader of a follower knows: when the store responded to it,
 // and from when its hold on vanished entries counts; zero for no hold.
 func (c *contact) followReader(respondedAt, holdSince time.Time) {
@@ -145,7 +208,12 @@
 	if holdSince.IsZero() {
 		return
 	}
-	c.holdUntil = latest(c.holdUntil, holdSince.Add(reregistrationGrace))
+	until := holdSince.Add(reregistrationGrace)
+	if inTouch := c.inTouchAt(); holdSince.Before(inTouch) && inTouch.Before(until) {
+		// The outage is one that this router has noticed itself.
+		until = inTouch
+	}
+	c.holdUntil = latest(c.holdUntil, until)
 }
 
 // hold returns when the hold on vanished entries ends; zero before the first disruption.
--- a/daemon/edge/restored.go
+++ b/daemon/edge/restored.go
@@ -52,12 +52,13 @@
 func (c *controller) deferChange(change mirror.Change, now time.Time) bool {
 	var wait time.Duration
 	if dataCentre, ok := c.edge.settings.Decoder.Evacuation(change.Entry); ok && c.evacuations[dataCentre] == change.Deleted {
-		wait = reregistrationGrace
+		// The hold on vanished entries ends before this router counts as in touch.
+		wait = min(reregistrationGrace, c.contact.hold().Sub(now))
 	}
 	if id, ok := c.edge.settings.Decoder.ServerID(change.Key); ok && !change.Deleted && c.restored.wasRemoved(id) {
 		wait = removedServerHold
 	}
-	if wait == 0 {
+	if wait <= 0 {
 		return false
 	}
 	if c.restored.deferred == nil {
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -100,7 +100,7 @@
 		return false
 	}
 	s.synced = false
-	return !follower || s.edge.settings.probeInterval(s.routers()) <= s.edge.settings.probeInterval(1)
+	return !follower || s.edge.settings.mayListTogether(s.routers())
 }
 
 // usableReader returns the reader to poll. A router that holds nothing yet reads the store.
@@ -189,6 +189,8 @@
 	changes []mirror.Change
 	at      kv.Position
 	err     error
+	// started is when the call was started.
+	started time.Time
 }
 
 // received reports whether the store has answered, if only that it does not have the history.
@@ -206,10 +208,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan storeAnswer)
+	outstanding := make(map[time.Time]bool)
 	start := func(call storeCall) {
+		started := time.Now()
+		outstanding[started] = true
 		go func() {
+			answer := call(ctx)
+			answer.started = started
 			select {
-			case answers <- call(ctx):
+			case answers <- answer:
 			case <-ctx.Done():
 			}
 		}()
@@ -226,8 +233,9 @@
 		case <-interrupt:
 			return storeAnswer{}, false
 		case answer := <-answers:
+			delete(outstanding, answer.started)
 			if answer.received() {
-				s.markAvailable()
+				s.markAnswered(answer, outstanding)
 				return answer, true
 			}
 			s.markLost(answer)
@@ -243,14 +251,30 @@
 	}
 }
 
-// markAvailable records a response of the store. It is called before the content is merged,
+// markAnswered records an answer of the store. It is called before the content is merged,
 // because removals right after an outage may be of entries that expired only because they
-// couldn't be renewed.
-func (s *storeSync) markAvailable() { s.edge.controller.recordStoreResponse(time.Now()) }
+// couldn't be renewed. Calls that were started clearly before the one that was answered, and
+// are still outstanding, are lost. An answer without the history does not confirm the copy,
+// whose age followers go by; the outage goes on until the listing.
+func (s *storeSync) markAnswered(answer storeAnswer, outstanding map[time.Time]bool) {
+	now, contact := time.Now(), &s.edge.controller.contact
+	for started := range outstanding {
+		if answer.started.Sub(started) >= contactMargin {
+			contact.lost(now, started)
+		}
+	}
+	if answer.err != nil {
+		return
+	}
+	s.edge.controller.recordStoreResponse(now)
+	if answer.at.Era == s.edge.mirror.Position().Era {
+		contact.inEra(now.Add(-contactMargin))
+	}
+}
 
 // markLost records a call to the store that was not answered.
 func (s *storeSync) markLost(answer storeAnswer) {
-	if s.edge.controller.contact.lost(time.Now()) {
+	if s.edge.controller.contact.lost(time.Now(), answer.started) {
 		s.edge.log.Warn().Err(answer.err).Msg("store unavailable")
 	}
 }
