--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -77,18 +77,15 @@
 	// restored holds what a restore of the store leaves in doubt.
 	restored restoreDoubts
 
-	// outageStartedAt is the start of the current store outage as Unix time in
-	// nanoseconds, or 0 while the store responds.
-	outageStartedAt atomic.Int64
-	// outageEndedAt is the end of the last store outage as Unix time in nanoseconds.
-	outageEndedAt atomic.Int64
+	// contact records when this router reaches the store.
+	contact contact
 	// era is the latest era of the store that this router has heard of; 0 before the first.
 	era atomic.Uint64
+	// eraMu guards eraNews, which is closed and replaced when a newer era is heard of.
+	eraMu   sync.Mutex
+	eraNews chan struct{}
 	// currentReader is the reader that this router polls; empty while it reads the store.
 	currentReader atomic.Pointer[string]
-	// lastResponseAt is the time of the store's last response, or of the start of the
-	// process, as Unix time in nanoseconds.
-	lastResponseAt atomic.Int64
 
 	// peerMu guards the address lists below.
 	peerMu          sync.Mutex
@@ -112,9 +109,9 @@
 func newController(e *Edge) *controller {
 	c := &controller{
 		edge: e, batches: make(chan changeBatch, changeQueueSize), queries: make(chan stateQuery), servers: make(map[string]*serverState),
-		evacuations: make(map[string]bool), firstView: make(chan struct{}),
+		evacuations: make(map[string]bool), firstView: make(chan struct{}), eraNews: make(chan struct{}),
 	}
-	c.recordStoreResponse()
+	c.contact.bound, c.contact.respondedAt = e.settings.contact(), time.Now()
 	c.routers = newRouters(e)
 	c.rollouts = newRollouts(e, c.routers)
 	c.quarantines = newQuarantines(e)
@@ -152,61 +149,63 @@
 	}
 }
 
-// recordStoreResponse records that the store has just responded.
-func (c *controller) recordStoreResponse() { c.lastResponseAt.Store(time.Now().UnixNano()) }
+// recordStoreResponse records a response of the store.
+func (c *controller) recordStoreResponse(now time.Time) {
+	if away := c.contact.responded(now); away > 0 {
+		c.edge.log.Info().Dur("away_ms", away).Msg("store available again")
+	}
+}
 
 // storeResponseAge returns the time since the store last responded, or since the
 // start of the process.
-func (c *controller) storeResponseAge(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, c.lastResponseAt.Load()))
-}
+func (c *controller) storeResponseAge(now time.Time) time.Duration { return c.contact.responseAge(now) }
 
-func (c *controller) beginStoreOutage() { c.outageStartedAt.CompareAndSwap(0, time.Now().UnixNano()) }
-
-func (c *controller) endStoreOutage() {
-	c.outageStartedAt.Store(0)
-	c.outageEndedAt.Store(time.Now().UnixNano())
-}
+// Values of the field source of the line about a new era.
+const (
+	eraFromStore    = "store"
+	eraFromPeer     = "peer"
+	eraFromExchange = "exchange"
+)
 
-// noteEra records the era of the store. A new one counts as the end of an outage: entries
-// that are missing in the restored copy are written again.
-func (c *controller) noteEra(era uint64) {
+// noteEra records an era of the store that this router has heard of. A new one counts as the
+// end of a disruption: entries that are missing in the restored copy are written again.
+func (c *controller) noteEra(era uint64, source string) {
 	before := c.era.Load()
-	if era <= before || !c.era.CompareAndSwap(before, era) || !c.firstViewPublished() {
+	for era > before && !c.era.CompareAndSwap(before, era) {
+		before = c.era.Load()
+	}
+	if era <= before || !c.firstViewPublished() {
 		return
 	}
-	c.endStoreOutage()
+	c.contact.restored(time.Now())
 	c.routers.storeRestored()
-	c.edge.log.Warn().Uint64("era", era).Uint64("era_before", before).Msg("store was restored from an older copy")
+	c.eraMu.Lock()
+	close(c.eraNews)
+	c.eraNews = make(chan struct{})
+	c.eraMu.Unlock()
+	c.edge.log.Warn().Uint64("era", era).Uint64("era_before", before).Str("source", source).
+		Dur("answer_age_ms", c.storeResponseAge(time.Now())).Msg("store was restored from an older copy")
 }
 
-// recordReader records what a reader knows of the store: when it last responded and when
-// its last outage ended; zero if there was none.
-func (c *controller) recordReader(responseAt, outageEndedAt time.Time) {
-	c.lastResponseAt.Store(responseAt.UnixNano())
-	if !outageEndedAt.IsZero() && outageEndedAt.UnixNano() > c.outageEndedAt.Load() {
-		c.outageEndedAt.Store(outageEndedAt.UnixNano())
-	}
+// newerEra returns a channel that is closed when this router hears of a newer era than now.
+func (c *controller) newerEra() <-chan struct{} {
+	c.eraMu.Lock()
+	defer c.eraMu.Unlock()
+	return c.eraNews
 }
 
 // outageEndedAgo returns the time since the end of the last store outage, or 0 if there
 // was none.
 func (c *controller) outageEndedAgo(now time.Time) time.Duration {
-	ended := c.outageEndedAt.Load()
-	if ended == 0 {
+	ended := c.contact.holdSince()
+	if ended.IsZero() {
 		return 0
 	}
-	return now.Sub(time.Unix(0, ended))
+	return now.Sub(ended)
 }
 
 // storeOutage returns the duration of the current store outage, or 0.
-func (c *controller) storeOutage() time.Duration {
-	started := c.outageStartedAt.Load()
-	if started == 0 {
-		return 0
-	}
-	return time.Since(time.Unix(0, started))
-}
+func (c *controller) storeOutage() time.Duration { return c.contact.outage(time.Now()) }
 
 // peers returns the addresses of the other routers, or the seed peers while none is
 // registered.
@@ -256,6 +255,8 @@
 	go c.routers.register(ctx)
 	ticker := time.NewTicker(controlInterval)
 	defer ticker.Stop()
+	due := time.NewTimer(0)
+	defer due.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -266,6 +267,11 @@
 			reply <- c.state(time.Now())
 		case now := <-ticker.C:
 			c.tick(ctx, now)
+		case now := <-due.C:
+			c.endHolds(now)
+		}
+		if at := c.nextHoldEnd(); !at.IsZero() {
+			due.Reset(time.Until(at))
 		}
 		if c.dirty {
 			c.publish(time.Now())
@@ -291,12 +297,6 @@
 }
 
 func (c *controller) tick(ctx context.Context, now time.Time) {
-	c.mergeDeferred(now)
-	for id, s := range c.servers {
-		if !s.removeAfter.IsZero() && now.After(s.removeAfter) {
-			c.removeServer(id, "gone")
-		}
-	}
 	if c.rollouts.tick(ctx, now) || c.routers.changed(now) {
 		c.dirty = true
 	}
@@ -307,6 +307,36 @@
 	}
 }
 
+// endHolds removes the servers and takes over the changes whose hold has ended.
+func (c *controller) endHolds(now time.Time) {
+	c.mergeDeferred(now)
+	for id, s := range c.servers {
+		if !s.removeAfter.IsZero() && !now.Before(s.removeAfter) {
+			c.removeServer(id, "gone")
+		}
+	}
+}
+
+// nextHoldEnd returns when the next hold ends; zero if there is none.
+func (c *controller) nextHoldEnd() time.Time {
+	var next time.Time
+	for _, s := range c.servers {
+		next = earliest(next, s.removeAfter)
+	}
+	for _, at := range c.restored.deferred {
+		next = earliest(next, at)
+	}
+	return next
+}
+
+// earliest returns the earlier one of two times, of which zero stands for none.
+func earliest(a, b time.Time) time.Time {
+	if b.IsZero() || !a.IsZero() && a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // prune drops connections to and observations of removed servers.
 func (c *controller) prune(now time.Time) {
 	inUse := make(map[upstream.Target]bool, len(c.servers))
@@ -469,10 +499,11 @@
 	if !ok || s == nil {
 		return
 	}
-	outageEnd := c.outageEndedAt.Load()
-	until := time.Unix(0, outageEnd).Add(reregistrationGrace)
-	if outageEnd != 0 && b.receivedAt.Before(until) && !s.Draining {
+	until := c.contact.hold()
+	if b.receivedAt.Before(until) && !s.Draining {
 		s.removeAfter = until
+		c.edge.log.Info().Str("server", id).Dur("hold_ms", until.Sub(b.receivedAt)).Uint64("revision", uint64(change.Revision)).
+			Msg("vanished backend server held")
 		return
 	}
 	c.removeServer(id, "removed")
--- a/daemon/edge/follow.go
+++ b/daemon/edge/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"cactusknot.example/daemon/relay"
@@ -30,6 +31,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+followMargin)
 	defer cancel()
+	go func() {
+		select {
+		case <-s.newerEra:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	client := rpc.NewEdgePeerProtobufClient("http://"+reader.Address, s.edge.pollHTTP)
 	after := s.edge.mirror.Position()
 	reply, err := client.Changes(ctx, &rpc.ChangesRequest{
@@ -37,6 +45,9 @@
 		WaitMs: uint32(wait.Milliseconds()), MaxAgeMs: uint32(maxReaderAge.Milliseconds()),
 	})
 	now := time.Now()
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
 	if err != nil {
 		s.leaveReader(now, reader, "no answer", err, 0)
 		return
@@ -52,15 +63,24 @@
 	}
 	s.selector.Succeeded(reader.Name)
 	s.answered = reader.Name
-	s.markAvailable()
-	var outageEndedAt time.Time
-	if ago := reply.GetOutageEndedAgoMs(); ago > 0 {
-		outageEndedAt = now.Add(-time.Duration(ago) * time.Millisecond)
+	holdSince := holdSince(now, reply)
+	s.edge.controller.contact.peerResponse(now.Add(-age), holdSince)
+	s.edge.controller.recordStoreResponse(now)
+	if reply.GetAtEra() == after.Era {
+		s.edge.controller.contact.inEra(now.Add(-age - contactMargin))
 	}
-	s.edge.controller.recordReader(now.Add(-age), outageEndedAt)
+	s.edge.controller.contact.followReader(now.Add(-age), holdSince)
 	s.edge.mergeReply(reply)
 }
 
+// holdSince returns from when a peer's hold on vanished entries counts; zero for none.
+func holdSince(now time.Time, reply *rpc.ChangesReply) time.Time {
+	if ago := reply.GetOutageEndedAgoMs(); ago > 0 {
+		return now.Add(-time.Duration(ago) * time.Millisecond)
+	}
+	return time.Time{}
+}
+
 // leaveReader stops using a reader for some time.
 func (s *storeSync) leaveReader(now time.Time, reader relay.Member, reason string, err error, age time.Duration) {
 	s.selector.Failed(now, reader.Name)
