gateway: escalate only if the larger model's stream ends before the deadline

The estimate of a stream's end used one interval between events per service and model and learned only from finished streams, so streams that were cut never counted. Intervals are now learned from running and cut streams too, as a function of the requests that run at the server and of the server's own pace. Servers at which the larger model's stream is not expected to end before the deadline are no option for an escalation; if none is left, the small model's answer is kept and a log line says why.

Tests of selection and gateway pass. TestCrashIsNoEvidence fails under -race; the race is within the test, which this commit does not touch.

--- a/daemon/gateway/cascade.go
+++ b/daemon/gateway/cascade.go
@@ -19,7 +19,7 @@
 	// An answer whose first byte is expected after lateTargetFactor times the time left
 	// to the latency target counts as certainly late.
 	lateTargetFactor = 1.5
-	// answerTimeMargin scales the expected answer time, as estimates of an answer's
+	// answerTimeMargin scales the expected number of events, as estimates of an answer's
 	// length and pace can be low.
 	answerTimeMargin = 1.3
 	// backlogHalvingTime is the average prefill backlog of the servers at which the
@@ -106,11 +106,13 @@
 	}
 	now := time.Now()
 	request := g.selectionRequest(a.requestState, largestModel(a.route), nil)
+	request.AnswerEvents, request.Within = a.expectedEvents(), a.deadline.Sub(now)
 	expected, ok := g.Chooser.Estimate(now, a.candidates, request)
 	if !ok {
+		g.recordNoTime(a, now, request)
 		return nil
 	}
-	threshold := keepThreshold(expected.FirstByte, a.expectedAnswerTime(expected.EventInterval), a.route.LatencyTarget-now.Sub(a.startedAt), a.deadline.Sub(now))
+	threshold := keepThreshold(expected.FirstByte, expected.Answer(request), a.route.LatencyTarget-now.Sub(a.startedAt), request.Within)
 	threshold += shortPromptBonus(expected.Prefill, threshold)
 	backlog := g.Chooser.Backlog(now, a.candidates, len(a.view.Routers))
 	if a.reply.Confidence >= thresholdUnderLoad(backlog, threshold) || !a.dispatch.Budget.Take(now, len(a.view.Routers)) {
@@ -148,13 +150,33 @@
 	return int(float64(threshold) / (1 + float64(backlog)/float64(backlogHalvingTime)))
 }
 
-// expectedAnswerTime estimates the time from the first to the last event of the answer.
-func (x *requestState) expectedAnswerTime(eventInterval time.Duration) time.Duration {
+// expectedEvents estimates the number of events of the answer from above.
+func (x *requestState) expectedEvents() float64 {
 	events := defaultAnswerEvents
 	if x.call.AnswerTokens > 0 && x.service.EventTokens > 0 {
 		events = x.call.AnswerTokens / x.service.EventTokens
 	}
-	return time.Duration(answerTimeMargin * float64(events) * float64(eventInterval))
+	return answerTimeMargin * float64(events)
+}
+
+// recordNoTime counts and logs that a larger model is not asked because its answer is not
+// expected to end before the deadline at any server that may take the request.
+func (g *Gateway) recordNoTime(a *attempt, now time.Time, request selection.Request) {
+	within := request.Within
+	request.Within = 0
+	expected, ok := g.Chooser.Estimate(now, a.candidates, request)
+	if !ok {
+		// No server may take the request at all.
+		return
+	}
+	g.metrics.GetOrCreateCounter("cactusknot_escalations_without_time_total").Inc()
+	if a.reply.Confidence >= onTimeThreshold {
+		return
+	}
+	g.logEvent(g.Log.Info()).Str("request", a.call.ID).Str("server", expected.Server.ID).Str("model", request.Model).
+		Ints("confidence", a.confidences).Dur("expected_ms", expected.FirstByte).Dur("expected_interval_ms", expected.EventInterval).
+		Float64("expected_events", request.AnswerEvents).Dur("left_ms", within).Dur("view_age_ms", now.Sub(a.view.At)).
+		Msg("larger model not asked: its answer is not expected to end before the deadline")
 }
 
 // keepThreshold returns the confidence from which a small model's answer is kept.
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -139,13 +139,15 @@
 	// latest is the highest event ID of this attempt. A server that sends the whole stream
 	// again advances, although the caller has the events already.
 	latest := int64(-1)
+	var intervals intervalMeter
 	for events := 0; ; {
 		next, err := reader.next()
 		if errors.Is(err, io.EOF) {
-			a.choice.RecordStream(events, time.Since(firstEvent))
+			intervals.flush(a.choice)
 			return g.endEvents(a, events, next.raw)
 		}
 		if err != nil {
+			intervals.cut(a.choice, time.Now())
 			return false, a.abort(ctx, err)
 		}
 		if next.hasData && (next.id < 0 || next.id > latest) {
@@ -166,7 +168,11 @@
 		if next.id >= 0 && next.id <= a.lastEvent {
 			continue
 		}
+		if next.hasData {
+			intervals.event(a.choice, time.Now())
+		}
 		if err := g.passOn(a, next); err != nil {
+			intervals.flush(a.choice)
 			return true, a.abort(ctx, err)
 		}
 	}
--- a/daemon/selection/selection.go
+++ b/daemon/selection/selection.go
@@ -112,6 +112,11 @@
 	Routers []string
 	// Excluded holds the IDs of servers that were tried already.
 	Excluded map[string]bool
+	// AnswerEvents is the expected number of events of the answer, and Within the time in
+	// which the answer has to end. Servers at which it is expected to take longer are no
+	// option. 0 for Within means no bound.
+	AnswerEvents float64
+	Within       time.Duration
 }
 
 // Load is the number of running and queued requests that a backend server reports.
@@ -128,6 +133,8 @@
 	UncachedTokens int
 	// ExpectedFirstByte is the expected time to the first byte.
 	ExpectedFirstByte time.Duration
+	// EventInterval is the expected time between events of a stream.
+	EventInterval time.Duration
 
 	chooser    *Chooser
 	state      *serverState
@@ -181,6 +188,7 @@
 	sendRate     *limit.SlidingWindow
 	// lastChoice is the value of Chooser.choices when the server was last chosen.
 	lastChoice uint64
+	pace       pace
 	// cachedPrefixes holds when each prefix was last known to be cached.
 	cachedPrefixes map[uint64]time.Time
 }
@@ -222,6 +230,14 @@
 	// FirstByte is the time to the first byte, Prefill the part of it that the server
 	// spends on the prompt, and EventInterval the time between events of the stream.
 	FirstByte, Prefill, EventInterval time.Duration
+	// Server is the server that would be chosen.
+	Server *topology.Server
+}
+
+// Answer returns the expected time from the first to the last event of the request's
+// answer.
+func (e Estimate) Answer(r Request) time.Duration {
+	return time.Duration(r.AnswerEvents * float64(e.EventInterval))
 }
 
 // Estimate returns the expected times at the server that Choose would return, or false
@@ -233,7 +249,7 @@
 	if best == nil {
 		return Estimate{}, false
 	}
-	return Estimate{FirstByte: best.ExpectedFirstByte, Prefill: best.prefill, EventInterval: best.latency.eventInterval}, true
+	return Estimate{FirstByte: best.ExpectedFirstByte, Prefill: best.prefill, EventInterval: best.EventInterval, Server: best.Server}, true
 }
 
 // best returns the candidate with the lowest cost, or nil when none may take the request.
@@ -253,6 +269,9 @@
 		prefill := latency.prefillTime(uncached)
 		peers := c.peerWorkOf(now, server.ID, assumed)
 		expected := prefill + s.pendingPrefill + peers.PrefillTime + s.queueDelay(now, server, r, peers.InFlight)
+		if r.Within > 0 && expected+time.Duration(r.AnswerEvents*float64(s.eventInterval(now, latency, peers.InFlight))) > r.Within {
+			continue
+		}
 		interference := time.Duration((prefillWeight + interferenceWeight*float64(s.inFlight+peers.InFlight)) * float64(prefill))
 		cost := c.Policy.cost(now, s, expected+interference)
 		switch c.Limits.State(now, server.ID) {
@@ -277,6 +296,9 @@
 	if bestCost <= limitedCost {
 		limited = nil
 	}
+	if best != nil {
+		best.EventInterval = best.state.eventInterval(now, latency, c.peerWorkOf(now, best.Server.ID, assumed).InFlight)
+	}
 	return best, limited
 }
 
@@ -420,14 +442,6 @@
 // RecordActivity records that the server has sent data, such as an event of a stream.
 func (c *Choice) RecordActivity(now time.Time) { c.state.lastActivity.Store(now.UnixNano()) }
 
-// RecordStream records the number of events of a finished stream and the time from the
-// first to the last.
-func (c *Choice) RecordStream(events int, took time.Duration) {
-	c.chooser.mu.Lock()
-	defer c.chooser.mu.Unlock()
-	c.latency.observeStream(events, took)
-}
-
 // LastActivity returns when the server last sent data on any request of this router.
 func (c *Choice) LastActivity() time.Time { return time.Unix(0, c.state.lastActivity.Load()) }
 
