selection: weigh the pace of servers and their machines in the choice

Engines of a service differ in pace, and their machines slow down for fractions of a second. A server's pace is learned from intervals between events and first bytes, and what its machine reports as the fourth number of the load header is used for half a second. Expected times use both in full; the choice trusts half of the learned difference, and a server that holds the shared part of a prompt keeps it to the extent that the prompt is shared.

A further attempt goes to a server at which the answer is expected to end before the deadline, or back to the first model. The value of a late answer is the setting bounds.late_answer_value; its default keeps the thresholds as they were.

--- a/daemon/ctl/edge.go
+++ b/daemon/ctl/edge.go
@@ -164,6 +164,9 @@
 	ColdFactor    float64  `json:"cold_factor"`
 	ColdExtra     float64  `json:"cold_extra"`
 	ExposureShare float64  `json:"exposure_share"`
+	// LateAnswerValue is the value of an answer after the latency target, as a fraction of
+	// a timely one's.
+	LateAnswerValue float64 `json:"late_answer_value"`
 }
 
 func runDecodeSettings(ctx context.Context, env Env, args []string) int {
@@ -180,6 +183,7 @@
 			VM: in.VM, DataCentre: in.DataCentre, Frontend: in.FrontendAddress, Ready: in.ReadyAddress, Peer: in.PeerAddress, SeedPeers: in.SeedPeers,
 			MemoryBytes: in.MemoryLimitBytes, GraceMS: in.GracePeriod.Milliseconds(), RetryRatio: in.Retries.Ratio, RetryExtra: in.Retries.Extra,
 			RetryWindowMS: in.Retries.Window.Milliseconds(), ColdFactor: in.ColdFactor, ColdExtra: in.ColdExtra, ExposureShare: in.ExposureShare,
+			LateAnswerValue: in.LateAnswerValue,
 		}
 		inv.json = true
 		inv.print(out, nil)
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -133,6 +133,9 @@
 	// ModelPolicy and ServerPolicy select the policies; the zero values are the defaults.
 	ModelPolicy  gateway.ModelPolicy
 	ServerPolicy selection.Policy
+	// LateAnswerValue is the value of an answer after the latency target, as a fraction of a
+	// timely one's; 0 means the default.
+	LateAnswerValue float64
 }
 
 const (
@@ -200,7 +203,7 @@
 	e.gateway = gateway.New(gateway.Config{
 		Name: settings.VM, Codec: settings.HeaderCodec, View: e.view.Load, Observe: e.controller.observe,
 		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Retries: settings.Retries,
-		ModelPolicy: settings.ModelPolicy, ServerPolicy: settings.ServerPolicy, Log: e.log,
+		ModelPolicy: settings.ModelPolicy, ServerPolicy: settings.ServerPolicy, LateAnswerValue: settings.LateAnswerValue, Log: e.log,
 	})
 	e.config.edge = e
 	e.exchanged = []exchanged{loadExchange{e}, e.controller.quarantines, &limitExchange{edge: e}, &e.config}
--- a/daemon/gateway/cascade.go
+++ b/daemon/gateway/cascade.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -13,9 +14,12 @@
 	// onTimeThreshold is the confidence from which a small model's answer is kept
 	// although the largest model's answer would meet the latency target.
 	onTimeThreshold = 50
-	// lateThreshold is the confidence from which a small model's answer is kept if the
-	// largest model's answer would be late and so worth about a third.
-	lateThreshold = 20
+	// DefaultLateAnswerValue is the value of an answer after the latency target, as a
+	// fraction of a timely one's. For some customers it is a tenth, for others a half.
+	DefaultLateAnswerValue = 0.3
+	// defaultLateThreshold is the confidence from which a small model's answer is kept if
+	// the largest model's answer would be late and has the default value.
+	defaultLateThreshold = 20
 	// An answer whose first byte is expected after lateTargetFactor times the time left
 	// to the latency target counts as certainly late.
 	lateTargetFactor = 1.5
@@ -112,7 +116,7 @@
 		g.recordNoTime(a, now, request)
 		return nil
 	}
-	threshold := keepThreshold(expected.FirstByte, expected.Answer(request), a.route.LatencyTarget-now.Sub(a.startedAt), request.Within)
+	threshold := keepThreshold(expected.FirstByte, expected.Answer(request), a.route.LatencyTarget-now.Sub(a.startedAt), request.Within, lateThreshold(g.LateAnswerValue))
 	threshold += shortPromptBonus(expected.Prefill, threshold)
 	backlog := g.Chooser.Backlog(now, a.candidates, len(a.view.Routers))
 	if a.reply.Confidence >= thresholdUnderLoad(backlog, threshold) || !a.dispatch.Budget.Take(now, len(a.view.Routers)) {
@@ -179,11 +183,25 @@
 		Msg("larger model not asked: its answer is not expected to end before the deadline")
 }
 
+// lateThreshold returns the confidence from which a small model's answer is kept if the
+// largest model's answer would be late: 0 if that were worth nothing, and the one for timely
+// answers if it were worth as much. A value of 0 stands for DefaultLateAnswerValue.
+func lateThreshold(value float64) int {
+	switch {
+	case value <= 0:
+		return defaultLateThreshold
+	case value <= DefaultLateAnswerValue:
+		return int(math.Round(defaultLateThreshold * value / DefaultLateAnswerValue))
+	}
+	rise := (min(value, 1) - DefaultLateAnswerValue) / (1 - DefaultLateAnswerValue)
+	return defaultLateThreshold + int(math.Round((onTimeThreshold-defaultLateThreshold)*rise))
+}
+
 // keepThreshold returns the confidence from which a small model's answer is kept.
 // firstByte is the expected time until the largest model's first byte, answer the time
 // from its first to its last byte; toTarget and toDeadline are the times left to the
-// latency target and to the deadline.
-func keepThreshold(firstByte, answer, toTarget, toDeadline time.Duration) int {
+// latency target and to the deadline, and lateThreshold is the confidence for a late answer.
+func keepThreshold(firstByte, answer, toTarget, toDeadline time.Duration, lateThreshold int) int {
 	if firstByte+answer > toDeadline {
 		return 0
 	}
@@ -195,5 +213,5 @@
 		return lateThreshold
 	}
 	fraction := float64(firstByte-toTarget) / float64(late-toTarget)
-	return onTimeThreshold - int(fraction*(onTimeThreshold-lateThreshold))
+	return onTimeThreshold - int(fraction*float64(onTimeThreshold-lateThreshold))
 }
--- a/daemon/gateway/cascade_test.go
+++ b/daemon/gateway/cascade_test.go
@@ -62,20 +62,20 @@
 		want                             int
 	}{
 		{second, second, 2 * second, 10 * second, onTimeThreshold},
-		{4 * second, second, 2 * second, 10 * second, lateThreshold},
-		{second, second, -second, 10 * second, lateThreshold},
+		{4 * second, second, 2 * second, 10 * second, defaultLateThreshold},
+		{second, second, -second, 10 * second, defaultLateThreshold},
 		{9 * second, 2 * second, 2 * second, 10 * second, 0},
 		// A long answer would be cut by the deadline although it begins in time.
 		{second, 10 * second, 2 * second, 10 * second, 0},
 	}
 	for _, c := range cases {
-		if got := keepThreshold(c.expected, c.answer, c.toTarget, c.left); got != c.want {
+		if got := keepThreshold(c.expected, c.answer, c.toTarget, c.left, lateThreshold(0)); got != c.want {
 			t.Errorf("keepThreshold(%s, %s, %s, %s) = %d, want %d", c.expected, c.answer, c.toTarget, c.left, got, c.want)
 		}
 	}
 	last := onTimeThreshold
 	for expected := second; expected < 4*second; expected += second / 10 {
-		got := keepThreshold(expected, second, 2*second, 20*second)
+		got := keepThreshold(expected, second, 2*second, 20*second, lateThreshold(0))
 		if got > last {
 			t.Fatalf("a later answer raises the threshold: %d after %d", got, last)
 		}
@@ -83,6 +83,16 @@
 	}
 }
 
+// The less a late answer is worth, the less confidence it takes to keep the small model's
+// answer instead. The default value must not change which requests escalate.
+func TestLateAnswerValue(t *testing.T) {
+	for value, want := range map[float64]int{0: 20, 0.1: 7, DefaultLateAnswerValue: 20, 0.5: 29, 1: onTimeThreshold} {
+		if got := lateThreshold(value); got != want {
+			t.Errorf("value %g: threshold %d, want %d", value, got, want)
+		}
+	}
+}
+
 // The confidence threshold is higher if the largest model's prefill is short, because
 // that hardly delays other requests: it matters on days with many short prompts. A long
 // prompt gets no bonus, nor does an answer that would miss the deadline.
--- a/daemon/gateway/codec.go
+++ b/daemon/gateway/codec.go
@@ -67,6 +67,8 @@
 	ContentEncoded bool
 	HasLoad        bool
 	Load           selection.Load
+	// LoadProblem tells why the reported load, or a part of it, is not used.
+	LoadProblem LoadProblem
 	// RateLimit is the number of requests per second that the backend server takes from
 	// all routers together, or 0 if it names none.
 	RateLimit float64
@@ -77,6 +79,25 @@
 	EventStream bool
 }
 
+// LoadProblem is why the load that a backend server reports is not used.
+type LoadProblem uint8
+
+// Problems of reported loads.
+const (
+	NoLoadProblem LoadProblem = iota
+	// LoadAbsent: no load is reported, or not how long work takes.
+	LoadAbsent
+	// LoadUnreadable: it is not a number.
+	LoadUnreadable
+	// LoadAbsurd: a number is out of the range that is possible.
+	LoadAbsurd
+)
+
+// String returns the name of the problem.
+func (p LoadProblem) String() string {
+	return [...]string{"none", "absent", "unreadable", "absurd"}[p]
+}
+
 // HeaderCodec translates between the gateway's types and the HTTP headers of a
 // deployment.
 type HeaderCodec interface {
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -89,6 +89,9 @@
 
 // Choose waits for a server that may take the request.
 func (d directSender) Choose(ctx context.Context) (*selection.Choice, *result.Error) {
+	if choice, err := d.gateway.chooseInTime(d.requestState); choice != nil || err != nil {
+		return choice, err
+	}
 	return d.gateway.choose(ctx, d.requestState)
 }
 
@@ -182,9 +185,7 @@
 	}
 	a.exchange = response
 	a.reply = g.Codec.ParseResponse(response.Status, response.Header)
-	if a.reply.HasLoad {
-		a.choice.RecordLoad(time.Now(), a.reply.Load)
-	}
+	g.recordLoad(a)
 	g.observeRateLimit(a)
 	if a.reply.NotRun {
 		a.outcome = selection.Refused
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -66,6 +66,9 @@
 	// production policies.
 	ModelPolicy  ModelPolicy
 	ServerPolicy selection.Policy
+	// LateAnswerValue is the value of an answer after the latency target, as a fraction of a
+	// timely one's; 0 means DefaultLateAnswerValue.
+	LateAnswerValue float64
 }
 
 // Gateway is an HTTP handler that serves callers' requests.
@@ -87,6 +90,7 @@
 	// stopAt is when the process stops, as Unix time in nanoseconds; 0 while it goes on.
 	stopAt          atomic.Int64
 	logLimit        logLimiter
+	loadProblems    loadProblems
 	pendingFailures pendingFailures
 }
 
--- a/daemon/selection/affinity_test.go
+++ b/daemon/selection/affinity_test.go
@@ -37,10 +37,20 @@
 	freeAt   map[string]time.Time
 	cached   map[string]map[int]time.Time
 	names    []string
-	answers  answerQueue
+	// rate is the number of requests per second.
+	rate, prompts int
+	answers       answerQueue
 
 	shared, readAgain int
 	everRead          map[int]bool
+
+	// pace is how long each server takes relative to prefillPerToken, by its ID, and slow
+	// tells how much longer it takes now. Answers report what slow returns.
+	pace map[string]float64
+	slow func(id string, now time.Time) float64
+	// inTime counts the answers with a first byte within target.
+	target           time.Duration
+	inTime, answered int
 }
 
 type answer struct {
@@ -62,16 +72,19 @@
 	return last
 }
 
-func newSimulation() *simulation {
+func newSimulation() *simulation { return newSimulationOf(simulatedRouters, simulatedServers) }
+
+func newSimulationOf(routers, servers int) *simulation {
 	s := &simulation{
+		rate: requestsPerSecond * servers / simulatedServers, prompts: prompts * servers / simulatedServers,
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)),
 		freeAt: make(map[string]time.Time), cached: make(map[string]map[int]time.Time), everRead: make(map[int]bool),
 	}
-	for i := range simulatedRouters {
+	for i := range routers {
 		s.choosers = append(s.choosers, New())
 		s.names = append(s.names, fmt.Sprint("r", i))
 	}
-	for i := range simulatedServers {
+	for i := range servers {
 		id := fmt.Sprint("s", i)
 		s.servers = append(s.servers, &topology.Server{ID: id, Slots: 64})
 		s.cached[id] = make(map[int]time.Time)
@@ -82,9 +95,16 @@
 // run plays requests for a time.
 func (s *simulation) run(d time.Duration) {
 	var reportAt time.Time
-	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(time.Second / requestsPerSecond) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(time.Second / time.Duration(s.rate)) {
 		for len(s.answers) > 0 && !s.answers[0].at.After(s.now) {
 			a := heap.Pop(&s.answers).(answer)
+			s.answered++
+			if a.at.Sub(a.choice.sentAt) <= s.target {
+				s.inTime++
+			}
+			if s.slow != nil {
+				a.choice.RecordLoad(a.at, Load{Slots: 64, Percent: int(100 * s.slow(a.choice.Server.ID, a.at))})
+			}
 			a.choice.RecordFirstByte(a.at)
 			a.choice.End(a.at, Succeeded)
 		}
@@ -114,10 +134,22 @@
 	}
 }
 
+// paceAt returns how long work takes at a server, relative to prefillPerToken.
+func (s *simulation) paceAt(id string, now time.Time) float64 {
+	pace := 1.0
+	if p, ok := s.pace[id]; ok {
+		pace = p
+	}
+	if s.slow != nil {
+		pace *= s.slow(id, now)
+	}
+	return pace
+}
+
 // send sends one request of a random router.
 func (s *simulation) send() {
-	router := s.random.IntN(simulatedRouters)
-	prompt := s.random.IntN(prompts)
+	router := s.random.IntN(len(s.choosers))
+	prompt := s.random.IntN(s.prompts)
 	r := Request{
 		Service: "svc", Model: "m", ModelRank: 1, PromptTokens: sharedTokens + ownTokens, Self: s.names[router], Routers: s.names,
 		Prefixes: Prefixes("m", []string{fmt.Sprint(prompt), fmt.Sprint(s.random.Uint64())}, []int{sharedTokens, ownTokens}),
@@ -140,7 +172,7 @@
 	if free := s.freeAt[id]; free.After(start) {
 		start = free
 	}
-	s.freeAt[id] = start.Add(time.Duration(tokens) * prefillPerToken)
+	s.freeAt[id] = start.Add(time.Duration(float64(tokens) * float64(prefillPerToken) * s.paceAt(id, start)))
 	s.cached[id][prompt] = s.freeAt[id]
 	heap.Push(&s.answers, answer{s.freeAt[id], choice})
 }
--- a/daemon/selection/latency.go
+++ b/daemon/selection/latency.go
@@ -53,6 +53,9 @@
 	// the learnt correction.
 	initialTokenTime time.Duration
 	factor           float64
+	// meanRatio is the mean of the bounded ratios of observed to expected time to the first
+	// byte.
+	meanRatio float64
 	// initialInterval is the initial estimate of the time between events of a stream.
 	// interval is the learnt time at a server of average pace that runs nothing else, and
 	// loadDelay what loadScale other running requests add.
@@ -88,6 +91,7 @@
 func (m *latencyModel) observeFirstByte(expected, observed time.Duration) {
 	ratio := float64(observed) / float64(max(expected, 1))
 	ratio = min(max(ratio, minRatio), maxRatio)
+	m.meanRatio += observationWeight * (ratio - m.meanRatio)
 	m.factor *= 1 + observationWeight*(ratio-1)
 	m.factor = min(max(m.factor, minFactor), maxFactor)
 }
--- a/daemon/selection/pace.go
+++ b/daemon/selection/pace.go
@@ -3,6 +3,11 @@
 import "time"
 
 const (
+	// relaxInterval is the time between updates of the paces of servers without
+	// observations. It is short against paceHalfLife.
+	relaxInterval = time.Second
+	// usualPercent is the reported time that work takes on a machine as usual.
+	usualPercent = 100
 	// paceHalfLife is the time without observations in which half of a server's learnt
 	// deviation from the average is given up.
 	paceHalfLife = 2 * time.Minute
@@ -14,35 +19,119 @@
 	// average of a server's pace, up to maxPaceWeight for a sequence of intervals.
 	paceEventWeight = 0.01
 	maxPaceWeight   = 0.1
+	// paceFirstByteWeight is the weight of an observed time to the first byte. It is low
+	// because that time depends on what is cached and on other requests too.
+	paceFirstByteWeight = 0.03
+	// paceTrust is the share of a server's deviation from the average that counts in the
+	// choice of a server.
+	paceTrust = 0.5
+	// slowdownAge is how long the reported time that work takes is used. It changes many
+	// times a second.
+	slowdownAge = 500 * time.Millisecond
+	// speedupTrust is the share of a reported gain that counts. It is divided among the
+	// requests sent since the report, so that not all follow one report.
+	speedupTrust = 0.3
 )
 
-// pace is how long work takes at a server as a multiple of the average of its service: 2
-// is twice as long. The zero value is the average.
+// pace is how long work takes at a server relative to the average of its service. The zero
+// value is the average.
 type pace struct {
-	// deviation is the pace less 1 at the time of the latest observation.
+	// learnt is the deviation from the average at the time of the latest observation, as a
+	// fraction of the average: 1 is twice as long.
+	learnt float64
+	at     time.Time
+	// deviation is what is left of it; see Chooser.relaxPaces.
 	deviation float64
-	at        time.Time
 }
 
-// value returns the pace. What was learnt loses weight with time.
-func (p *pace) value(now time.Time) float64 {
-	if p.deviation == 0 {
-		return 1
+// observe adapts the pace to an observed ratio of the time taken to the average.
+func (p *pace) observe(now time.Time, ratio, weight float64) {
+	p.relax(now)
+	p.deviation += weight * (min(max(ratio, minPace), maxPace) - 1 - p.deviation)
+	p.learnt, p.at = p.deviation, now
+}
+
+// relax updates the deviation: what was learnt loses weight with time.
+func (p *pace) relax(now time.Time) {
+	if p.learnt != 0 {
+		p.deviation = p.learnt * remaining(max(now.Sub(p.at), 0), paceHalfLife)
 	}
-	return 1 + p.deviation*remaining(max(now.Sub(p.at), 0), paceHalfLife)
 }
 
-// observe adapts the pace to an observed ratio of the time taken to the average.
-func (p *pace) observe(now time.Time, ratio, weight float64) {
-	value := p.value(now)
-	p.deviation = value + weight*(min(max(ratio, minPace), maxPace)-value) - 1
-	p.at = now
+// relaxPaces updates the paces of all servers from time to time, so that a choice needs no
+// computation for it.
+func (c *Chooser) relaxPaces(now time.Time) {
+	if now.Sub(c.relaxedAt) < relaxInterval {
+		return
+	}
+	c.relaxedAt = now
+	for _, s := range c.servers {
+		s.pace.relax(now)
+	}
+}
+
+// scale returns d multiplied by a factor.
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
+
+// sharedFraction returns the fraction of the prompt that is shared with other requests.
+func sharedFraction(r Request) float64 {
+	shared := len(r.Prefixes) - 2
+	if shared < 0 || r.PromptTokens <= 0 {
+		return 0
+	}
+	return min(float64(r.Prefixes[shared].Tokens)/float64(r.PromptTokens), 1)
+}
+
+// trustedDeviation returns the deviation from the average pace with which the time for a
+// prompt is weighed in the choice of a server. holds tells whether the server holds the
+// shared fraction of the prompt. To that extent, a server that holds it is not given up
+// because it is slow, nor for one that is fast: reading it again takes time from everyone.
+func trustedDeviation(deviation float64, holds bool, shared float64) float64 {
+	deviation *= paceTrust
+	if holds == (deviation > 0) {
+		deviation *= 1 - shared
+	}
+	return deviation
+}
+
+// slowdown returns how much longer work of the given duration takes because of what the
+// server's machine reported a short time ago. It is negative for a machine that is faster
+// than usual.
+func (s *serverState) slowdown(now time.Time, work time.Duration) time.Duration {
+	if s.load.Percent == 0 || s.load.Percent == usualPercent {
+		return 0
+	}
+	left := slowdownAge - now.Sub(s.loadAt)
+	if left <= 0 {
+		return 0
+	}
+	change := float64(s.load.Percent)/usualPercent - 1
+	if change < 0 {
+		change *= speedupTrust / float64(1+s.sentSinceLoad)
+	}
+	return scale(min(work, left), change)
+}
+
+// observeFirstByte adapts the model's time per token and the server's pace to the time to
+// the first byte.
+func (c *Choice) observeFirstByte(now time.Time) {
+	observed := now.Sub(c.sentAt)
+	// The expected time at a server of average pace. What was waiting there counts with the
+	// pace, as it does in ExpectedFirstByte.
+	expected := scale(c.ExpectedFirstByte, 1/c.pace)
+	c.latency.observeFirstByte(expected, observed)
+	if c.UncachedTokens == 0 {
+		return
+	}
+	c.state.pace.observe(now, float64(observed)/float64(max(expected, 1))/c.latency.meanRatio, paceFirstByteWeight)
 }
 
 // eventInterval returns the expected time between events of a further stream at the
 // server. peers is the number of other routers' requests there.
 func (s *serverState) eventInterval(now time.Time, m *latencyModel, peers int) time.Duration {
-	return time.Duration(s.pace.value(now) * float64(m.eventInterval(now, s.running(now, peers))))
+	return scale(m.eventInterval(now, s.running(now, peers)), 1+s.pace.deviation)
 }
 
 // running returns the number of requests that are known to run at the server.
@@ -86,7 +175,7 @@
 	// This request is not one of the others that run there.
 	running := s.running(now, c.chooser.peerWorkOf(now, c.Server.ID, 0).InFlight) - 1
 	average := c.latency.eventInterval(now, running)
-	expected := s.pace.value(now) * float64(average)
+	expected := (1 + s.pace.deviation) * float64(average)
 	bounded := min(max(float64(observed), expected/maxIntervalRatio), expected*maxIntervalRatio)
 	s.pace.observe(now, bounded/float64(average), min(paceEventWeight*float64(intervals), maxPaceWeight))
 	c.latency.observeEvents(now, running, intervals, time.Duration(bounded))
--- a/daemon/selection/pace_test.go
+++ b/daemon/selection/pace_test.go
@@ -1,9 +1,12 @@
 package selection
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cactusknot.example/daemon/topology"
 )
 
@@ -123,3 +126,145 @@
 		t.Errorf("one pause of an hour: %s between events, %s before", after.EventInterval, before.EventInterval)
 	}
 }
+
+// unshared returns the nth request whose prompt no other request shares.
+func unshared(n int) Request {
+	return Request{
+		Service: "svc", Model: "m", ModelRank: 1, PromptTokens: 2000, Routers: []string{"r0"},
+		Prefixes: Prefixes("m", []string{fmt.Sprint("own", n)}, []int{2000}),
+	}
+}
+
+// learn plays prompts that nobody shares, which take the given multiples of what is expected
+// on average at the servers.
+func learn(c *Chooser, now time.Time, list []*topology.Server, paces ...float64) {
+	for n := range 200 {
+		for i, pace := range paces {
+			choice, _ := c.Choose(now, list[i:i+1], unshared(n))
+			choice.RecordFirstByte(now.Add(scale(baseLatency+2000*maxTokenTime, pace)))
+			choice.End(now, Succeeded)
+		}
+	}
+}
+
+// A slow server that holds the prompt keeps it: a trial that weighed pace alone read 10 to
+// 20% more shared tokens again. A prompt that nobody shares goes to the faster server.
+func TestSlowServerKeepsHeldPrompt(t *testing.T) {
+	c, list, now := New(), servers(2), start
+	shared := Request{
+		Service: "svc", Model: "m", ModelRank: 1, PromptTokens: 2000, Routers: []string{"r0"},
+		Prefixes: Prefixes("m", []string{"shared", "own"}, []int{800, 1200}),
+	}
+	holder, _ := c.Choose(now, list, shared)
+	holder.RecordFirstByte(now)
+	holder.End(now, Succeeded)
+	other, paces := list[0], []float64{0.65, 1.6}
+	if holder.Server == other {
+		other, paces = list[1], []float64{1.6, 0.65}
+	}
+	learn(c, now, list, paces...)
+	shared.Prefixes = Prefixes("m", []string{"shared", "another"}, []int{800, 1200})
+	if choice, _ := c.Choose(now, list, shared); choice.Server != holder.Server {
+		t.Error("the prompt left the slow server that holds it")
+	} else {
+		choice.End(now, Cancelled)
+	}
+	if choice, _ := c.Choose(now, list, unshared(-1)); choice.Server != other {
+		t.Error("a prompt that no server holds went to the slower server")
+	}
+}
+
+// A machine that is slow for half a second is avoided for that time and no longer, and what
+// is expected there is that much later.
+func TestMachineSlowForHalfASecond(t *testing.T) {
+	c, list, now := New(), servers(2), start
+	report := func(percent int) {
+		choice, _ := c.Choose(now, list[:1], unshared(0))
+		choice.RecordLoad(now, Load{Percent: percent})
+		choice.End(now, Succeeded)
+	}
+	pick := func(after time.Duration) string {
+		choice, _ := c.Choose(now.Add(after), list, unshared(1))
+		choice.End(now, Cancelled)
+		return choice.Server.ID
+	}
+	report(usualPercent)
+	usual, _ := c.Estimate(now, list[:1], unshared(1))
+	if got := pick(0); got != "s0" {
+		t.Fatalf("of equal servers %s is chosen, want the first", got)
+	}
+	report(250)
+	slow, _ := c.Estimate(now, list[:1], unshared(1))
+	if ratio := float64(slow.FirstByte) / float64(usual.FirstByte); ratio < 2.2 || ratio > 2.6 {
+		t.Errorf("the first byte is expected after %s, usually %s", slow.FirstByte, usual.FirstByte)
+	}
+	if got := pick(100 * time.Millisecond); got != "s1" {
+		t.Errorf("%s is chosen while its machine is slow", got)
+	}
+	if got := pick(slowdownAge); got != "s0" {
+		t.Errorf("%s is chosen, although the report is half a second old", got)
+	}
+}
+
+// A server that just reported a fast machine must not draw all requests until the next
+// report: those that were sent since count.
+func TestNoHerdOntoFastMachine(t *testing.T) {
+	c, list := New(), servers(8)
+	choice, _ := c.Choose(start, list[7:], unshared(0))
+	choice.RecordLoad(start, Load{Percent: 30})
+	choice.End(start, Succeeded)
+	used := make(map[string]int)
+	for i := range 80 {
+		choice, ok := c.Choose(start.Add(time.Millisecond), list, unshared(i))
+		if !ok {
+			t.Fatal("no server")
+		}
+		used[choice.Server.ID]++
+	}
+	if used["s7"] > 11 || used["s7"] < 10 {
+		t.Errorf("the fast machine gets %d of 80 requests, its share is 10: %v", used["s7"], used)
+	}
+}
+
+// Engines of different pace on machines that are slow from time to time must not have more
+// shared tokens read again than equal ones; see TestSharedPartsAreSeldomReadAgain.
+func TestPaceReadsFewTokensAgain(t *testing.T) {
+	const bound = 0.05
+	s := newSimulationOf(50, 100)
+	s.pace = make(map[string]float64)
+	for i, server := range s.servers {
+		s.pace[server.ID] = 0.6 + 0.84*float64(i%8)/7
+	}
+	s.slow = func(id string, now time.Time) float64 {
+		if mixHashes(xxhash.Sum64String(id), uint64(now.UnixMilli()/400))%10 == 0 {
+			return 2.5
+		}
+		return 1
+	}
+	s.target = 600 * time.Millisecond
+	s.run(60 * time.Second)
+	again, inTime := float64(s.readAgain)/float64(s.shared), float64(s.inTime)/float64(s.answered)
+	t.Logf("%.3f of the shared tokens were read again, %.3f of the answers began in time", again, inTime)
+	if again > bound {
+		t.Errorf("%.3f of the shared tokens were read again, want at most %.3f", again, bound)
+	}
+}
+
+// What was learnt of a server long ago must not decide: its machine may be another now.
+func TestPaceIsForgotten(t *testing.T) {
+	c, list := New(), servers(2)
+	learn(c, start, list, 2, 1)
+	pick := func(now time.Time) string {
+		choice, _ := c.Choose(now, list, unshared(-1))
+		choice.End(now, Cancelled)
+		return choice.Server.ID
+	}
+	if got := pick(start); got != "s1" {
+		t.Errorf("%s is chosen, which is slow", got)
+	}
+	before := c.servers["s0"].pace.deviation
+	pick(start.Add(3 * paceHalfLife))
+	if after := c.servers["s0"].pace.deviation; after > before/3 {
+		t.Errorf("deviation of %.2f after %s without observations, %.2f before", after, 3*paceHalfLife, before)
+	}
+}
--- a/daemon/selection/selection.go
+++ b/daemon/selection/selection.go
@@ -119,9 +119,15 @@
 	Within       time.Duration
 }
 
-// Load is the number of running and queued requests that a backend server reports.
+// Load is the load that a backend server reports.
 type Load struct {
+	// Running and Waiting are its running and queued requests.
 	Running, Waiting int
+	// Slots is the number of requests that it runs concurrently; 0 when not reported.
+	Slots int
+	// Percent is how long work takes on its machine at this moment: 100 is as usual, 200
+	// twice as long; 0 when not reported.
+	Percent int
 }
 
 // Choice is a chosen backend server. The caller reports the progress of the attempt
@@ -141,6 +147,7 @@
 	prefixes   []Prefix
 	latency    *latencyModel
 	prefill    time.Duration
+	pace       float64
 	prefilling bool
 	answered   bool
 	sentAt     time.Time
@@ -160,6 +167,8 @@
 	// peerWork is the outstanding work of the other routers as reported at peerWorkAt.
 	peerWork   map[string]OutstandingWork
 	peerWorkAt time.Time
+	// relaxedAt is when the paces of all servers were last updated.
+	relaxedAt time.Time
 	// choices counts the calls of Choose that returned a server.
 	choices uint64
 }
@@ -172,8 +181,10 @@
 	pendingPrefill time.Duration
 	load           Load
 	loadAt         time.Time
-	failures       int
-	avoidUntil     time.Time
+	// sentSinceLoad counts the requests sent since the load was reported.
+	sentSinceLoad int
+	failures      int
+	avoidUntil    time.Time
 	// coldUntil is set after a broken connection: until then the server may be cold.
 	coldUntil time.Time
 	errorRate float64
@@ -258,7 +269,8 @@
 func (c *Chooser) best(now time.Time, candidates []*topology.Server, r Request) (best *Choice, limited *topology.Server) {
 	home := homeServer(candidates, r)
 	assumed := c.assumedPeerPrefill(candidates, len(r.Routers))
-	latency := c.latencyOf(r)
+	latency, shared := c.latencyOf(r), sharedFraction(r)
+	c.relaxPaces(now)
 	bestCost, limitedCost := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
 	for _, server := range candidates {
 		s := c.serverState(server.ID)
@@ -266,14 +278,18 @@
 			continue
 		}
 		uncached := s.uncachedTokens(now, r, server == home)
-		prefill := latency.prefillTime(uncached)
 		peers := c.peerWorkOf(now, server.ID, assumed)
-		expected := prefill + s.pendingPrefill + peers.PrefillTime + s.queueDelay(now, server, r, peers.InFlight)
+		average := latency.prefillTime(uncached)
+		prefill := scale(average, 1+s.pace.deviation)
+		waiting := s.pendingPrefill + peers.PrefillTime + s.queueDelay(now, server, r, peers.InFlight)
+		slowdown := s.slowdown(now, prefill+waiting)
+		expected := prefill + waiting + slowdown
 		if r.Within > 0 && expected+time.Duration(r.AnswerEvents*float64(s.eventInterval(now, latency, peers.InFlight))) > r.Within {
 			continue
 		}
-		interference := time.Duration((prefillWeight + interferenceWeight*float64(s.inFlight+peers.InFlight)) * float64(prefill))
-		cost := c.Policy.cost(now, s, expected+interference)
+		weight := 1 + prefillWeight + interferenceWeight*float64(s.inFlight+peers.InFlight)
+		weight *= 1 + trustedDeviation(s.pace.deviation, uncached < r.PromptTokens, shared)
+		cost := c.Policy.cost(now, s, scale(average, weight)+waiting+slowdown)
 		switch c.Limits.State(now, server.ID) {
 		case serverlimit.Open:
 			cost += limitedServerCost
@@ -287,9 +303,12 @@
 		}
 		if cost < bestCost {
 			bestCost = cost
-			best = &Choice{
+			if best == nil {
+				best = new(Choice)
+			}
+			*best = Choice{
 				Server: server, UncachedTokens: uncached, ExpectedFirstByte: expected,
-				chooser: c, state: s, prefixes: r.Prefixes, latency: latency, prefill: prefill,
+				chooser: c, state: s, prefixes: r.Prefixes, latency: latency, prefill: prefill, pace: 1 + s.pace.deviation,
 			}
 		}
 	}
@@ -349,12 +368,15 @@
 // queueDelay estimates the delay caused by running requests, without their prefill
 // time. peers is the number of other routers' requests at the server.
 func (s *serverState) queueDelay(now time.Time, server *topology.Server, r Request, peers int) time.Duration {
-	running := s.inFlight + peers
+	running, slots := s.inFlight+peers, server.Slots
 	if now.Sub(s.loadAt) < maxLoadAge {
 		running = max(running, s.load.Running+2*s.load.Waiting)
+		if s.load.Slots > 0 {
+			slots = s.load.Slots
+		}
 	}
 	if r.PromptTokens == 0 {
-		return serviceQueueDelay * time.Duration(running) / time.Duration(max(server.Slots, 1))
+		return serviceQueueDelay * time.Duration(running) / time.Duration(max(slots, 1))
 	}
 	return delayPerRunning * time.Duration(running)
 }
@@ -403,6 +425,7 @@
 	c.state.sendRate.Add(now)
 	c.state.inFlight++
 	c.state.pendingPrefill += c.prefill
+	c.state.sentSinceLoad++
 	c.prefilling = true
 	c.sentAt = now
 	if len(c.state.cachedPrefixes) > maxCachedPrefixes {
@@ -424,7 +447,7 @@
 	c.chooser.mu.Lock()
 	defer c.chooser.mu.Unlock()
 	if c.prefilling {
-		c.latency.observeFirstByte(c.ExpectedFirstByte, now.Sub(c.sentAt))
+		c.observeFirstByte(now)
 	}
 	c.endPrefill()
 	c.answered = true
@@ -449,7 +472,7 @@
 func (c *Choice) RecordLoad(now time.Time, load Load) {
 	c.chooser.mu.Lock()
 	defer c.chooser.mu.Unlock()
-	c.state.load, c.state.loadAt = load, now
+	c.state.load, c.state.loadAt, c.state.sentSinceLoad = load, now, 0
 	c.RecordActivity(now)
 }
 
