edge: share the learned pace of servers by the exchange

Routers report the paces that they have observed themselves every two seconds. The aggregator pools them for a minute, and a router takes over those of servers that it has not observed for two minutes, so that a new router does not begin with the average of the model.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -206,7 +206,7 @@
 		ModelPolicy: settings.ModelPolicy, ServerPolicy: settings.ServerPolicy, LateAnswerValue: settings.LateAnswerValue, Log: e.log,
 	})
 	e.config.edge = e
-	e.exchanged = []exchanged{loadExchange{e}, e.controller.quarantines, &limitExchange{edge: e}, &e.config}
+	e.exchanged = []exchanged{loadExchange{e}, e.controller.quarantines, &limitExchange{edge: e}, &e.config, newPaceExchange(e.gateway.Chooser)}
 	return e
 }
 
--- a/daemon/selection/pace.go
+++ b/daemon/selection/pace.go
@@ -1,11 +1,18 @@
 package selection
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// relaxInterval is the time between updates of the paces of servers without
 	// observations. It is short against paceHalfLife.
 	relaxInterval = time.Second
+	// maxSharedPaceAge is the age up to which a learnt pace is given to other routers, and
+	// minSharedDeviation the deviation in percent from which it is worth it.
+	maxSharedPaceAge   = time.Minute
+	minSharedDeviation = 5
 	// usualPercent is the reported time that work takes on a machine as usual.
 	usualPercent = 100
 	// paceHalfLife is the time without observations in which half of a server's learnt
@@ -42,13 +49,15 @@
 	at     time.Time
 	// deviation is what is left of it; see Chooser.relaxPaces.
 	deviation float64
+	// fromPeers is set if it was taken over from other routers and nothing was observed since.
+	fromPeers bool
 }
 
 // observe adapts the pace to an observed ratio of the time taken to the average.
 func (p *pace) observe(now time.Time, ratio, weight float64) {
 	p.relax(now)
 	p.deviation += weight * (min(max(ratio, minPace), maxPace) - 1 - p.deviation)
-	p.learnt, p.at = p.deviation, now
+	p.learnt, p.at, p.fromPeers = p.deviation, now, false
 }
 
 // relax updates the deviation: what was learnt loses weight with time.
@@ -70,6 +79,51 @@
 	}
 }
 
+// ServerPace is the learnt pace of a server.
+type ServerPace struct {
+	ID string
+	// Percent is how long work takes there: 100 is the average of the service.
+	Percent int
+	// Age is the time since the latest observation.
+	Age time.Duration
+}
+
+// Paces returns what this router has itself learnt of the servers' paces a short time ago,
+// as far as they deviate from the average.
+func (c *Chooser) Paces(now time.Time) []ServerPace {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []ServerPace
+	for id, s := range c.servers {
+		percent := int(math.Round(100 * (1 + s.pace.learnt)))
+		age := max(now.Sub(s.pace.at), 0)
+		if s.pace.fromPeers || age > maxSharedPaceAge || max(percent-100, 100-percent) < minSharedDeviation {
+			continue
+		}
+		list = append(list, ServerPace{ID: id, Percent: percent, Age: age})
+	}
+	return list
+}
+
+// LearnPaces takes over what other routers have learnt of servers that this router has not
+// observed for a long time. Absurd values change nothing.
+func (c *Chooser) LearnPaces(now time.Time, list []ServerPace) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, of := range list {
+		s, at := c.servers[of.ID], now.Add(-max(of.Age, 0))
+		value := float64(of.Percent) / 100
+		if s == nil || value < minPace || value > maxPace {
+			continue
+		}
+		if known := s.pace.learnt != 0 && !s.pace.fromPeers; known && now.Sub(s.pace.at) < paceHalfLife {
+			continue
+		}
+		s.pace = pace{learnt: value - 1, at: at, fromPeers: true}
+		s.pace.relax(now)
+	}
+}
+
 // scale returns d multiplied by a factor.
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
