--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -152,6 +152,9 @@
 	// CloudAPI is the client of the platform's API; nil if there is none.
 	CloudAPI CloudAPI
 	Duties   DutySettings
+	// LateAnswerValue is the value of an answer after the latency target, as a fraction of a
+	// timely one's; 0 means the default.
+	LateAnswerValue float64
 }
 
 const (
@@ -225,11 +228,13 @@
 	e.gateway = gateway.New(gateway.Config{
 		Name: settings.VM, Codec: settings.HeaderCodec, View: e.view.Load, Observe: e.controller.observe,
 		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Retries: settings.Retries,
-		ModelPolicy: settings.ModelPolicy, ServerPolicy: settings.ServerPolicy, Log: e.log,
-		Count: e.duties.usage.count,
+		ModelPolicy: settings.ModelPolicy, ServerPolicy: settings.ServerPolicy, LateAnswerValue: settings.LateAnswerValue,
+		Count: e.duties.usage.count, Log: e.log,
 	})
 	e.config.edge = e
-	e.exchanged = []exchanged{loadExchange{e}, e.controller.quarantines, &limitExchange{edge: e}, &e.config, e.duties.usage}
+	e.exchanged = []exchanged{
+		loadExchange{e}, e.controller.quarantines, &limitExchange{edge: e}, &e.config, e.duties.usage, newPaceExchange(e.gateway.Chooser),
+	}
 	return e
 }
 
