--- a/daemon/admission/admission.go
+++ b/daemon/admission/admission.go
@@ -32,6 +32,10 @@
 	// refusalHoldShare is the part of its latency target from its arrival up to which a
 	// request may be refused after it was held.
 	refusalHoldShare = 0.5
+	// maxHoldTargets bounds the time from its arrival for which a request is held, as a multiple
+	// of its latency target. Callers of streams give up after some silence, and a late answer
+	// is worth something: from then on the server's own queue serves the request better.
+	maxHoldTargets = 1
 	// delayPerWork times its work is the delay of a request that weighs as much as the delay of
 	// others by the same multiple of theirs.
 	delayPerWork = 10
@@ -204,6 +208,9 @@
 		refusable = share
 	}
 	e.latestStart = e.Deadline.Add(-e.Work - e.Answer - e.Target)
+	if held := e.ArrivedAt.Add(maxHoldTargets * e.Target); e.Target > 0 && held.Before(e.latestStart) {
+		e.latestStart = held
+	}
 	if e.latestStart.Before(refusable) {
 		e.latestStart = refusable
 	}
--- a/daemon/ctl/edge.go
+++ b/daemon/ctl/edge.go
@@ -130,6 +130,10 @@
 	for _, q := range s.Waiting {
 		fmt.Fprintf(t, "  waiting for %s\tclass %d\t%d in time\t%d late\twork %d ms\texpected wait %d ms\n", q.Service, q.Class, q.OnTime, q.Late, q.WorkMS, q.ExpectedWaitMS)
 	}
+	for _, d := range s.Duties {
+		fmt.Fprintf(t, "  duty %s\towner %s\town %v\ttoken %d\tlast call %s %s %s\tsettled %d\tsent %d\tunsettled %d\n", d.Name, d.Owner, d.Own, d.Token,
+			d.LastCall, d.LastResult, formatAge(d.LastCallAgeMS), d.LastSettled, d.LastSent, d.UnsettledCount)
+	}
 	t.Flush()
 }
 
@@ -167,6 +171,12 @@
 	ColdFactor    float64  `json:"cold_factor"`
 	ColdExtra     float64  `json:"cold_extra"`
 	ExposureShare float64  `json:"exposure_share"`
+	ContactMS     int64    `json:"contact_ms"`
+	ConfigApplyMS int64    `json:"config_apply_ms"`
+	StoreReads    float64  `json:"store_reads_per_s"`
+	// LateAnswerValue is the value of an answer after the latency target, as a fraction of
+	// a timely one's.
+	LateAnswerValue float64 `json:"late_answer_value"`
 }
 
 func runDecodeSettings(ctx context.Context, env Env, args []string) int {
@@ -183,6 +193,8 @@
 			VM: in.VM, DataCentre: in.DataCentre, Frontend: in.FrontendAddress, Ready: in.ReadyAddress, Peer: in.PeerAddress, SeedPeers: in.SeedPeers,
 			MemoryBytes: in.MemoryLimitBytes, GraceMS: in.GracePeriod.Milliseconds(), RetryRatio: in.Retries.Ratio, RetryExtra: in.Retries.Extra,
 			RetryWindowMS: in.Retries.Window.Milliseconds(), ColdFactor: in.ColdFactor, ColdExtra: in.ColdExtra, ExposureShare: in.ExposureShare,
+			ContactMS: in.Contact.Milliseconds(), ConfigApplyMS: in.ConfigApply.Milliseconds(), StoreReads: in.StoreReadsPerS,
+			LateAnswerValue: in.LateAnswerValue,
 		}
 		inv.json = true
 		inv.print(out, nil)
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -63,6 +63,8 @@
 	Era        uint64
 	Conditions []Condition
 	Writes     []Write
+	// Removes lists the keys to be removed.
+	Removes []string
 }
 
 // Store is the interface to the platform's store. Its methods return the errors of
@@ -85,6 +87,14 @@
 	Revoke(ctx context.Context, l Lease) error
 }
 
+// eraObserver is a Store that reports the eras that its responses name, also those of calls
+// which return no position.
+type eraObserver interface {
+	// ObserveEra sets the function that is called with each new era. It must be called before
+	// the first call of the store.
+	ObserveEra(observe func(era uint64))
+}
+
 // Decoder decodes the platform's store entries. ok is false for keys of another kind.
 type Decoder interface {
 	Config(e kv.Entry) (config *topology.Config, ok bool, err error)
@@ -127,12 +137,24 @@
 	// ColdFactor and ColdExtra limit the requests per second to a cold server: its
 	// service's cold rate times the factor, plus the extra.
 	ColdFactor, ColdExtra float64
+	// Contact is how long after the end of a disruption between it and the store this process
+	// counts as in touch, ConfigApply how long after its acknowledgement a configuration must
+	// be in force, and StoreReadsPerS the reads per second that the store allows all
+	// processes together. Zero stands for a safe value.
+	Contact, ConfigApply time.Duration
+	StoreReadsPerS       float64
 	// ExposureShare is the maximum share of a service's requests that a bad version
 	// may receive.
 	ExposureShare float64
 	// ModelPolicy and ServerPolicy select the policies; the zero values are the defaults.
 	ModelPolicy  gateway.ModelPolicy
 	ServerPolicy selection.Policy
+	// CloudAPI is the client of the platform's API; nil if there is none.
+	CloudAPI CloudAPI
+	Duties   DutySettings
+	// LateAnswerValue is the value of an answer after the latency target, as a fraction of a
+	// timely one's; 0 means the default.
+	LateAnswerValue float64
 }
 
 const (
@@ -175,6 +197,7 @@
 	// exchanged lists the kinds of facts that the routers exchange.
 	exchanged []exchanged
 	config    configExchange
+	duties    *duties
 	// prepared is set once the peers were asked for the configuration.
 	prepared atomic.Bool
 	// storeMetrics holds the counters of store calls.
@@ -192,18 +215,26 @@
 // New returns an Edge. It opens no connections before Run.
 func New(settings *Settings, reload Reload, log zerolog.Logger) *Edge {
 	calls := metrics.NewSet()
+	store := settings.Store
 	settings.Store = meteredStore{settings.Store, calls}
 	e := &Edge{settings: settings, reload: reload, log: log.With().Str("vm", settings.VM).Logger(), mirror: mirror.New(), storeMetrics: calls}
 	e.peerHTTP = &http.Client{Timeout: peerTimeout}
 	e.pollHTTP = &http.Client{}
 	e.controller = newController(e)
+	e.duties = newDuties(e)
+	if observer, ok := store.(eraObserver); ok {
+		observer.ObserveEra(func(era uint64) { e.controller.noteEra(era, eraFromStore) })
+	}
 	e.gateway = gateway.New(gateway.Config{
 		Name: settings.VM, Codec: settings.HeaderCodec, View: e.view.Load, Observe: e.controller.observe,
 		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Retries: settings.Retries,
-		ModelPolicy: settings.ModelPolicy, ServerPolicy: settings.ServerPolicy, Log: e.log,
+		ModelPolicy: settings.ModelPolicy, ServerPolicy: settings.ServerPolicy, LateAnswerValue: settings.LateAnswerValue,
+		Count: e.duties.usage.count, Log: e.log,
 	})
 	e.config.edge = e
-	e.exchanged = []exchanged{loadExchange{e}, e.controller.quarantines, &limitExchange{edge: e}, &e.config}
+	e.exchanged = []exchanged{
+		loadExchange{e}, e.controller.quarantines, &limitExchange{edge: e}, &e.config, e.duties.usage, newPaceExchange(e.gateway.Chooser),
+	}
 	return e
 }
 
@@ -237,6 +268,7 @@
 	go e.prepare(background)
 	go e.exchangeFacts(background)
 	go e.watchSettings(background)
+	e.duties.start(background)
 	e.log.Info().Str("listen", e.settings.FrontendAddress).Msg("edge started")
 	<-ctx.Done()
 	e.shutdown(frontend)
@@ -286,6 +318,7 @@
 	began := time.Now()
 	e.log.Info().Msg("graceful shutdown started; reporting not ready")
 	e.stopping.Store(true)
+	go e.duties.release()
 	time.Sleep(min(drainDelay, e.settings.GracePeriod/2))
 	stopAt := began.Add(e.settings.GracePeriod - shutdownMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), stopAt)
--- a/daemon/edge/state.go
+++ b/daemon/edge/state.go
@@ -43,6 +43,8 @@
 	// QuarantinedParts are the prompt parts whose requests are refused, as log lines name
 	// them.
 	QuarantinedParts []string `json:"quarantined_parts,omitempty"`
+	// Duties are the duties that one router at a time fulfils.
+	Duties []DutyState `json:"duties,omitempty"`
 }
 
 // RouterState is a router that uses a share of the fleet's limits.
@@ -172,6 +174,7 @@
 			WorkMS: w.Work.Milliseconds(), ExpectedWaitMS: w.ExpectedWait.Milliseconds(),
 		})
 	}
+	s.Duties = e.duties.states(now)
 	return s
 }
 
--- a/daemon/gateway/admission.go
+++ b/daemon/gateway/admission.go
@@ -257,7 +257,7 @@
 	}
 	if x.call.PromptTokens > 0 {
 		if estimate, ok := g.Chooser.Estimate(now, x.candidates, w.request); ok {
-			entry.Work, entry.Answer = estimate.Prefill, x.expectedAnswerTime(estimate.EventInterval)
+			entry.Work, entry.Answer = estimate.Prefill, time.Duration(x.expectedEvents()*float64(estimate.EventInterval))
 		}
 	}
 	return entry
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -53,6 +53,10 @@
 	connectionLost bool
 	// violation names the protocol violation that ended the attempt; empty for none.
 	violation string
+	// notSent is set if the request did not reach the backend server.
+	notSent bool
+	// countedAt is the time as of which this attempt was counted as begun; zero if it was not.
+	countedAt time.Time
 	// sampled is set once the attempt has been counted as evidence on its version.
 	sampled atomic.Bool
 }
@@ -86,6 +90,9 @@
 
 // Choose waits for a server that may take the request.
 func (d directSender) Choose(ctx context.Context) (*selection.Choice, *result.Error) {
+	if choice, err := d.gateway.chooseInTime(d.requestState); choice != nil || err != nil {
+		return choice, err
+	}
 	return d.gateway.choose(ctx, d.requestState)
 }
 
@@ -94,7 +101,9 @@
 	g, x := d.gateway, d.requestState
 	x.excluded[to.Server.ID] = true
 	a := &attempt{requestState: x, choice: to, sentAt: time.Now()}
+	g.countSent(a)
 	done, failure := g.runAttempt(ctx, a)
+	g.settleCount(a)
 	to.End(time.Now(), a.outcome)
 	g.wakeWaiting(x.service.Name)
 	g.recordViolation(a)
@@ -155,9 +164,7 @@
 	}
 	a.exchange = response
 	a.reply = g.Codec.ParseResponse(response.Status, response.Header)
-	if a.reply.HasLoad {
-		a.choice.RecordLoad(time.Now(), a.reply.Load)
-	}
+	g.recordLoad(a)
 	g.observeRateLimit(a)
 	if a.reply.NotRun {
 		a.outcome = selection.Refused
@@ -167,6 +174,7 @@
 	// The headers arrive with the first token, so the prompt has been processed.
 	a.begunAt = time.Now()
 	a.begun.Store(true)
+	g.countBegun(a)
 	g.Crashes.RecordAlive(a.incarnation(), a.sentAt)
 	a.choice.RecordFirstByte(a.begunAt)
 	g.wakeWaiting(a.service.Name)
@@ -246,6 +254,7 @@
 func (a *attempt) sendError(ctx context.Context, err error) *result.Error {
 	a.outcome = selection.Unreachable
 	if errors.Is(err, upstream.ErrNotSent) {
+		a.notSent = true
 		if a.callerGone() {
 			a.outcome = selection.Cancelled
 			return result.CallerGone.With("")
