--- a/coord/duty/duty.go
+++ b/coord/duty/duty.go
@@ -77,6 +77,8 @@
 	TTL time.Duration
 	// Margin is the time by which the local deadline precedes the expiry in the store.
 	Margin time.Duration
+	// LateTime is how long after a call without an answer it may still be executed.
+	LateTime time.Duration
 	// Now returns the time.
 	Now func() Instant
 	// Rank returns the position of this process among the candidates, from 0, or false if it
@@ -91,17 +93,18 @@
 	cfg  Config
 	wake chan struct{}
 
-	mu        sync.Mutex
-	startedAt Instant
+	mu sync.Mutex
 	// seen is the position of the latest news of the record; holder is empty if there is no
 	// record. known is set once there was news.
 	known  bool
 	seen   kv.Position
 	holder Record
-	// lastCallAt is the time of the last call under a token of this process; called is set
-	// once there was one. calls counts those in progress.
-	called     bool
-	lastCallAt Instant
+	// lastCallAt is the latest time, by the monotonic clock, at which a call of this process or
+	// of an earlier one of its machine may have been executed and matters: a call of an earlier
+	// one that was executed after the start of this process matters only if another owner was
+	// there since. calls counts the calls in progress.
+	startedAt  time.Duration
+	lastCallAt time.Duration
 	calls      int
 	// attemptAt is the earliest time of the next attempt of the first candidate to acquire the
 	// duty, attemptStep the delay for each candidate before this one.
@@ -151,7 +154,7 @@
 		cfg.Notify = func(Event) {}
 	}
 	now := cfg.Now()
-	return &Owner{cfg: cfg, wake: make(chan struct{}, 1), startedAt: now, attemptAt: now, attemptStep: rankDelay}, nil
+	return &Owner{cfg: cfg, wake: make(chan struct{}, 1), startedAt: now.Monotonic, lastCallAt: now.Monotonic, attemptAt: now, attemptStep: rankDelay}, nil
 }
 
 // Observe takes over news of the record: its value and position, or nil and the position of
@@ -163,6 +166,10 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	// News may skip records: a removal may be that of another owner's that was not seen.
+	if o.known && value == nil || record.Holder != "" && record.Holder != o.cfg.Self.Holder {
+		o.lastCallAt = max(o.lastCallAt, o.startedAt+o.cfg.LateTime)
+	}
 	if o.known && !at.After(o.seen) {
 		return
 	}
@@ -209,8 +216,8 @@
 	if token := o.valid(o.cfg.Now()); token != 0 {
 		return o.cfg.Self, token
 	}
-	token, err := tokenOf(o.seen)
-	if err != nil || o.holder == (Record{}) {
+	token := TokenOf(o.seen)
+	if token == 0 || o.holder == (Record{}) {
 		return Record{}, 0
 	}
 	return o.holder, token
@@ -225,20 +232,36 @@
 	token := o.valid(now)
 	if token != 0 {
 		o.calls++
-		o.called, o.lastCallAt = true, now
+		o.lastCallAt = max(o.lastCallAt, now.Monotonic)
 	}
 	return token
 }
 
-// EndCall records the end of a call, with or without an answer. refused tells that the answer
-// refused its token because of a higher one.
-func (o *Owner) EndCall(token Token, refused bool) {
+// Answer is what a call ended with.
+type Answer uint8
+
+// Answers of calls.
+const (
+	// Answered: the call was executed or will never be.
+	Answered Answer = iota
+	// Unanswered: the call may be executed later.
+	Unanswered
+	// Refused: the call was not executed because of a higher token.
+	Refused
+)
+
+// EndCall records the end of a call.
+func (o *Owner) EndCall(token Token, answer Answer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.cfg.Now()
 	o.calls--
-	o.lastCallAt = now
-	if refused && o.token == token {
+	until := now.Monotonic
+	if answer == Unanswered {
+		until += o.cfg.LateTime
+	}
+	o.lastCallAt = max(o.lastCallAt, until)
+	if answer == Refused && o.token == token {
 		o.lose(now, "a call was refused because of a higher token", nil)
 		o.signal()
 	}
@@ -262,11 +285,7 @@
 	}
 	// The monotonic clock alone counts here. It is the later one after a suspension, and the
 	// wall clock may be set forward.
-	until := o.startedAt.Monotonic + wait
-	if o.called {
-		until = max(until, o.lastCallAt.Monotonic+wait)
-	}
-	return until
+	return o.lastCallAt + wait
 }
 
 // Due returns the time until the next call of Step is due; ok is false if that is not before
@@ -384,8 +403,11 @@
 	if err != nil {
 		return 0, lease, err
 	}
-	token, err := tokenOf(at)
-	return token, lease, err
+	token := TokenOf(at)
+	if token == 0 {
+		return 0, lease, fmt.Errorf("duty: position %v does not fit a token", at)
+	}
+	return token, lease, nil
 }
 
 // signal wakes Run.
--- a/daemon/edge/duties.go
+++ b/daemon/edge/duties.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -31,6 +32,8 @@
 	dutyInterval = 100 * time.Millisecond
 	// apiCallTimeout limits one call of the API.
 	apiCallTimeout = 3 * time.Second
+	// apiLateTime is how long after a call without an answer it may still be executed.
+	apiLateTime = 5 * time.Second
 	// apiRateShare is the share of the API's rate that one duty uses. A router that has just
 	// lost the duty may have used some of it.
 	apiRateShare = 0.4
@@ -58,13 +61,15 @@
 	mu sync.Mutex
 	// members holds the registered routers by name.
 	members map[string]relay.Member
-	// ranked holds the names of members in the order in which they try to own a duty.
-	ranked []string
+	// ranked holds members in the order in which they try to own a duty.
+	ranked []relay.Member
+	// goneAt holds when the entries of other routers ended, by name.
+	goneAt map[string]time.Time
 }
 
 // newDuties returns the duties that the settings name. There are none without an API.
 func newDuties(e *Edge) *duties {
-	d := &duties{edge: e, members: make(map[string]relay.Member)}
+	d := &duties{edge: e, members: make(map[string]relay.Member), goneAt: make(map[string]time.Time)}
 	d.usage = newUsageWork(e)
 	if d.usage.enabled {
 		d.add(UsageDuty, d.usage)
@@ -87,6 +92,7 @@
 		Store: dutyStore{settings.Store}, Key: dutyPrefix + name,
 		Self: duty.Record{Holder: settings.VM, Incarnation: hex.EncodeToString(incarnation)},
 		TTL:  settings.Duties.LeaseDuration, Margin: settings.Duties.LeaseDuration / dutyMarginShare,
+		LateTime: apiLateTime,
 		Now: func() duty.Instant {
 			now := time.Now()
 			return duty.Instant{Monotonic: now.Sub(began), Wall: now.Round(0)}
@@ -144,17 +150,12 @@
 	defer d.mu.Unlock()
 	if change.Deleted {
 		delete(d.members, name)
+		d.goneAt[name] = time.Now()
 	} else {
 		d.members[name] = decodeMember(name, change.Value)
+		delete(d.goneAt, name)
 	}
-	d.ranked = d.ranked[:0]
-	list := make([]relay.Member, 0, len(d.members))
-	for _, member := range d.members {
-		list = append(list, member)
-	}
-	for _, member := range relay.Rank(list) {
-		d.ranked = append(d.ranked, member.Name)
-	}
+	d.ranked = relay.Rank(slices.Collect(maps.Values(d.members)))
 }
 
 // rank returns the position of this router among the candidates for a duty; ok is false while
@@ -162,7 +163,7 @@
 func (d *duties) rank() (rank int, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	rank = slices.Index(d.ranked, d.edge.settings.VM)
+	rank = slices.IndexFunc(d.ranked, func(m relay.Member) bool { return m.Name == d.edge.settings.VM })
 	if rank < 0 {
 		return len(d.ranked), false
 	}
@@ -173,7 +174,36 @@
 func (d *duties) registered() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return slices.Clone(d.ranked)
+	return slices.Collect(maps.Keys(d.members))
+}
+
+// recent returns the names of the routers that are registered or were within a time.
+func (d *duties) recent(now time.Time, within time.Duration) []string {
+	names := d.registered()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, at := range d.goneAt {
+		if now.Sub(at) > within {
+			delete(d.goneAt, name)
+		} else {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// aggregators returns the two routers with the most processor share; the names of those that
+// don't exist are empty.
+func (d *duties) aggregators() (first, second relay.Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.ranked) > 0 {
+		first = d.ranked[0]
+	}
+	if len(d.ranked) > 1 {
+		second = d.ranked[1]
+	}
+	return first, second
 }
 
 // dutyRole is this router's part in one duty.
@@ -241,7 +271,7 @@
 	ctx, cancel := context.WithTimeout(ctx, apiCallTimeout)
 	err := send(ctx, DutyCaller{Holder: r.edge.settings.VM, Token: uint64(token)})
 	cancel()
-	r.owner.EndCall(token, errors.Is(err, ErrTokenRefused))
+	r.owner.EndCall(token, answerOf(err))
 	result := apiResult(err)
 	r.pace(time.Now(), err)
 	r.mu.Lock()
@@ -257,6 +287,17 @@
 	return err
 }
 
+// answerOf returns what an error says of the execution of a call.
+func answerOf(err error) duty.Answer {
+	switch {
+	case errors.Is(err, ErrTokenRefused):
+		return duty.Refused
+	case err == nil, errors.Is(err, ErrOverRate):
+		return duty.Answered
+	}
+	return duty.Unanswered
+}
+
 // pace sets the earliest time of the next call.
 func (r *dutyRole) pace(now time.Time, err error) {
 	r.mu.Lock()
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -305,6 +305,7 @@
 	if err := frontend.shutdown(ctx); err != nil {
 		e.log.Warn().Err(err).Msg("grace period ended with requests still in progress")
 	}
+	e.duties.usage.lastReport()
 	e.controller.deregister()
 	e.log.Info().Dur("took_ms", time.Since(began)).Msg("edge stopped")
 }
--- a/daemon/edge/exchange.go
+++ b/daemon/edge/exchange.go
@@ -51,6 +51,11 @@
 // aggregate merges a report and returns the reply to its router.
 func (e *Edge) aggregate(now time.Time, in *rpc.LoadReport) *rpc.LoadReply {
 	out := &rpc.LoadReply{}
+	if in.GetRouter() == "" {
+		// A report of usage alone, from a router that exchanges the other facts elsewhere.
+		e.duties.usage.aggregate(now, in, out)
+		return out
+	}
 	for _, facts := range e.exchanged {
 		facts.aggregate(now, in, out)
 	}
--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -16,6 +16,7 @@
 	"cactusknot.example/coord/duty"
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/mirror"
+	"cactusknot.example/daemon/relay"
 	"cactusknot.example/daemon/rpc"
 	"cactusknot.example/daemon/usage"
 )
@@ -41,8 +42,9 @@
 type usageWork struct {
 	edge    *Edge
 	enabled bool
-	// incarnation identifies this process.
+	// incarnation identifies this process, which started at startedAt.
 	incarnation uint64
+	startedAt   time.Time
 	windows     usage.Windows
 	counter     *usage.Counter
 	table       usage.Table
@@ -60,13 +62,14 @@
 
 func newUsageWork(e *Edge) *usageWork {
 	s := e.settings
-	w := &usageWork{edge: e, incarnation: rand.Uint64(), enabled: s.has(UsageDuty) && s.Duties.ReportWindow > 0}
+	w := &usageWork{edge: e, startedAt: time.Now(), enabled: s.has(UsageDuty) && s.Duties.ReportWindow > 0}
+	w.incarnation = usage.NewIncarnation(w.startedAt, rand.Uint64())
 	if !w.enabled {
 		return w
 	}
 	w.windows = usage.Windows(s.Duties.ReportWindow)
 	w.counter = usage.NewCounter(w.windows)
-	w.ledger = usage.NewLedger(usage.Settings{Window: w.windows, Delay: s.Duties.ReportDelay})
+	w.ledger = usage.NewLedger(usage.Settings{Window: w.windows, Delay: s.Duties.ReportDelay, Started: w.startedAt})
 	return w
 }
 
@@ -95,14 +98,61 @@
 	if !w.enabled || !w.due(now) {
 		return
 	}
-	out.Usage = encodeUsage(usage.Report{
-		Router: w.edge.settings.VM, Incarnation: w.incarnation, AsOf: now,
-		Windows: w.counter.Counts(func(window int64) bool { return w.ledger.Open(now, window) }),
-	})
+	out.Usage = w.ownReport(now)
 	out.CollectsUsage = w.edge.duties.owns(UsageDuty)
 	w.mu.Lock()
 	w.reportedBytes = proto.Size(out.Usage)
 	w.mu.Unlock()
+	w.backUp(out.Usage)
+}
+
+// ownReport returns the counts of this process in all windows that it does not know as settled.
+func (w *usageWork) ownReport(now time.Time) *rpc.UsageReport {
+	open := func(window int64) bool { return w.ledger.Open(now, window) }
+	counts := w.counter.Counts(open)
+	for window := w.windows.At(now) - 1; window >= w.windows.At(w.startedAt) && w.ledger.InRange(now, window); window-- {
+		if counts[window] == nil && open(window) {
+			counts[window] = usage.Counts{}
+		}
+	}
+	return encodeUsage(usage.Report{Router: w.edge.settings.VM, Incarnation: w.incarnation, AsOf: now, Windows: counts})
+}
+
+// backUp sends the report of the first aggregator to the second one too, so that its own counts
+// outlive it. The other routers report again to whoever aggregates. As the owner, it also asks
+// for the reports of routers that reach the second aggregator only.
+func (w *usageWork) backUp(report *rpc.UsageReport) {
+	first, second := w.edge.duties.aggregators()
+	if first.Name == w.edge.settings.VM && second.Name != "" {
+		go w.sendReport(second, report)
+	}
+}
+
+// lastReport sends the counts of this process before it ends to the router that aggregates after
+// it.
+func (w *usageWork) lastReport() {
+	if !w.enabled {
+		return
+	}
+	first, second := w.edge.duties.aggregators()
+	if first.Name == w.edge.settings.VM {
+		first = second
+	}
+	if first.Name != "" {
+		w.sendReport(first, w.ownReport(time.Now()))
+	}
+}
+
+// sendReport sends a report without other facts.
+func (w *usageWork) sendReport(to relay.Member, report *rpc.UsageReport) {
+	ctx, cancel := context.WithTimeout(context.Background(), loadExchangeTimeout)
+	defer cancel()
+	reply, err := w.edge.peerClient(to.Address).ExchangeLoad(ctx, &rpc.LoadReport{Usage: report, CollectsUsage: w.edge.duties.owns(UsageDuty)})
+	if err != nil {
+		w.edge.log.Debug().Err(err).Str("peer", to.Name).Msg("usage report not delivered")
+		return
+	}
+	w.apply(time.Now(), reply)
 }
 
 // aggregate implements exchanged.
@@ -111,9 +161,9 @@
 		return
 	}
 	if in.GetUsage() != nil {
-		w.table.Merge(now, decodeUsage(in.GetUsage()))
+		w.table.Merge(now, decodeUsage(in.GetUsage()), false)
 	}
-	if in.GetCollectsUsage() && in.GetRouter() != w.edge.settings.VM {
+	if in.GetCollectsUsage() && in.GetUsage().GetIncarnation() != w.incarnation {
 		for _, r := range w.table.Reports() {
 			out.Usage = append(out.Usage, encodeUsage(r))
 		}
@@ -126,7 +176,7 @@
 		return
 	}
 	for _, r := range in.GetUsage() {
-		w.table.Merge(now, decodeUsage(r))
+		w.table.Merge(now, decodeUsage(r), true)
 	}
 }
 
@@ -176,7 +226,7 @@
 	if token == 0 {
 		return
 	}
-	s, ok := w.ledger.Settle(now, &w.table, w.edge.duties.registered())
+	s, ok := w.ledger.Settle(now, &w.table, w.edge.duties.registered(), w.edge.duties.recent(now, usage.OpenTime(w.windows)))
 	if !ok {
 		return
 	}
@@ -196,9 +246,13 @@
 		t.Removes = append(t.Removes, usageKey(window))
 	}
 	_, err = w.edge.settings.Store.Commit(ctx, t)
-	if err == nil {
+	switch {
+	case err == nil && role.owner.Token() == token:
 		w.ledger.Settled(token, s)
-	} else {
+	case err == nil:
+		// The ownership has ended meanwhile, perhaps long ago for a suspended process. The
+		// record counts once the mirror has it.
+	default:
 		w.commitAfter = time.Now().Add(usageCommitRetry)
 	}
 	event := role.log.Info()
--- a/daemon/usage/counter.go
+++ b/daemon/usage/counter.go
@@ -72,7 +72,8 @@
 	return count
 }
 
-// Counts returns the counts of the windows that keep accepts, and forgets the others.
+// Counts returns the counts of the windows that keep accepts, and forgets the others. Windows
+// without requests are left out.
 func (c *Counter) Counts(keep func(window int64) bool) map[int64]Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/daemon/usage/settle.go
+++ b/daemon/usage/settle.go
@@ -29,6 +29,15 @@
 	// openWindowGrace is added to it for each window that is not settled: long reports come
 	// less often.
 	openWindowGrace = 250 * time.Millisecond
+	// doubtWait is how long an owner waits, after it has entered an era or acquired the duty,
+	// for the routers to say that a window was not settled in an earlier era.
+	doubtWait = 6 * time.Second
+	// commitTime is the longest time between a write to the store and its acknowledgement at
+	// its author.
+	commitTime = 2 * time.Second
+	// listingTime is the time after the begin of an era in which the restored store may lack
+	// the entries of routers.
+	listingTime = 5 * time.Second
 )
 
 // Record is the settled count of a window, as the store keeps it. A record never changes.
@@ -48,6 +57,8 @@
 	Window Windows
 	// Delay is the time after the end of a window at which its report is due.
 	Delay time.Duration
+	// Started is when this process started.
+	Started time.Time
 }
 
 // Settlement is a window whose counts are to be written to the store, with records to be
@@ -69,6 +80,7 @@
 	// window that was certainly not settled in an earlier one.
 	era         uint64
 	entered     bool
+	enteredAt   time.Time
 	certainFrom int64
 	// known holds the records of all eras. stored are those that the store has in this era.
 	known  map[int64]Record
@@ -98,7 +110,7 @@
 	if l.entered && era <= l.era {
 		return
 	}
-	l.era, l.entered = era, true
+	l.era, l.entered, l.enteredAt = era, true, now
 	l.certainFrom = l.cfg.Window.At(now.Add(clockSkew))
 	clear(l.stored)
 	clear(l.pending)
@@ -147,8 +159,16 @@
 	return l.open(now, window)
 }
 
+// InRange reports whether a window is recent enough for its counts to be kept.
+func (l *Ledger) InRange(now time.Time, window int64) bool {
+	return window > l.cfg.Window.At(now)-openWindows
+}
+
+// OpenTime returns the time for which counts are kept.
+func OpenTime(w Windows) time.Duration { return openWindows * time.Duration(w) }
+
 func (l *Ledger) open(now time.Time, window int64) bool {
-	if window <= l.cfg.Window.At(now)-openWindows {
+	if !l.InRange(now, window) {
 		return false
 	}
 	_, known := l.known[window]
@@ -168,31 +188,37 @@
 }
 
 // Settle returns the oldest window that the owner can settle now, with the counts of the
-// table. routers are the names of the registered routers.
-func (l *Ledger) Settle(now time.Time, table *Table, routers []string) (s Settlement, ok bool) {
+// table. routers are the names of the registered routers, recent also those that were
+// registered in the time of the open windows. A window that an owner may have settled in an
+// earlier era is settled only if all of recent say that they don't know it as settled: whoever
+// has settled it is among them.
+func (l *Ledger) Settle(now time.Time, table *Table, routers, recent []string) (s Settlement, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.token == 0 || l.token.Position().Era != l.era {
 		return Settlement{}, false
 	}
-	current := l.cfg.Window.At(now)
-	first := max(l.certainFrom, current-openWindows+1)
-	unsettled := 0
-	for w := first; w < current; w++ {
-		if l.open(now, w) {
-			unsettled++
-		}
+	if now.Before(l.enteredAt.Add(listingTime)) {
+		routers = recent
 	}
-	for w := first; w < current; w++ {
-		if !l.open(now, w) {
-			continue
-		}
+	current := l.cfg.Window.At(now)
+	unsettled := l.unsettled(now)
+	for _, w := range unsettled {
 		if record, tried := l.pending[w]; tried {
 			return Settlement{Window: w, Record: record, Remove: l.removable(current)}, true
 		}
 		end := l.cfg.Window.End(w)
+		if w < l.certainFrom {
+			vouched, never := table.Vouched(recent, w, end, l.enteredAt.Add(clockSkew+commitTime))
+			if !vouched && !never && end.After(l.cfg.Started) && (now.Before(l.enteredAt.Add(doubtWait)) || now.Before(l.ownedAt.Add(takeoverGrace))) {
+				return Settlement{}, false
+			}
+			if !vouched {
+				continue
+			}
+		}
 		missing := table.Missing(routers, end)
-		grace := l.ownedAt.Add(takeoverGrace + time.Duration(unsettled)*openWindowGrace)
+		grace := l.ownedAt.Add(takeoverGrace + time.Duration(len(unsettled))*openWindowGrace)
 		if len(missing) > 0 && (now.Before(end.Add(l.cfg.Delay/2)) || now.Before(grace)) {
 			return Settlement{}, false
 		}
@@ -203,6 +229,21 @@
 	return Settlement{}, false
 }
 
+// unsettled returns the open windows that have ended, after the last one that is known as
+// settled: windows are settled in order, so that the earlier ones have been passed over.
+func (l *Ledger) unsettled(now time.Time) []int64 {
+	current := l.cfg.Window.At(now)
+	first := current - openWindows + 1
+	for w := range l.known {
+		first = max(first, min(w+1, current))
+	}
+	var list []int64
+	for w := first; w < current; w++ {
+		list = append(list, w)
+	}
+	return list
+}
+
 // removable returns stored records that are old enough to be removed.
 func (l *Ledger) removable(current int64) []int64 {
 	var list []int64
@@ -293,11 +334,6 @@
 	for w := range l.known {
 		s.LastSettled = max(s.LastSettled, w)
 	}
-	current := l.cfg.Window.At(now)
-	for w := max(l.certainFrom, current-openWindows+1); w < current; w++ {
-		if l.open(now, w) {
-			s.Unsettled++
-		}
-	}
+	s.Unsettled = len(l.unsettled(now))
 	return s
 }
--- a/daemon/usage/table.go
+++ b/daemon/usage/table.go
@@ -36,8 +36,9 @@
 	entries map[uint64]*tableEntry
 }
 
-// Merge takes over a report that was received now.
-func (t *Table) Merge(now time.Time, r Report) {
+// Merge takes over a report that was received now. relayed tells that it comes from the table of
+// another router, which may be older.
+func (t *Table) Merge(now time.Time, r Report, relayed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.entries == nil {
@@ -47,7 +48,7 @@
 	if e == nil && len(t.entries) >= maxReports {
 		return
 	}
-	if e != nil && r.AsOf.Before(e.AsOf) && now.Sub(e.receivedAt) < staleOrder {
+	if e != nil && r.AsOf.Before(e.AsOf) && (relayed || now.Sub(e.receivedAt) < staleOrder) {
 		return
 	}
 	t.entries[r.Incarnation] = &tableEntry{Report: r, receivedAt: now}
@@ -96,6 +97,46 @@
 	return sum
 }
 
+// Vouched reports whether each router of a list says that it does not know a window as settled:
+// by a report made at or after a time that holds the window, of a process that was there before
+// the window ended. never tells that one of them will not, because its process is a new one or
+// knows the window as settled.
+func (t *Table) Vouched(routers []string, window int64, end, since time.Time) (vouched, never bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	says := make(map[string]bool, len(t.entries))
+	for _, e := range t.entries {
+		if e.AsOf.Before(since) {
+			continue
+		}
+		_, open := e.Windows[window]
+		before, reported := says[e.Router]
+		says[e.Router] = open && StartOf(e.Incarnation).Before(end) && (before || !reported)
+	}
+	vouched = len(routers) > 0
+	for _, router := range routers {
+		said, reported := says[router]
+		vouched = vouched && said
+		never = never || reported && !said
+	}
+	return vouched, never
+}
+
+// incarnationBits is the number of random bits of an incarnation, below the time of the start in
+// milliseconds.
+const incarnationBits = 20
+
+// NewIncarnation returns the number of a process that starts at a time. random makes it differ
+// from that of other processes.
+func NewIncarnation(start time.Time, random uint64) uint64 {
+	return uint64(start.UnixMilli())<<incarnationBits | random&(1<<incarnationBits-1)
+}
+
+// StartOf returns when the process of an incarnation started, by its own clock.
+func StartOf(incarnation uint64) time.Time {
+	return time.UnixMilli(int64(incarnation >> incarnationBits))
+}
+
 // Missing returns the routers of a list that have not reported past a time.
 func (t *Table) Missing(routers []string, past time.Time) []string {
 	t.mu.Lock()
