--- a/daemon/edge/duties_test.go
+++ b/daemon/edge/duties_test.go
@@ -105,6 +105,7 @@
 // Guards against counts that are lost or doubled on the way from the routers by the first
 // aggregator and the store to the API, and against an owner other than the first aggregator.
 func TestUsageOfAllRoutersIsReportedOnce(t *testing.T) {
+	t.Parallel()
 	store, api := newMemoryStore(), newFakeAPI(t)
 	edges, _ := startDutyEdges(t, store, api, 3)
 	eventually(t, 3*waitTimeout, "the first window is reported", func() bool { n, _ := api.windows(); return n > 0 })
@@ -121,6 +122,7 @@
 // Guards against an owner that keeps the duty while it stops, and against windows that are
 // reported twice with different counts across the change.
 func TestUsageDutyMovesAtAPlannedStop(t *testing.T) {
+	t.Parallel()
 	store, api := newMemoryStore(), newFakeAPI(t)
 	edges, _ := startDutyEdges(t, store, api, 3)
 	// Routers that have just started wait for late calls of their earlier processes.
@@ -131,3 +133,51 @@
 	before, _ := api.windows()
 	eventually(t, 3*waitTimeout, "the new owner reports", func() bool { n, holder := api.windows(); return n > before+1 && holder == "r1" })
 }
+
+// Guards against counts of the owner that are lost when it crashes before it has settled them.
+func TestUsageOutlivesTheOwner(t *testing.T) {
+	t.Parallel()
+	store, api := newMemoryStore(), newFakeAPI(t)
+	edges, stop := startDutyEdges(t, store, api, 3)
+	eventually(t, 3*waitTimeout, "some windows are reported", func() bool { n, _ := api.windows(); return n > 5 })
+	edges[0].client.unavailable.Store(true)
+	for range 100 {
+		edges[0].duties.usage.count("creche", time.Now(), 1)
+	}
+	time.Sleep(usageInterval + 3*loadInterval)
+	stop[0]()
+	edges[0].frozen.Store(true)
+	store.remove(routerPrefix + "r0")
+	store.remove(dutyPrefix + UsageDuty)
+	eventually(t, 3*waitTimeout, "the requests are reported by another router", func() bool { _, holder := api.windows(); return holder == "r1" && api.sum("creche") == 100 })
+}
+
+// Guards against a duty that nobody takes up after a restore of the store, and against windows
+// of the time before it that are reported with two sums or, though nothing is in doubt, not at all.
+func TestUsageAfterARestore(t *testing.T) {
+	t.Parallel()
+	store, api := newMemoryStore(), newFakeAPI(t)
+	edges, _ := startDutyEdges(t, store, api, 3)
+	eventually(t, 3*waitTimeout, "some windows are reported", func() bool { n, _ := api.windows(); return n > 5 })
+	before := store.copy()
+	eventually(t, 3*waitTimeout, "more windows are reported", func() bool { n, _ := api.windows(); return n > 7 })
+	for _, e := range edges {
+		e.client.unavailable.Store(true)
+	}
+	for range 100 {
+		edges[1].duties.usage.count("creche", time.Now(), 1)
+	}
+	time.Sleep(2 * time.Second)
+	store.restore(before)
+	for _, e := range edges {
+		e.client.unavailable.Store(false)
+	}
+	time.Sleep(200 * time.Millisecond)
+	store.remove(dutyPrefix + UsageDuty) // its lease ends
+	eventually(t, 6*waitTimeout, "the requests of the outage are reported", func() bool { return api.sum("creche") == 100 })
+	api.mu.Lock()
+	defer api.mu.Unlock()
+	if token := api.highest; token>>40 != 1 {
+		t.Errorf("token %d is not of the new era", token)
+	}
+}
