platform: errors of the store carry its era

The emulated store put its era only into successful responses, so that a conflict or a missing key did not tell of a restore. A call during which the store was restored could also be answered with the era after it. Now each response carries the era, such a call gets no response, and the store client and kv.Client report the highest era seen.

TestErrorsCarryTheEra: without the era in errors the client stays at era 0 after a conflict.

--- a/coord/kv/client.go
+++ b/coord/kv/client.go
@@ -90,6 +90,18 @@
 	}
 }
 
+// eraReporter is implemented by stores that know the era of the latest response.
+type eraReporter interface{ Era() uint64 }
+
+// Era returns the highest era that the store has reported, or 0 if it reports none. After a call
+// has returned, Era is at least the era in which the store executed the call.
+func (c *Client) Era() uint64 {
+	if r, ok := c.store.(eraReporter); ok {
+		return r.Era()
+	}
+	return 0
+}
+
 // NewWriteID returns a random WriteID.
 func (c *Client) NewWriteID() WriteID {
 	c.mu.Lock()
--- a/daemon/emulate/store.go
+++ b/daemon/emulate/store.go
@@ -144,13 +144,21 @@
 		if err := decodeBody(c, &req); err != nil {
 			return err
 		}
+		era := s.memory.Era()
 		err := s.checkEra(req)
 		var response platform.StoreResponse
 		if err == nil {
 			response, err = call(c.Request().Context(), req)
 		}
+		if now := s.memory.Era(); now != era {
+			if req.WaitMs == 0 {
+				// It is not known in which era the call was executed.
+				err = kv.ErrUnknownOutcome
+			}
+			era = now
+		}
 		if err == nil {
-			response.Era = s.memory.Era()
+			response.Era = era
 			return c.JSON(http.StatusOK, response)
 		}
 		status, code, ok := platform.StoreErrorStatus(err)
@@ -158,7 +166,7 @@
 			resetConn(c.Request())
 			return errInjectedReset
 		}
-		return c.JSON(status, platform.StoreResponse{Error: code})
+		return c.JSON(status, platform.StoreResponse{Error: code, Era: era})
 	}
 }
 
--- a/daemon/emulate/store_test.go
+++ b/daemon/emulate/store_test.go
@@ -151,3 +151,24 @@
 		t.Errorf("watch from the era before: %+v, %v", e, err)
 	}
 }
+
+// Guards against a process that learns of a restore late, because the response that told it was
+// an error: the first call after a restore is often a conditional write that conflicts.
+func TestErrorsCarryTheEra(t *testing.T) {
+	s, c := startStore(t)
+	ctx := context.Background()
+	var seen []uint64
+	c.OnEra(func(era uint64) { seen = append(seen, era) })
+	_ = s.SetFaults(StoreFaults{Backup: true})
+	rev, err := c.Put(ctx, "k", []byte("lost"), 0, 0)
+	if err != nil || c.Era() != 0 || s.SetFaults(StoreFaults{Restore: true}) != nil {
+		t.Fatal(err, c.Era())
+	}
+	if _, err := c.Put(ctx, "k", []byte("late"), rev, 0); !errors.Is(err, kv.ErrConflict) || c.Era() != 1 {
+		t.Errorf("%v, era %d", err, c.Era())
+	}
+	_ = s.SetFaults(StoreFaults{Restore: true})
+	if _, err := c.Get(ctx, "k"); !errors.Is(err, kv.ErrNotFound) || len(seen) != 2 || seen[1] != 2 {
+		t.Errorf("%v, eras %v", err, seen)
+	}
+}
--- a/daemon/platform/store.go
+++ b/daemon/platform/store.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -35,6 +36,9 @@
 // copy.
 type Store struct {
 	client httpClient
+	// era is the highest era in any response; see Era.
+	era   atomic.Uint64
+	onEra func(uint64)
 }
 
 var _ kv.Store = (*Store)(nil)
@@ -42,6 +46,31 @@
 // NewStore returns a client of the store at the base URL.
 func NewStore(base string) *Store { return &Store{client: newHTTPClient(base)} }
 
+// OnEra sets a function that is called after a response with a higher era than all earlier
+// ones, before the call that got it returns. It must be set before the first call and must not
+// block.
+func (s *Store) OnEra(f func(era uint64)) { s.onEra = f }
+
+// Era returns the highest era that a response has carried, which includes errors. It is 0 before
+// the first response.
+func (s *Store) Era() uint64 { return s.era.Load() }
+
+// observeEra records the era of a response.
+func (s *Store) observeEra(era uint64) {
+	for {
+		known := s.era.Load()
+		if era <= known {
+			return
+		}
+		if s.era.CompareAndSwap(known, era) {
+			if s.onEra != nil {
+				s.onEra(era)
+			}
+			return
+		}
+	}
+}
+
 // Close closes the idle connections.
 func (s *Store) Close() { s.client.close() }
 
@@ -153,6 +182,7 @@
 	if err := json.Unmarshal(body, &a); err != nil {
 		return StoreResponse{}, true, fmt.Errorf("%w: status %d: %v", ErrBadResponse, resp.StatusCode, err)
 	}
+	s.observeEra(a.Era)
 	if resp.StatusCode == http.StatusOK && a.Error == "" {
 		return eraResponse(a), true, nil
 	}
--- a/daemon/platform/storeprotocol.go
+++ b/daemon/platform/storeprotocol.go
@@ -46,7 +46,7 @@
 	Revision kv.Revision `json:"revision,omitempty"`
 	Lease    kv.LeaseID  `json:"lease,omitempty"`
 	// Era is the store's era. It grows with each restore from an older copy, after which
-	// revisions and leases are given out again.
+	// revisions and leases are given out again. Responses with an error carry it too.
 	Era uint64 `json:"era,omitempty"`
 	// Error is one of the codes in storeErrors, or empty on success.
 	Error string `json:"error,omitempty"`
