ledger: collectors store again what a restored store lacks

Cause: a collector went on with the log of the earlier era. It wrote the next segment after a gap, dropped lines as duplicates of segments that the restored store did not have, and nobody had the lines of those segments any more.

Change: a log belongs to an era. Segments have keys of their own in each era, and the totals name the first segment of an era, because a collector notices a restore only by the response to a write that may already have created a segment. Totals with eras have format 2, which older programs refuse. Folding and deleting stop at a new era, and folding waits as after an outage.

--- a/coord/ledger/audit.go
+++ b/coord/ledger/audit.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 
 	"cactusknot.example/coord/kv"
 )
@@ -59,7 +60,12 @@
 
 type auditShard struct {
 	totals   totals
-	segments []segment
+	segments []auditSegment
+}
+
+type auditSegment struct {
+	segment
+	era uint64
 }
 
 func (a *auditor) read(e kv.Entry) error {
@@ -88,25 +94,33 @@
 }
 
 func (s *auditShard) readSegment(name string, e kv.Entry) error {
+	era := uint64(0)
+	if prefix, rest, ok := strings.Cut(name, "/"); ok {
+		var err error
+		if era, err = strconv.ParseUint(prefix, 10, 64); err != nil {
+			return fmt.Errorf("%w: key %q", ErrInvalidFormat, e.Key)
+		}
+		name = rest
+	}
 	n, err := strconv.ParseUint(name, 10, 64)
 	if err != nil {
 		return fmt.Errorf("%w: key %q", ErrInvalidFormat, e.Key)
 	}
 	seg, err := decodeSegment(n, e)
-	s.segments = append(s.segments, seg)
+	s.segments = append(s.segments, auditSegment{seg, era})
 	return err
 }
 
 func (a *auditor) addShard(shard uint32, s *auditShard) {
 	a.report.Sums.addAll(s.totals.Sums)
-	slices.SortFunc(s.segments, func(x, y segment) int { return int(x.n) - int(y.n) })
+	slices.SortFunc(s.segments, func(x, y auditSegment) int { return int(x.n) - int(y.n) })
 	next := s.totals.Folded + 1
 	for _, seg := range s.segments {
-		if seg.n <= s.totals.Folded {
-			continue
+		if seg.n <= s.totals.Folded || seg.era != s.totals.eraOf(seg.n) {
+			continue // folded, or written by a collector that did not know of a restore
 		}
 		for ; next < seg.n; next++ {
-			a.report.Gaps = append(a.report.Gaps, segmentKey(shard, next))
+			a.report.Gaps = append(a.report.Gaps, segmentKey(shard, s.totals.eraOf(next), next))
 		}
 		next = seg.n + 1
 		for _, l := range seg.lines {
--- a/coord/ledger/batch.go
+++ b/coord/ledger/batch.go
@@ -14,6 +14,12 @@
 	order []ID // in order of arrival
 	lines map[ID]Line
 	state map[ID]lineState
+	// era is the store's era for which state holds.
+	era uint64
+	// restored holds the identities of the lines of an earlier era; nil if there are none.
+	restored map[ID]struct{}
+	// rewritten is the number of these lines that were stored again.
+	rewritten int
 }
 
 func newBatch(deliveries []*delivery) *batch {
@@ -36,6 +42,19 @@
 	b.lines[id] = Merge(merged, l)
 }
 
+// restart makes all lines pending in an era of the store, which may lack what was stored in an
+// earlier one, and adds the lines that the collector has kept.
+func (b *batch) restart(era uint64, kept []Line) {
+	clear(b.state)
+	b.era, b.restored, b.rewritten = era, make(map[ID]struct{}), 0
+	for _, l := range kept {
+		if _, delivered := b.lines[l.ID()]; !delivered {
+			b.restored[l.ID()] = struct{}{}
+		}
+		b.add(l)
+	}
+}
+
 // setState sets the state of the given lines.
 func (b *batch) setState(lines []Line, state lineState) {
 	for _, l := range lines {
@@ -43,9 +62,18 @@
 	}
 }
 
+// countRewritten counts the lines of an earlier era among those that were stored.
+func (b *batch) countRewritten(lines []Line) {
+	for _, l := range lines {
+		if _, ok := b.restored[l.ID()]; ok {
+			b.rewritten++
+		}
+	}
+}
+
 // result returns the Result of a delivery of the given lines.
 func (b *batch) result(lines []Line) Result {
-	var r Result
+	r := Result{Era: b.era}
 	for _, l := range lines {
 		switch b.state[l.ID()] {
 		case lineStored:
--- a/coord/ledger/bench_test.go
+++ b/coord/ledger/bench_test.go
@@ -113,9 +113,9 @@
 	const segments, lines = 3600, 244
 	for b.Loop() {
 		before := heapBytes()
-		log := newShardLog(totals{}, 0)
+		log := newShardLog(0, totals{}, 0)
 		for n := range segments {
-			s := segment{n: uint64(n + 1)}
+			s := segment{segmentRef: segmentRef{n: uint64(n + 1)}}
 			for i := range lines {
 				s.lines = append(s.lines, benchmarkLine(n*lines+i))
 			}
--- a/coord/ledger/collector.go
+++ b/coord/ledger/collector.go
@@ -20,6 +20,9 @@
 	Stored []ID
 	// Disputed are the identities whose line was put on the disputed list.
 	Disputed []ID
+	// Era is the era of the store for which the lists hold. A restore of the store that the
+	// collector has not noticed may have taken the lines back.
+	Era uint64
 }
 
 // Acknowledged returns all identities that the holder may discard.
@@ -46,6 +49,18 @@
 // disputed list and not billed. Because the watermark is in the store, a collector
 // that restarts without state makes the same decision.
 //
+// A restore of the store from an older copy begins a new era. The collector then reads
+// the log again and stores the lines that it has kept and that the copy lacks. Since a
+// collector may write a segment before it notices the restore, the segments of each era
+// have their own keys. The first collector in an era reads the log of the copy to its end
+// and adds the era with the number of its first segment to the totals, whose revision is
+// the condition of that write. Segments that were written under the key of an earlier era
+// and are not below that number are ignored by all collectors. So are those from the first
+// on that repeats an identity, which happens when several collectors have written under
+// the key of an earlier era after the restore. A line counts as stored
+// only if the era is the same from reading the log to the read of the totals after the
+// write.
+//
 // The first stored line of an identity is kept, even when a line of a lower attempt
 // arrives later. A Collector is safe for concurrent use.
 type Collector struct {
@@ -61,6 +76,9 @@
 	sem          chan struct{}
 	log          *shardLog // nil before the first read and when found to be stale
 	loaded       bool      // log has been read to its end
+	kept         keptSegments
+	lost         keptSegments // kept in an earlier era and not yet compared with the log
+	era          uint64       // of the latest log
 	availability availability
 }
 
@@ -188,7 +206,7 @@
 	}
 	defer c.unlock()
 	deliveries := c.dequeueAll()
-	if len(deliveries) == 0 {
+	if len(deliveries) == 0 && !c.mustRestore() {
 		return nil
 	}
 	b := newBatch(deliveries)
@@ -198,6 +216,9 @@
 		d.err = err
 		close(d.done)
 	}
+	if err != nil && c.mustRestore() {
+		c.ObserveEra() // Run tries again after the batch interval
+	}
 	return err
 }
 
@@ -216,10 +237,22 @@
 // storeBatch stores or disputes the pending lines of b, one segment or one disputed
 // list at a time.
 func (c *Collector) storeBatch(ctx context.Context, b *batch) error {
+	if c.log != nil && c.heardEra() > c.log.era {
+		if err := c.refreshOrReset(ctx); err != nil {
+			return err
+		}
+	}
 	for {
 		if err := c.ensureLoaded(ctx); err != nil {
 			return err
 		}
+		if b.era != c.log.era {
+			lines, err := c.lost.lines()
+			if err != nil {
+				return err
+			}
+			b.restart(c.log.era, lines)
+		}
 		pending, late := c.classify(b)
 		if len(late) > 0 {
 			if err := c.dispute(ctx, b, late); err != nil {
@@ -228,6 +261,7 @@
 			continue
 		}
 		if len(pending) == 0 {
+			c.endRestore(b)
 			return nil
 		}
 		if err := c.append(ctx, b, pending); err != nil {
@@ -271,7 +305,8 @@
 	id := c.cfg.Client.NewWriteID()
 	writtenMS := c.cfg.Clock.Now().UnixMilli()
 	value := kv.EncodeEnvelope(id, encodeLines(writtenMS, lines))
-	e, err := c.cfg.Client.PutOnce(ctx, segmentKey(c.cfg.Shard, n), value, 0, 0, kv.MatchWriteID(id))
+	key := segmentKey(c.cfg.Shard, c.log.totals.eraOf(n), n)
+	e, err := c.cfg.Client.PutOnce(ctx, key, value, 0, 0, kv.MatchWriteID(id))
 	c.observe(err)
 	written := err == nil
 	if err != nil && !errors.Is(err, kv.ErrConflict) {
@@ -290,27 +325,40 @@
 		return err
 	}
 	if !live {
-		if written {
-			// Best effort: the segment is ignored and only takes up space.
+		if written && !c.eraChanged() {
+			// Best effort: the segment is ignored and only takes up space. In a new era it
+			// may be part of the log that another collector has read.
 			_ = c.cfg.Client.Delete(ctx, e.Key, e.Revision)
 		}
 		c.log = nil
 		return nil
 	}
-	c.log.appendSegment(s, c.cfg.Clock.Now(), c.cfg.Checker)
+	c.kept.prune(c.cfg.Clock.Now())
+	c.appendSegment(s)
 	if written {
 		b.setState(lines, lineStored)
+		b.countRewritten(lines)
 	}
 	return nil
 }
 
-// refresh reads the totals again and reports whether segment n has not been folded.
+// appendSegment adds a segment to the log and keeps its lines if it is recent.
+func (c *Collector) appendSegment(s segment) {
+	now := c.cfg.Clock.Now()
+	c.log.appendSegment(s, now, c.cfg.Checker)
+	if s.writtenMS >= now.Add(-DefaultKeepFor).UnixMilli() {
+		c.kept.add(keptSegment{s.key, s.encoded, now})
+	}
+}
+
+// refresh reads the totals again and reports whether the log is current: segment n has not
+// been folded and the store is in the era of the log.
 func (c *Collector) refresh(ctx context.Context, n uint64) (bool, error) {
 	t, rev, err := c.readTotals(ctx)
 	if err != nil {
 		return false, err
 	}
-	if t.Folded >= n {
+	if t.Folded >= n || c.eraChanged() || t.lastEra() != c.log.totals.lastEra() {
 		return false, nil
 	}
 	c.log.setTotals(t, rev)
@@ -345,53 +393,95 @@
 // to read a long log in one go. The totals are read again at the end, since segments
 // that have been folded in the meantime must be ignored.
 func (c *Collector) ensureLoaded(ctx context.Context) error {
+	if c.log != nil && c.eraChanged() {
+		c.log = nil
+	}
 	for c.log == nil || !c.loaded {
 		if c.log == nil {
-			t, rev, err := c.readTotals(ctx)
-			if err != nil {
+			if err := c.startLog(ctx); err != nil {
 				return err
 			}
-			c.log = newShardLog(t, rev)
-			c.loaded = false
 		}
 		if err := c.readSegments(ctx); err != nil {
 			return err
 		}
+		if c.log == nil {
+			continue
+		}
 		if err := c.refreshOrReset(ctx); err != nil {
 			return err
 		}
-		c.loaded = c.log != nil
+		switch {
+		case c.log == nil:
+		case c.log.totals.lastEra() < c.log.era:
+			if err := c.beginEra(ctx); err != nil {
+				return err
+			}
+		default:
+			c.loaded = true
+		}
 	}
 	return nil
 }
 
+// startLog replaces the log by an empty one with the current totals.
+func (c *Collector) startLog(ctx context.Context) error {
+	c.loaded = false
+	for {
+		era := c.cfg.Client.Era()
+		t, rev, err := c.readTotals(ctx)
+		if err != nil {
+			return err
+		}
+		if c.cfg.Client.Era() == era {
+			c.log = newShardLog(era, t, rev)
+			c.keepForRestore(era)
+			return nil
+		}
+	}
+}
+
 // readSegments merges all segments from next() on. Each list call returns up to ten
 // segments, those whose numbers differ in the last digit only.
 func (c *Collector) readSegments(ctx context.Context) error {
 	for {
 		n := c.log.next()
-		key := segmentKey(c.cfg.Shard, n)
+		key := c.nextKey()
 		entries, err := c.cfg.Client.List(ctx, key[:len(key)-1])
 		c.observe(err)
 		if err != nil {
 			return fmt.Errorf("ledger: read segments from %d: %w", n, err)
 		}
+		if c.eraChanged() {
+			c.log = nil
+			return nil
+		}
 		for _, e := range entries {
-			if e.Key != segmentKey(c.cfg.Shard, c.log.next()) {
-				continue // already folded, or after a segment that was just folded
+			if e.Key != c.nextKey() {
+				continue // already folded, after a segment that was just folded, or of an ended era
 			}
 			s, err := decodeSegment(c.log.next(), e)
 			if err != nil {
 				return err
 			}
-			c.log.appendSegment(s, c.cfg.Clock.Now(), c.cfg.Checker)
+			if c.log.totals.lastEra() < c.log.era && c.log.overlaps(s) {
+				return nil // beginEra ends the earlier era before this segment
+			}
+			c.appendSegment(s)
 		}
-		if c.log.next()/10 == n/10 {
+		next := c.log.next()
+		if next == n || next/10 == n/10 && c.log.totals.eraOf(next) == c.log.totals.eraOf(n) {
 			return nil
 		}
 	}
 }
 
+// nextKey returns the key of the next segment to read.
+func (c *Collector) nextKey() string {
+	n := c.log.next()
+	return segmentKey(c.cfg.Shard, c.log.totals.eraOf(n), n)
+}
+
 // dispute writes a disputed list with the given lines. Its key contains the digest
 // of the lines, so that a retry after a crash writes the same key.
 func (c *Collector) dispute(ctx context.Context, b *batch, lines []Line) error {
@@ -403,6 +493,10 @@
 	if err != nil {
 		return fmt.Errorf("ledger: write disputed lines: %w", err)
 	}
+	if c.eraChanged() {
+		c.log = nil
+		return nil
+	}
 	b.setState(lines, lineDisputed)
 	return nil
 }
--- a/coord/ledger/collector_test.go
+++ b/coord/ledger/collector_test.go
@@ -396,7 +396,7 @@
 	s, chk := newTestStore(1), &invariant.Checker{}
 	for n := range uint64(2) {
 		value := kv.EncodeEnvelope(kv.WriteID{byte(n)}, encodeLines(1, []Line{testLine(1, 0, time.Now())}))
-		if _, err := s.Put(ctx, segmentKey(0, n+1), value, 0, 0); err != nil {
+		if _, err := s.Put(ctx, segmentKey(0, 0, n+1), value, 0, 0); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/coord/ledger/config.go
+++ b/coord/ledger/config.go
@@ -38,6 +38,14 @@
 	// budget; a flush that waits for a slot collects more lines instead of failing
 	// because the budget is exhausted.
 	FlushSlots chan struct{}
+	// HeardEra optionally returns the latest era of the store that the process has heard of
+	// from other processes. The collector makes a call when it is above the era of its log,
+	// since it would otherwise not notice a restore as long as it gets only lines that it
+	// knows.
+	HeardEra func() uint64
+	// OnRestored is optional and called with the number of lines that the collector has
+	// stored again in an era.
+	OnRestored func(era uint64, lines int)
 	// Retention is the age at which a segment may be folded.
 	Retention time.Duration
 	// DedupWindow is the maximum difference between the completion times of two
--- a/coord/ledger/encoding.go
+++ b/coord/ledger/encoding.go
@@ -13,18 +13,30 @@
 // keyPrefix is the prefix of all store keys of the ledger.
 const keyPrefix = "ledger/"
 
-// Format versions of stored values. Values with any other version are rejected.
+// Format versions of stored values. Values with any other version are rejected. Totals with a
+// list of eras have a format of their own, because a program that ignores the list would write
+// segments that are never counted.
 const (
-	segmentFormat = 1
-	totalsFormat  = 1
+	segmentFormat    = 1
+	totalsFormat     = 1
+	totalsErasFormat = 2
 )
 
 // maxFixedLineBytes is the maximum encoded size of a line without the text of its
 // names.
 const maxFixedLineBytes = 16 + 2*binary.MaxVarintLen32 + 5*binary.MaxVarintLen64 + 6*binary.MaxVarintLen32
 
-func segmentKey(shard uint32, n uint64) string {
-	return fmt.Sprintf("%s%d/seg/%020d", keyPrefix, shard, n)
+// segmentKey returns the key of a segment that was numbered in an era of the store. Keys of era 0
+// do not contain the era.
+func segmentKey(shard uint32, era, n uint64) string {
+	return segmentPrefix(shard, era) + fmt.Sprintf("%020d", n)
+}
+
+func segmentPrefix(shard uint32, era uint64) string {
+	if era == 0 {
+		return fmt.Sprintf("%s%d/seg/", keyPrefix, shard)
+	}
+	return fmt.Sprintf("%s%d/seg/%d/", keyPrefix, shard, era)
 }
 
 func totalsKey(shard uint32) string { return fmt.Sprintf("%s%d/totals", keyPrefix, shard) }
@@ -164,10 +176,50 @@
 	// WatermarkMS is the highest completion time of the folded lines.
 	WatermarkMS int64 `json:"watermark_ms"`
 	Sums        Sums  `json:"sums"`
+	// Eras lists, in ascending order, the eras of the store in which the segments that
+	// are not cleaned were numbered. Segments below the first entry are of era 0.
+	Eras []eraStart `json:"eras,omitempty"`
+}
+
+// eraStart is the number of the first segment of an era.
+type eraStart struct {
+	Era  uint64 `json:"era"`
+	From uint64 `json:"from"`
+}
+
+// eraOf returns the era in which segment n is numbered.
+func (t totals) eraOf(n uint64) uint64 {
+	era := uint64(0)
+	for _, e := range t.Eras {
+		if e.From <= n {
+			era = e.Era
+		}
+	}
+	return era
+}
+
+// lastEra returns the era in which the next segment is numbered.
+func (t totals) lastEra() uint64 {
+	if len(t.Eras) == 0 {
+		return 0
+	}
+	return t.Eras[len(t.Eras)-1].Era
+}
+
+// pruneEras removes the eras whose segments have all been deleted.
+func (t *totals) pruneEras() {
+	first := 0
+	for first+1 < len(t.Eras) && t.Eras[first+1].From <= t.Cleaned+1 {
+		first++
+	}
+	t.Eras = t.Eras[first:]
 }
 
 func encodeTotals(id kv.WriteID, t totals) ([]byte, error) {
 	t.Format = totalsFormat
+	if len(t.Eras) > 0 {
+		t.Format = totalsErasFormat
+	}
 	payload, err := json.Marshal(t)
 	if err != nil {
 		return nil, err
@@ -181,7 +233,7 @@
 		return totals{}, fmt.Errorf("%w: totals: %v", ErrInvalidFormat, err)
 	}
 	var t totals
-	if err := json.Unmarshal(payload, &t); err != nil || t.Format != totalsFormat {
+	if err := json.Unmarshal(payload, &t); err != nil || t.Format != totalsFormat && t.Format != totalsErasFormat {
 		return totals{}, fmt.Errorf("%w: totals of format %d: %v", ErrInvalidFormat, t.Format, err)
 	}
 	return t, nil
@@ -189,11 +241,11 @@
 
 // segment is a decoded segment.
 type segment struct {
-	n           uint64
-	revision    kv.Revision
+	segmentRef
 	writtenMS   int64
 	completedMS int64 // highest completion time of its lines
 	lines       []Line
+	encoded     []byte // the lines as stored
 }
 
 func decodeSegment(n uint64, e kv.Entry) (segment, error) {
@@ -205,7 +257,7 @@
 	if err != nil {
 		return segment{}, fmt.Errorf("%s: %w", e.Key, err)
 	}
-	s := segment{n: n, revision: e.Revision, writtenMS: written, lines: lines}
+	s := segment{segmentRef: segmentRef{e.Key, n, e.Revision}, writtenMS: written, lines: lines, encoded: payload}
 	for _, l := range lines {
 		s.completedMS = max(s.completedMS, l.CompletedMS)
 	}
--- a/coord/ledger/fold.go
+++ b/coord/ledger/fold.go
@@ -25,9 +25,10 @@
 	if err := c.refreshOrReset(ctx); err != nil || c.log == nil {
 		return err
 	}
-	if err := c.deleteFolded(ctx); err != nil {
+	if err := c.deleteFolded(ctx); err != nil || c.eraChanged() {
 		return err
 	}
+	c.kept.prune(c.cfg.Clock.Now())
 	now := c.cfg.Clock.Now()
 	if now.Sub(c.availability.since) < c.cfg.FoldGrace {
 		return nil
@@ -53,6 +54,10 @@
 	}
 	e, err := c.cfg.Client.PutOnce(ctx, totalsKey(c.cfg.Shard), value, c.log.revision, 0, kv.MatchWriteID(id))
 	c.observe(err)
+	if c.eraChanged() {
+		c.log = nil
+		return nil
+	}
 	if errors.Is(err, kv.ErrConflict) {
 		return c.refreshOrReset(ctx)
 	}
@@ -81,7 +86,10 @@
 		if len(shard.folded) > 0 && shard.folded[0].n == n {
 			rev = shard.folded[0].revision
 		}
-		if err := c.deleteSegment(ctx, n, rev); err != nil {
+		if c.eraChanged() {
+			return nil // the restored store may still count the segment
+		}
+		if err := c.deleteSegment(ctx, segmentKey(c.cfg.Shard, shard.totals.eraOf(n), n), rev); err != nil {
 			return fmt.Errorf("ledger: delete segment %d: %w", n, err)
 		}
 		shard.totals.Cleaned = n
@@ -90,11 +98,10 @@
 	return nil
 }
 
-// deleteSegment deletes the folded segment n. rev is its revision, or 0 if it has to
+// deleteSegment deletes a folded segment. rev is its revision, or 0 if it has to
 // be read first. A segment that another collector deletes concurrently counts as
 // deleted.
-func (c *Collector) deleteSegment(ctx context.Context, n uint64, rev kv.Revision) error {
-	key := segmentKey(c.cfg.Shard, n)
+func (c *Collector) deleteSegment(ctx context.Context, key string, rev kv.Revision) error {
 	if rev == 0 {
 		e, err := c.cfg.Client.Get(ctx, key)
 		c.observe(err)
@@ -104,6 +111,9 @@
 		if err != nil {
 			return err
 		}
+		if c.eraChanged() {
+			return nil
+		}
 		rev = e.Revision
 	}
 	err := c.cfg.Client.Delete(ctx, key, rev)
--- a/coord/ledger/log.go
+++ b/coord/ledger/log.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"cactusknot.example/coord/invariant"
@@ -10,6 +11,8 @@
 // shardLog is a collector's in-memory view of a shard: the totals, and the identities
 // and sums of each segment that is not folded.
 type shardLog struct {
+	// era is the store's era in which the log was read.
+	era      uint64
 	totals   totals
 	revision kv.Revision     // of the totals key; 0 if it does not exist
 	segments []loggedSegment // consecutive, starting with totals.Folded+1
@@ -28,12 +31,13 @@
 }
 
 type segmentRef struct {
+	key      string
 	n        uint64
 	revision kv.Revision
 }
 
-func newShardLog(t totals, rev kv.Revision) *shardLog {
-	return &shardLog{totals: t, revision: rev, ids: make(map[ID]struct{})}
+func newShardLog(era uint64, t totals, rev kv.Revision) *shardLog {
+	return &shardLog{era: era, totals: t, revision: rev, ids: make(map[ID]struct{})}
 }
 
 // next returns the number of the next segment to read or write.
@@ -44,10 +48,15 @@
 	return ok
 }
 
+// overlaps reports whether the log has an identity of the segment.
+func (log *shardLog) overlaps(s segment) bool {
+	return slices.ContainsFunc(s.lines, func(l Line) bool { return log.has(l.ID()) })
+}
+
 // appendSegment adds a segment, whose number must be next(), to the log.
 func (log *shardLog) appendSegment(s segment, now time.Time, checker *invariant.Checker) {
 	m := loggedSegment{
-		segmentRef:  segmentRef{s.n, s.revision},
+		segmentRef:  s.segmentRef,
 		writtenMS:   s.writtenMS,
 		completedMS: s.completedMS,
 		readAt:      now,
@@ -101,6 +110,7 @@
 // segments.
 func (log *shardLog) totalsAfterFold(count int) totals {
 	t := log.totals
+	t.pruneEras()
 	t.Sums = make(Sums)
 	t.Sums.addAll(log.totals.Sums)
 	for _, s := range log.segments[:count] {
