Charges: holders keep acknowledged lines and deliver them again after a restore

Cause: routers and agents dropped a line once it was stored, so that nobody could deliver what a restore of the store took back, if the collector had gone too.

It makes them pending in a new era and ignores acknowledgements of an earlier one. The era travels with gossip, deliveries and their responses; who hears of a new one tells its peers at once. A process that stops hands over what it keeps, in at most five attempts without progress, so that the last router still ends.

--- a/coord/ledger/era_test.go
+++ b/coord/ledger/era_test.go
@@ -6,8 +6,12 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
+	"cactusknot.example/coord/clock"
 	"cactusknot.example/coord/invariant"
 	"cactusknot.example/coord/kv"
 )
@@ -160,6 +164,137 @@
 	}
 }
 
+// A queue must deliver acknowledged lines again in a new era, must not accept an acknowledgement
+// of the era before, and must bound what it keeps.
+func TestQueueKeepsAcknowledgedLines(t *testing.T) {
+	clk := clock.NewManual(time.Unix(1000, 0))
+	q := NewQueue(clk, 2*DefaultMaxKeptLines)
+	commit := func(i int) []ID {
+		q.Reserve()
+		q.Commit(testLine(i, 0, clk.Now()))
+		return []ID{testLine(i, 0, clk.Now()).ID()}
+	}
+	q.Acknowledge(commit(1), 0)
+	clk.Advance(time.Hour)
+	late := commit(2)
+	if lines := q.Pending(0, 9); len(lines) != 1 || q.ObserveEra(1) != 1 || q.ObserveEra(1) != 0 {
+		t.Fatal("a line must be kept while no acknowledgement shows that the store is available:", lines)
+	}
+	q.Acknowledge(late, 0)
+	if lines := q.Pending(0, 9); len(lines) != 2 {
+		t.Fatal("an acknowledgement of an earlier era must have no effect:", lines)
+	}
+	q.Acknowledge(late, 2)
+	if lines := q.Pending(0, 9); len(lines) != 1 || q.Kept() != 1 {
+		t.Fatal(lines, q.Kept())
+	}
+	clk.Advance(DefaultKeepFor + 1)
+	for i := range DefaultMaxKeptLines + 9 {
+		q.Acknowledge(commit(i+3), 2)
+	}
+	if n := q.Kept(); n > DefaultMaxKeptLines || n*keptLineBytes > DefaultMaxKeptBytes || n < 4000 {
+		t.Fatal(n, "lines kept")
+	}
+	if q.Requeue() == 0 || q.Kept() != 0 {
+		t.Fatal("the kept lines must be handed over")
+	}
+}
+
+// No line may be lost or billed twice when the store is restored from copies of up to a minute
+// while collectors are paused around their calls, restart, fold and lose responses, as long as one
+// holder of the line lives.
+func TestRestoresBillOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		steps := rapid.IntRange(10, 50).Draw(rt, "steps")
+		synctest.Test(t, func(t *testing.T) { runRestores(t, seed, steps) })
+	})
+}
+
+func runRestores(t *testing.T, seed uint64, steps int) {
+	r := rand.New(rand.NewPCG(seed, 9))
+	s, chk := newRestorable(seed), &invariant.Checker{}
+	s.lose = 0.1
+	pauses := rand.New(rand.NewPCG(seed, 10))
+	var mu sync.Mutex
+	pause := func() {
+		mu.Lock()
+		d := time.Duration(0)
+		switch pauses.IntN(12) {
+		case 0:
+			d = time.Duration(pauses.Int64N(int64(20 * time.Second)))
+		case 1, 2:
+			d = time.Millisecond
+		}
+		mu.Unlock()
+		time.Sleep(d)
+	}
+	collectors := []*Collector{s.collector(chk, seed, pause), s.collector(chk, seed+1, pause), s.collector(chk, seed+2, pause)}
+	q := NewQueue(clock.System{}, 0)
+	backup, taken := s.Backup(), time.Now()
+	lines := 0
+	deliver := func(c *Collector) {
+		if pending := q.Pending(0, 1000); len(pending) > 0 {
+			res, _ := deliverAndFlush(c, pending...)
+			q.Acknowledge(res.Acknowledged(), res.Era)
+		}
+	}
+	for range steps {
+		var all sync.WaitGroup
+		for range 1 + r.IntN(3) {
+			q.Reserve()
+			q.Commit(testLine(lines, 0, time.Now()))
+			lines++
+		}
+		if time.Since(taken) > 30*time.Second || r.IntN(3) == 0 {
+			backup, taken = s.Backup(), time.Now()
+		}
+		for _, k := range r.Perm(3)[:2] {
+			c, fold := collectors[k], r.IntN(4) == 0
+			all.Go(func() {
+				deliver(c)
+				if fold {
+					_ = c.Fold(context.Background())
+				}
+			})
+		}
+		if r.IntN(4) == 0 && time.Since(taken) < time.Minute {
+			after := time.Duration(r.Int64N(int64(20 * time.Second)))
+			all.Go(func() {
+				time.Sleep(after)
+				s.restore(backup)
+			})
+		}
+		all.Wait()
+		if r.IntN(2) == 0 {
+			q.ObserveEra(s.MemoryStore.Era())
+		}
+		if r.IntN(6) == 0 {
+			collectors[r.IntN(3)] = s.collector(chk, r.Uint64(), pause)
+		}
+		if r.IntN(10) == 0 {
+			time.Sleep(time.Duration(r.IntN(30)) * time.Minute)
+		}
+	}
+	s.lose = 0
+	q.ObserveEra(s.MemoryStore.Era())
+	for i := 0; ; i++ {
+		if held, _ := q.Len(); held == 0 {
+			break
+		}
+		if i == 20 {
+			t.Fatalf("seed %d: lines are not acknowledged", seed)
+		}
+		deliver(collectors[i%3])
+	}
+	report := checkBilledOnce(t, s, chk)
+	for i := range lines {
+		if report.Sums[workspaceOf(i)].Lines != 1 {
+			t.Fatalf("seed %d: line %d of %d is billed %d times", seed, i, lines, report.Sums[workspaceOf(i)].Lines)
+		}
+	}
+}
+
 // A segment that a collector writes before it notices the restore is either in the log of all
 // collectors or of none. It must not be deleted by its writer after another collector has read it,
 // and must not be read by a collector for which another one has ended the log before it.
--- a/coord/ledger/ledger_test.go
+++ b/coord/ledger/ledger_test.go
@@ -85,7 +85,7 @@
 	if lines := q.Pending(15*time.Second, 9); len(lines) != 1 || lines[0].ID() != testLine(2, 0, clk.Now()).ID() {
 		t.Fatal(lines)
 	}
-	q.Acknowledge([]ID{testLine(1, 0, clk.Now()).ID(), testLine(1, 0, clk.Now()).ID()})
+	q.Acknowledge([]ID{testLine(1, 0, clk.Now()).ID(), testLine(1, 0, clk.Now()).ID()}, 0)
 	if !q.Reserve() || q.Reserve() {
 		t.Fatal("an acknowledged line must free space for exactly one line")
 	}
@@ -121,7 +121,7 @@
 				seen[l.ID()] = true
 				ids = append(ids, l.ID())
 			}
-			q.Acknowledge(ids)
+			q.Acknowledge(ids, 0)
 		}
 	})
 	wg.Wait()
--- a/coord/ledger/queue.go
+++ b/coord/ledger/queue.go
@@ -21,6 +21,11 @@
 // a line is reserved before its request is dispatched, so that a full queue causes
 // requests to be rejected instead of charges to be lost. No method blocks. Queue is
 // safe for concurrent use.
+//
+// Acknowledged lines are kept for DefaultKeepFor, within limits and outside of the
+// capacity, because a restore of the store from an older copy may take them back. When
+// the queue learns of a new era of the store, they have to be acknowledged once more.
+// Duplicates are dropped by the collector.
 type Queue struct {
 	clock    clock.Clock
 	start    time.Time
@@ -30,6 +35,26 @@
 	reserved int
 	queued   map[ID]*queued
 	order    []*queued // by since, oldest first; may contain acknowledged lines
+
+	era       uint64     // highest known era of the store
+	kept      []keptLine // acknowledged in era, oldest first
+	keptBytes int
+}
+
+// keptLine is a line that was acknowledged at a time relative to Queue.start.
+type keptLine struct {
+	queued
+	at time.Duration
+}
+
+// keptLineBytes is the memory of a kept line without the text of its names.
+const keptLineBytes = 120
+
+// size returns the memory accounted for the line. Names count in full although lines
+// share them.
+func (k *keptLine) size() int {
+	n := k.names.Value()
+	return keptLineBytes + len(n.workspace) + len(n.model) + len(n.version)
 }
 
 // names are the names of a line. Since few combinations occur, lines share interned
@@ -155,11 +180,91 @@
 	return out
 }
 
-// Acknowledge removes the lines with the given identities. Unknown identities are
-// ignored.
-func (q *Queue) Acknowledge(ids []ID) {
+// Acknowledge moves the lines with the given identities, which are stored in an era of
+// the store, to the kept ones. It ignores unknown identities, and all of them if a
+// later era is known, in which the lines may be missing.
+func (q *Queue) Acknowledge(ids []ID, era uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if era < q.era {
+		return
+	}
+	q.observeEra(era)
+	now := q.elapsed()
+	for _, id := range ids {
+		if e := q.queued[id]; e != nil {
+			k := keptLine{*e, now}
+			q.kept = append(q.kept, k)
+			q.keptBytes += k.size()
+		}
+	}
+	// Time passes for kept lines only with acknowledgements: without them the store
+	// may be away, and the copy from which it returns is older than the outage.
+	for len(q.kept) > 0 && (now-q.kept[0].at > DefaultKeepFor || len(q.kept) > DefaultMaxKeptLines || q.keptBytes > DefaultMaxKeptBytes) {
+		q.keptBytes -= q.kept[0].size()
+		q.kept[0] = keptLine{}
+		q.kept = q.kept[1:]
+	}
+	q.remove(ids)
+}
+
+// ObserveEra makes all kept lines pending again if era is above the highest known one,
+// and returns their number.
+func (q *Queue) ObserveEra(era uint64) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.observeEra(era)
+}
+
+func (q *Queue) observeEra(era uint64) int {
+	if era <= q.era {
+		return 0
+	}
+	q.era = era
+	return q.requeue()
+}
+
+// Requeue makes all kept lines pending, so that a process that stops can hand them over,
+// and returns their number.
+func (q *Queue) Requeue() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.requeue()
+}
+
+func (q *Queue) requeue() int {
+	count := 0
+	now := q.elapsed()
+	for i := range q.kept {
+		e := q.kept[i].queued
+		id := ID{e.id, e.step}
+		if q.queued[id] != nil {
+			continue
+		}
+		e.since = now
+		q.queued[id] = &e
+		q.order = append(q.order, &e)
+		count++
+	}
+	q.kept, q.keptBytes = nil, 0
+	return count
+}
+
+// Kept returns the number of lines that are kept after their acknowledgement.
+func (q *Queue) Kept() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.kept)
+}
+
+// Remove removes lines that another process holds now.
+func (q *Queue) Remove(ids []ID) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.remove(ids)
+}
+
+func (q *Queue) remove(ids []ID) {
 	for _, id := range ids {
 		if e := q.queued[id]; e != nil {
 			e.since = acknowledged
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -71,6 +71,7 @@
 		MaxBytes:   int(settings.RecordBytes),
 	})
 	a.charges = ledger.NewQueue(a.Clock, settings.LedgerLines)
+	a.RedeliverCharges(a.charges)
 	a.view.Store(&view{})
 	a.InitSyncer(node.Hooks{
 		OnBundle: func(*distribute.Current) { a.requestPublish() },
--- a/daemon/agent/background.go
+++ b/daemon/agent/background.go
@@ -106,7 +106,8 @@
 	}
 }
 
-// handOverCharges blocks until every charge is stored or held by a router.
+// handOverCharges blocks until every charge is stored or held by a router. It also hands over the
+// stored charges that are kept.
 func (a *Agent) handOverCharges() {
 	ctx := context.Background()
 	for !a.HandOver(ctx, a.charges, maxDeliverLines) {
@@ -114,4 +115,5 @@
 			return
 		}
 	}
+	a.HandOverKept(ctx, a.charges, maxDeliverLines, handOverInterval)
 }
--- a/daemon/agent/idempotency_test.go
+++ b/daemon/agent/idempotency_test.go
@@ -244,7 +244,7 @@
 	r.want("reading", r.reading(), result.LedgerFull, server, 1)
 	key := r.booking(r.key())
 	r.want("booking", key, result.LedgerFull, server, 1)
-	r.charges.Acknowledge([]ledger.ID{r.charges.Pending(0, 1)[0].ID()})
+	r.charges.Acknowledge([]ledger.ID{r.charges.Pending(0, 1)[0].ID()}, 0)
 	r.want("booking with room", key, done, server, 2)
 	r.wantSettled(1)
 }
--- a/daemon/distribute/distribute_test.go
+++ b/daemon/distribute/distribute_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -595,3 +596,37 @@
 		}
 	})
 }
+
+// TestEraSpreads guards against agents, and routers that make no store calls, that do not learn of
+// a restore of the store while they still keep their charges.
+func TestEraSpreads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const spread = 8 * time.Second
+		f := newFleet(t)
+		known := make(map[string]*atomic.Uint64)
+		for i := range 40 {
+			name := fmt.Sprintf("n%d", i)
+			era := &atomic.Uint64{}
+			known[name] = era
+			k := f.add(name, fmt.Sprintf("dc%d", i%3), i < 10, f.store)
+			k.cfg.StoreEra = era.Load
+			k.cfg.ObserveStoreEra = func(heard uint64) {
+				if heard > era.Load() {
+					era.Store(heard)
+					k.WakeForEra()
+				}
+			}
+		}
+		f.publish(1, 1)
+		stop := f.run()
+		defer stop()
+		time.Sleep(20 * time.Second)
+		f.syncers["n3"].cfg.ObserveStoreEra(1)
+		time.Sleep(spread)
+		for name, era := range known {
+			if era.Load() != 1 {
+				t.Errorf("%s does not know the era after %v", name, spread)
+			}
+		}
+	})
+}
--- a/daemon/distribute/loops.go
+++ b/daemon/distribute/loops.go
@@ -235,9 +235,14 @@
 	sent := s.cfg.Clock.Now()
 	wait, cancel := context.WithTimeout(ctx, storeWindow)
 	defer cancel()
+	era := s.cfg.StoreEra()
+	s.setEndWatch(cancel)
+	defer s.setEndWatch(nil)
 	entry, err := s.cfg.Store.Watch(wait, KeyCurrent, seen)
 	s.meter.spend("store", len(entry.Value))
 	switch {
+	case errors.Is(err, kv.ErrNotFound) && s.cfg.StoreEra() != era:
+		return 0, nil
 	case errors.Is(err, kv.ErrNotFound):
 		return 0, s.backOff(ctx)
 	case err != nil && wait.Err() != nil && ctx.Err() == nil:
@@ -252,6 +257,24 @@
 	return entry.Revision, s.acceptFromStore(ctx, entry)
 }
 
+func (s *Syncer) setEndWatch(end context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endWatch = end
+}
+
+// WakeForEra is called after the process has heard of a new era of the store. It tells peers and,
+// in a watcher, ends the watch, so that the manifest is read again at once. A watch that was begun
+// in the new era at a revision of the earlier one would report nothing until it ends.
+func (s *Syncer) WakeForEra() {
+	notify(s.gossipNow)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.endWatch != nil {
+		s.endWatch()
+	}
+}
+
 // backOff waits before the next watch, so that a store that ends watches immediately
 // is not called in a tight loop.
 func (s *Syncer) backOff(ctx context.Context) error {
@@ -378,6 +401,7 @@
 		StoreReachable: s.StoreReachable(sent),
 		Stops:          s.stopsToSend(),
 		Counters:       s.countersToSend(),
+		StoreEra:       s.cfg.StoreEra(),
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -391,4 +415,5 @@
 	s.MergeStops(out.GetStops())
 	s.mergeCounters(out.GetCounters())
 	s.ObserveVersion(out.GetBundleVersion(), p.member.Node)
+	s.cfg.ObserveStoreEra(out.GetStoreEra())
 }
--- a/daemon/distribute/peer_server.go
+++ b/daemon/distribute/peer_server.go
@@ -32,11 +32,13 @@
 	s.MergeStops(in.GetStops())
 	s.mergeCounters(in.GetCounters())
 	s.ObserveVersion(in.GetBundleVersion(), in.GetNode())
+	s.cfg.ObserveStoreEra(in.GetStoreEra())
 	out := &rpc.SyncResponse{
 		Node:          s.cfg.Self.Node,
 		BundleVersion: s.Version(),
 		Stops:         s.stopsToSend(),
 		Counters:      s.countersToSend(),
+		StoreEra:      s.cfg.StoreEra(),
 	}
 	if in.GetBundleVersion() == 0 {
 		out.Stops = s.Stops().All()
--- a/daemon/distribute/syncer.go
+++ b/daemon/distribute/syncer.go
@@ -5,6 +5,7 @@
 package distribute
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -69,6 +70,10 @@
 	OnBundle  func(*Current)
 	OnStop    func(*rpc.StopNotice)
 	OnCounter func(*rpc.QualityCounter)
+	// StoreEra returns the latest era of the store that the process has heard of, and
+	// ObserveStoreEra records the era that a peer has sent. Both may be nil.
+	StoreEra        func() uint64
+	ObserveStoreEra func(era uint64)
 }
 
 // Current is a verified bundle. It is immutable.
@@ -113,6 +118,8 @@
 	// partial holds the parts fetched so far of the manifest with the hash partialOf.
 	partial   map[bundle.Hash][]byte
 	partialOf bundle.Hash
+	// endWatch ends the store call of watch; nil if none is running.
+	endWatch context.CancelFunc
 }
 
 // maxRefusals limits the size of Syncer.refusals.
@@ -133,6 +140,12 @@
 		counters:      newCounterTable(),
 		refusals:      make(map[bundle.Hash]error),
 	}
+	if k.cfg.StoreEra == nil {
+		k.cfg.StoreEra = func() uint64 { return 0 }
+	}
+	if k.cfg.ObserveStoreEra == nil {
+		k.cfg.ObserveStoreEra = func(uint64) {}
+	}
 	k.stops.Store(&Stops{})
 	k.fresh.contacts = make(map[string]time.Time)
 	cfg.Metrics.NewGauge("cactusknot_config_version", func() float64 { return float64(k.Version()) })
--- a/daemon/node/charges.go
+++ b/daemon/node/charges.go
@@ -98,7 +98,7 @@
 	var all sync.WaitGroup
 	for shard, lines := range byShard {
 		all.Go(func() {
-			n.deliver(ctx, queue, n.collectors(shard), &rpc.DeliverRequest{Node: n.Settings.VM, Lines: lines})
+			n.deliver(ctx, queue, n.collectors(shard), &rpc.DeliverRequest{Node: n.Settings.VM, Lines: lines, StoreEra: n.StoreEra()})
 		})
 	}
 	all.Wait()
@@ -122,6 +122,32 @@
 	return held == 0
 }
 
+// maxHandOverFailures limits the attempts to hand over kept lines. Unlike unstored lines they do
+// not delay the end of the last router of a fleet.
+const maxHandOverFailures = 5
+
+// HandOverKept hands over the lines that are stored but kept in case the store is restored from an
+// older copy. It gives up after maxHandOverFailures attempts without progress.
+func (n *Node) HandOverKept(ctx context.Context, queue *ledger.Queue, limit int, retry time.Duration) {
+	left := queue.Requeue()
+	for failures := 0; left > 0 && failures < maxHandOverFailures; {
+		if n.HandOver(ctx, queue, limit) {
+			return
+		}
+		held, _ := queue.Len()
+		if held >= left {
+			failures++
+			if n.Clock.Sleep(ctx, retry) != nil {
+				return
+			}
+		}
+		left = held
+	}
+	if left > 0 {
+		n.Log.Warn().Int("lines", left).Msg("no router took the stored charges that are kept for a restore of the store")
+	}
+}
+
 // deliver tries the routers in order until one acknowledges a line. It does not fail
 // over from a slow router: a second collector of the shard would have to load the
 // log, and conflicts between the two would consume the store calls of both and make
@@ -140,7 +166,12 @@
 			continue
 		}
 		taken := chargeIDs(response.GetAcknowledged())
-		queue.Acknowledge(taken)
+		if request.GetHandOver() {
+			queue.Remove(taken)
+		} else {
+			n.ObserveStoreEra(response.GetStoreEra(), EraFromLedger)
+			queue.Acknowledge(taken, response.GetStoreEra())
+		}
 		// A router that is also stopping accepts no lines; the next one may.
 		if len(taken) > 0 {
 			return
--- a/daemon/node/directory.go
+++ b/daemon/node/directory.go
@@ -29,9 +29,8 @@
 
 func dialer() *net.Dialer { return &net.Dialer{Timeout: dialTimeout} }
 
-// NewStore returns a store client with its own limit of calls per second.
-func NewStore(url string, clk clock.Clock, calls float64) *kv.Client {
-	return kv.NewClient(platform.NewStore(url), kv.ClientConfig{
+func newStoreClient(store kv.Store, clk clock.Clock, calls float64) *kv.Client {
+	return kv.NewClient(store, kv.ClientConfig{
 		Clock:          clk,
 		Random:         rand.NewPCG(rand.Uint64(), rand.Uint64()),
 		CallsPerSecond: calls,
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -53,6 +53,7 @@
 	LocalLedger rpc.Ledger
 
 	ready readiness
+	era   storeEra
 }
 
 // Hooks are called by the syncer after a change is visible. They must not block.
@@ -78,7 +79,8 @@
 		Client:      newClient(credentials),
 	}
 	n.Checker = &invariant.Checker{OnViolation: n.reportViolation}
-	n.Store = NewStore(settings.Platform.Store, n.Clock, storeCalls)
+	n.Store = n.OpenStore(storeCalls)
+	n.Metrics.NewGauge("cactusknot_store_era", func() float64 { return float64(n.StoreEra()) })
 	n.Directory = NewDirectory(n)
 	return n, nil
 }
@@ -105,8 +107,11 @@
 				hooks.OnStop()
 			}
 		},
-		OnCounter: hooks.OnCounter,
+		OnCounter:       hooks.OnCounter,
+		StoreEra:        n.StoreEra,
+		ObserveStoreEra: func(era uint64) { n.ObserveStoreEra(era, EraFromPeer) },
 	})
+	n.OnStoreEra(func(uint64) { n.Syncer.WakeForEra() })
 }
 
 // Run keeps directory and configuration up to date until ctx ends.
--- a/daemon/node/node_test.go
+++ b/daemon/node/node_test.go
@@ -13,7 +13,9 @@
 	"strconv"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"github.com/twitchtv/twirp"
 
@@ -152,6 +154,7 @@
 	mu    sync.Mutex
 	down  bool
 	takes func(n int) bool
+	era   uint64
 	lines map[string]int
 }
 
@@ -161,7 +164,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := &rpc.DeliverResponse{}
+	out := &rpc.DeliverResponse{StoreEra: f.era}
 	for i, line := range in.GetLines() {
 		if f.takes != nil && !f.takes(i) {
 			continue
@@ -317,3 +320,51 @@
 	a.handler.ServeHTTP(recorder, r)
 	return recorder.Result(), nil
 }
+
+// TestChargesOutliveARestore guards against lines that a restore of the store takes back: a holder
+// must deliver what was acknowledged again in a new era, must not take the acknowledgement of an
+// earlier one, and must hand over what it keeps when it stops, without waiting for a router.
+func TestChargesOutliveARestore(t *testing.T) {
+	const lines = 10
+	n := newTestNode("a1", auth.RoleAgent, "http://127.0.0.1:1")
+	n.Metrics = metrics.NewSet()
+	r2 := &fakeLedger{}
+	n.Client.Transport = ledgerTransport{"r2": r2}
+	n.setProcesses(router("r2"))
+	queue := queueOf(lines)
+	n.RedeliverCharges(queue)
+	round := func(what string, delivered, held, kept int) {
+		t.Helper()
+		n.DeliverPending(context.Background(), queue, 0, lines)
+		total := 0
+		for _, times := range r2.lines {
+			total += times
+		}
+		if now, _ := queue.Len(); total != delivered || now != held || queue.Kept() != kept {
+			t.Fatalf("%s: %d delivered, %d held, %d kept; want %d, %d, %d", what, total, now, queue.Kept(), delivered, held, kept)
+		}
+	}
+	round("first delivery", lines, 0, lines)
+	round("no new era", lines, 0, lines)
+	n.ObserveStoreEra(1, EraFromPeer)
+	round("acknowledged for era 0 only", 2*lines, lines, 0)
+	r2.era = 1
+	round("acknowledged for era 1", 3*lines, 0, lines)
+	r2.era = 2
+	queue.Reserve()
+	queue.Commit(ledger.Line{RequestID: [16]byte{1}, Workspace: "aqua"})
+	n.DeliverPending(context.Background(), queue, 0, lines)
+	round("era heard of with an acknowledgement", 4*lines+1, 0, lines+1)
+
+	r2.down = true
+	n.HandOverKept(context.Background(), queue, lines, time.Millisecond)
+	r2.down = false
+	if held, _ := queue.Len(); held != lines+1 {
+		t.Fatalf("%d lines held after a failed hand-over", held)
+	}
+	round("delivered to the last router", 5*lines+1, 1, lines)
+	n.HandOverKept(context.Background(), queue, 3, time.Millisecond)
+	if held, _ := queue.Len(); held+queue.Kept() != 0 {
+		t.Errorf("%d lines held, %d kept after the hand-over", held, queue.Kept())
+	}
+}
--- a/daemon/router/charge.go
+++ b/daemon/router/charge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -53,6 +54,7 @@
 func (r *Router) handOverCharges(ctx context.Context) {
 	for {
 		if r.HandOver(ctx, r.charges, maxDeliverLines) {
+			r.HandOverKept(ctx, r.charges, maxDeliverLines, handOverInterval)
 			return
 		}
 		r.DeliverPending(ctx, r.charges, 0, maxDeliverLines)
@@ -76,7 +78,18 @@
 }
 
 func newCollectorSet(ctx context.Context, r *Router) *collectorSet {
-	return &collectorSet{router: r, ctx: ctx, flushSlots: make(chan struct{}, 1), shards: make(map[uint32]*ledger.Collector)}
+	s := &collectorSet{router: r, ctx: ctx, flushSlots: make(chan struct{}, 1), shards: make(map[uint32]*ledger.Collector)}
+	r.OnStoreEra(s.observeEra)
+	return s
+}
+
+// observeEra makes all collectors store again what a restored store lacks.
+func (s *collectorSet) observeEra(uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.shards {
+		c.ObserveEra()
+	}
 }
 
 func (s *collectorSet) collector(shard uint32) *ledger.Collector {
@@ -91,6 +104,11 @@
 		Checker:    s.router.Checker,
 		Shard:      shard,
 		FlushSlots: s.flushSlots,
+		HeardEra:   s.router.StoreEra,
+		OnRestored: func(era uint64, lines int) {
+			s.router.Metrics.GetOrCreateCounter("cactusknot_ledger_rewritten_charges_total").Add(lines)
+			s.router.Log.Info().Uint32("shard", shard).Uint64("era", era).Int("lines", lines).Msg("stored charges again that the restored store lacked")
+		},
 	})
 	s.shards[shard] = c
 	go func() {
@@ -113,20 +131,30 @@
 	if in.GetHandOver() {
 		return acknowledge(s.acceptHandOver(lines)), nil
 	}
+	s.router.ObserveStoreEra(in.GetStoreEra(), node.EraFromLedger)
 	byShard := make(map[uint32][]ledger.Line)
 	for _, line := range lines {
 		shard := ledger.Shard(line.RequestID, node.LedgerShards)
 		byShard[shard] = append(byShard[shard], line)
 	}
 	var stored []ledger.ID
+	// The response has one era. The lowest one is right for the lines of all shards.
+	era := uint64(math.MaxUint64)
 	for shard, group := range byShard {
 		out, err := s.collector(shard).Deliver(ctx, group)
-		stored = append(stored, out.Acknowledged()...)
+		if ids := out.Acknowledged(); len(ids) > 0 {
+			stored = append(stored, ids...)
+			era = min(era, out.Era)
+		}
 		if err != nil && len(stored) == 0 {
 			return nil, twirp.NewError(twirp.Unavailable, err.Error())
 		}
 	}
-	return acknowledge(stored), nil
+	response := acknowledge(stored)
+	if len(stored) > 0 {
+		response.StoreEra = era
+	}
+	return response, nil
 }
 
 // acceptHandOver queues the lines of a process that is shutting down and returns
--- a/daemon/router/charge_test.go
+++ b/daemon/router/charge_test.go
@@ -60,7 +60,7 @@
 		if current.Load() == 0 && (n%2 == 0 || path == "/v1/services/tickets/events") {
 			lines++
 		}
-		h.charges.Acknowledge(nil)
+		h.charges.Acknowledge(nil, 0)
 		if held, reserved := h.charges.Len(); reserved != 0 || held != lines {
 			t.Fatalf("seed %d, request %d, behaviour %d: %d lines and %d reservations, want %d and 0", seed, n, current.Load(), held, reserved, lines)
 		}
@@ -196,3 +196,26 @@
 	}
 	h.wantCharges(1)
 }
+
+// TestCollectorsRestore guards against charges that stay lost until a holder delivers them again:
+// a router that hears of a new era must store what its collectors have kept.
+func TestCollectorsRestore(t *testing.T) {
+	h := newHarness(t)
+	memory, collectors := h.attachStore()
+	backup := memory.Backup()
+	for n := range byte(3) {
+		deliver(t, collectors, &rpc.ChargeLine{
+			RequestId: append(make([]byte, 15), n), Workspace: "aqua", AmountMicros: 1, CompletedMs: time.Now().UnixMilli(),
+		})
+	}
+	memory.Restore(backup)
+	wantLedger(t, memory, 0)
+	h.ObserveStoreEra(1, node.EraFromPeer)
+	for range 100 {
+		if report, _ := ledger.Audit(context.Background(), memory); report.Sums["aqua"].Lines == 3 {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	wantLedger(t, memory, 3)
+}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -81,8 +81,9 @@
 		return nil, trace.Wrap(err)
 	}
 	r.keys = idempotency.NewGenerator(r.Clock, rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	r.ledgerStore = node.NewStore(settings.Platform.Store, r.Clock, node.LedgerStoreCalls)
+	r.ledgerStore = r.OpenStore(node.LedgerStoreCalls)
 	r.charges = ledger.NewQueue(r.Clock, settings.LedgerLines)
+	r.RedeliverCharges(r.charges)
 	if settings.Platform.Rating != "" {
 		r.rating = platform.NewRatingClient(settings.Platform.Rating)
 		r.ratingUp.Store(true)
