distribute: a watcher calls the store again at once after a failure

Cause: after each failed call a watcher slept 1 to 3 s before it read the configuration.

Change: the first retry has no delay, later ones 0.25 to 1 s on average, and a read after a failure ends after 1.5 s. Only a completed watch resets the delay: a store that refuses watches but serves reads would otherwise be called in a tight loop, which the new test showed.

TestWatcherCallsAgainAtOnce: with the earlier delay it fails after one refused call, after an outage of 0.3 s and after one of 60 s.

--- a/daemon/distribute/distribute_test.go
+++ b/daemon/distribute/distribute_test.go
@@ -630,3 +630,82 @@
 		}
 	})
 }
+
+// refusingStore is a store whose watches wait until refuse is closed, and then fail.
+type refusingStore struct {
+	kv.Store
+	refuse chan struct{}
+}
+
+func (s *refusingStore) Watch(ctx context.Context, _ string, _ kv.Revision) (kv.Entry, error) {
+	select {
+	case <-s.refuse:
+	case <-ctx.Done():
+	}
+	return kv.Entry{}, kv.ErrUnavailable
+}
+
+// TestWatcherCallsAgainAtOnce guards against a configuration that waits for a backoff after the
+// store has returned: after one refused call, after an outage, and when a peer tells of a new era
+// while a watch is waiting.
+func TestWatcherCallsAgainAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		outage time.Duration
+		bound  time.Duration
+	}{
+		"short outage": {300 * time.Millisecond, 800 * time.Millisecond},
+		"long outage":  {time.Minute, 1600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				f.add("n0", "dc0", true, f.store)
+				f.publish(1, 1)
+				stop := f.run()
+				defer stop()
+				time.Sleep(20 * time.Second)
+				f.store.SetFaults(kv.Faults{Outage: true})
+				time.Sleep(c.outage)
+				f.store.SetFaults(kv.Faults{})
+				f.publish(2, 2)
+				time.Sleep(c.bound)
+				if late := f.behind(2); len(late) > 0 {
+					t.Errorf("%v do not hold version 2 after %v", late, c.bound)
+				}
+			})
+		})
+	}
+	t.Run("one refused call", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t)
+			store := &refusingStore{Store: f.store, refuse: make(chan struct{})}
+			f.add("n0", "dc0", true, store)
+			f.publish(1, 1)
+			stop := f.run()
+			defer stop()
+			time.Sleep(20 * time.Second)
+			f.publish(2, 2)
+			close(store.refuse)
+			synctest.Wait()
+			if late := f.behind(2); len(late) > 0 {
+				t.Errorf("%v do not hold version 2", late)
+			}
+		})
+	})
+	t.Run("new era", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t)
+			k := f.add("n0", "dc0", true, f.store)
+			f.publish(1, 1)
+			stop := f.run()
+			defer stop()
+			time.Sleep(20 * time.Second)
+			before := f.store.Usage()[kv.KindGet].Calls
+			k.WakeForEra()
+			synctest.Wait()
+			if f.store.Usage()[kv.KindGet].Calls == before {
+				t.Error("the manifest is not read again")
+			}
+		})
+	})
+}
--- a/daemon/distribute/loops.go
+++ b/daemon/distribute/loops.go
@@ -29,8 +29,17 @@
 	bootstrapPeers = 5
 	// bootstrapRetry is the mean time between attempts to get a first bundle.
 	bootstrapRetry = time.Second
-	// watchRetry is the mean delay after a failed watch.
+	// watchRetry is the mean delay after a watch that reported no change before its time.
 	watchRetry = 2 * time.Second
+	// firstRetry and lastRetry bound the mean delay after failed store calls, which doubles
+	// with each failure after the second. The first retry has no delay, since a restored
+	// store usually refuses one call only. During an outage two watchers per data centre
+	// call about once a second, and learn of its end within 1.5 s.
+	firstRetry = 250 * time.Millisecond
+	lastRetry  = time.Second
+	// retryTimeout limits a read after a failure, so that a hung connection does not delay
+	// the next one by storeTimeout. A slow store answers after 240 ms.
+	retryTimeout = 1500 * time.Millisecond
 	// pollInterval is the mean time between polls of an unconfirmed process. If all
 	// 2,050 processes poll, they cause 70 reads/s; the store allows 2,000.
 	pollInterval = 30 * time.Second
@@ -183,17 +192,25 @@
 // this process is unconfirmed.
 func (s *Syncer) watchLoop(ctx context.Context) {
 	var seen kv.Revision
+	failures := 0
 	for ctx.Err() == nil {
 		switch {
 		case s.isWatcher():
-			next, err := s.watch(ctx, seen)
+			watched := seen != 0
+			next, err := s.watch(ctx, seen, failures > 0)
 			seen = next
 			if err == nil {
+				// A store that serves reads but refuses watches must not be called in a
+				// tight loop, so a read alone does not end the backoff.
+				if watched {
+					failures = 0
+				}
 				continue
 			}
-			s.cfg.Log.Debug().Err(err).Msg("watching the store failed; retrying")
+			failures++
+			s.cfg.Log.Debug().Err(err).Int("failures", failures).Msg("watching the store failed; retrying")
 			seen = 0
-			if !s.sleep(ctx, watchRetry) {
+			if d := retryDelay(failures); d > 0 && !s.sleep(ctx, d) {
 				return
 			}
 		case s.unconfirmed():
@@ -209,6 +226,14 @@
 	}
 }
 
+// retryDelay returns the mean delay after a number of consecutive failures.
+func retryDelay(failures int) time.Duration {
+	if failures <= 1 {
+		return 0
+	}
+	return min(lastRetry, firstRetry<<min(failures-2, 8))
+}
+
 func (s *Syncer) unconfirmed() bool {
 	return s.cfg.Clock.Now().Sub(s.LastConfirmed()) > FreshnessBound
 }
@@ -221,10 +246,16 @@
 }
 
 // watch reads the manifest if seen is 0 and otherwise waits for a change. It returns
-// the revision handled, or 0 if the manifest must be read again.
-func (s *Syncer) watch(ctx context.Context, seen kv.Revision) (kv.Revision, error) {
+// the revision handled, or 0 if the manifest must be read again. The read is short after a
+// failure.
+func (s *Syncer) watch(ctx context.Context, seen kv.Revision, failed bool) (kv.Revision, error) {
 	if seen == 0 {
-		entry, err := s.readCurrent(ctx)
+		read, cancel := context.WithCancel(ctx)
+		if failed {
+			read, cancel = context.WithTimeout(ctx, retryTimeout)
+		}
+		entry, err := s.readCurrent(read)
+		cancel()
 		if err != nil {
 			return 0, err
 		}
