router: bindings of callers' keys outlive a restore of the store

Cause: a restore may take back the binding of a key that a caller has made. A repeated booking was then bound to another agent, which has no record of the key, and ran a second time.

Open: a repeat through another router before that write, or after the router that bound the key has ended.

TestBookingAfterARestore: without the kept home, and without the second write, keys run at two agents.

--- a/daemon/router/bind_test.go
+++ b/daemon/router/bind_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
@@ -13,6 +15,7 @@
 	"cactusknot.example/daemon/node"
 	"cactusknot.example/daemon/platform"
 	"cactusknot.example/daemon/result"
+	"cactusknot.example/daemon/rpc"
 )
 
 // TestCallerMadeKey guards against two homes for one key that the caller generated,
@@ -143,3 +146,53 @@
 		})
 	}
 }
+
+// TestBookingAfterARestore guards against a second run of a booking whose binding a restore of the
+// store has taken back: the router that bound the key must use its home again, and must write the
+// binding again for the other routers.
+func TestBookingAfterARestore(t *testing.T) {
+	var mu sync.Mutex
+	homes := make(map[string]map[*fakeAgent]bool)
+	record := func(s *stream, in *rpc.ExecuteRequest) {
+		mu.Lock()
+		if homes[in.GetIdempotencyKey()] == nil {
+			homes[in.GetIdempotencyKey()] = make(map[*fakeAgent]bool)
+		}
+		homes[in.GetIdempotencyKey()][s.agent] = true
+		mu.Unlock()
+		succeed(s, in)
+	}
+	h := newHarness(t, record, record, record)
+	memory, _ := h.attachStore()
+	backup := memory.Backup()
+	keys := make([]string, 20)
+	book := func(keys []string) {
+		for _, key := range keys {
+			h.book(key)
+		}
+	}
+	for i := range keys {
+		keys[i] = uuid.Must(uuid.NewV7()).String()
+	}
+	book(keys)
+	memory.Restore(backup)
+	book(keys[:10])
+	go h.rewriteBindings(t.Context())
+	h.ObserveStoreEra(1, node.EraFromPeer)
+	for range 100 {
+		if all, _ := memory.List(t.Context(), "once/"); len(all) == len(keys) {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	h.bindings = newBindings(h.Clock) // as in another router, which knows only the store
+	book(keys)
+	for key, agents := range homes {
+		if len(agents) != 1 {
+			t.Errorf("key %s ran at %d agents", key, len(agents))
+		}
+	}
+	if len(homes) != len(keys) {
+		t.Errorf("%d of %d keys ran", len(homes), len(keys))
+	}
+}
--- a/daemon/router/router.go
+++ b/daemon/router/router.go
@@ -49,13 +49,16 @@
 	// during an outage don't delay store calls for idempotency keys and the
 	// configuration.
 	ledgerStore *kv.Client
-	rating      *platform.RatingClient
-	metrics     *routerMetrics
-	history     history
-	view        atomic.Pointer[view]
-	events      chan event
-	chat        filterChain
-	service     filterChain
+	// bindings are written again when eraBegun signals a new era of the store.
+	bindings *bindings
+	eraBegun chan struct{}
+	rating   *platform.RatingClient
+	metrics  *routerMetrics
+	history  history
+	view     atomic.Pointer[view]
+	events   chan event
+	chat     filterChain
+	service  filterChain
 	// ratingUp is true unless the latest call to the rating service failed.
 	ratingUp atomic.Bool
 	// ratingSlots bounds the concurrent background ratings.
@@ -73,6 +76,7 @@
 		settings:    settings,
 		events:      make(chan event, eventQueue),
 		ratingSlots: make(chan struct{}, maxRatings),
+		eraBegun:    make(chan struct{}, 1),
 	}
 	if r.sessions, err = auth.NewSessionTokens(settings.SessionSecrets); err != nil {
 		return nil, trace.Wrap(err)
@@ -84,6 +88,8 @@
 	r.ledgerStore = r.OpenStore(node.LedgerStoreCalls)
 	r.charges = ledger.NewQueue(r.Clock, settings.LedgerLines)
 	r.RedeliverCharges(r.charges)
+	r.bindings = newBindings(r.Clock)
+	r.OnStoreEra(func(uint64) { r.signalEra() })
 	if settings.Platform.Rating != "" {
 		r.rating = platform.NewRatingClient(settings.Platform.Rating)
 		r.ratingUp.Store(true)
@@ -141,6 +147,7 @@
 	r.Node.Run(background)
 	go r.control(background)
 	go r.deliverCharges(background)
+	go r.rewriteBindings(background)
 	r.Log.Info().Str("listen", r.settings.Listen).Msg("router started")
 	<-ctx.Done()
 	r.shutDown(background, public, internal, admin)
--- a/daemon/router/service.go
+++ b/daemon/router/service.go
@@ -278,8 +278,10 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, bindTimeout)
 	defer cancel()
-	home, bindErr := idempotency.Bind(bounded, r.Store, j.call.service, j.call.workspace.Name, j.call.key, to.incarnation)
+	id := bindingID{j.call.service, j.call.workspace.Name, j.call.key}
+	home, bindErr := idempotency.Bind(bounded, r.Store, id.service, id.workspace, id.key, r.bindings.home(id, to.incarnation))
 	if bindErr == nil {
+		r.bindings.keep(id, home)
 		return home, nil
 	}
 	if suggestion, keyErr := r.keys.New(to.incarnation); keyErr == nil {
