edge: the first call to the store after a reader does not wait

Cause: a follower that had left its readers because their copies were too old began a long poll of 2 s, on a store that often was silent at that moment, and found the return of the store only when that poll was late. A long poll that had been lost was probed beside 0.4 s after its end, whatever the store's usual time to answer.

Change: a call that follows a lost one or a reader does not wait for changes and is repeated at the probe interval. The allowance of a long poll is 0.2 s plus twice what the poll before took longer, at most 0.6 s.

--- a/daemon/edge/recovery.go
+++ b/daemon/edge/recovery.go
@@ -25,8 +25,11 @@
 	// more, in probe intervals. A listing takes several round trips.
 	listingIntervals = 2
 	// pollAllowance is how much longer than its wait a long poll may take before a probe is
-	// started beside it. A slow store answers after 240 ms.
-	pollAllowance = 400 * time.Millisecond
+	// started beside it, besides twice the time that the poll before took longer, and
+	// maxPollAllowance bounds the sum. A store that is usually fast is found silent sooner, and
+	// a slow one, which answers after 240 ms, is not probed beside each poll.
+	pollAllowance    = 200 * time.Millisecond
+	maxPollAllowance = 600 * time.Millisecond
 	// settleTime is how long after an outage or a restore the long polls are short, and
 	// settleWait is their length. A store that has just come back may be restored or go
 	// away once more without any call being lost.
--- a/daemon/edge/recovery_test.go
+++ b/daemon/edge/recovery_test.go
@@ -59,6 +59,29 @@
 	})
 }
 
+// Guards against a long poll that a follower starts on a silent store after it has left its
+// readers, so that it finds the return of the store only when the poll is late.
+func TestFollowersFindTheReturnOfTheStore(t *testing.T) {
+	for offset := range 12 {
+		synctest.Test(t, func(t *testing.T) {
+			f := startVirtualFleet(t, 4, 2)
+			time.Sleep(3 * time.Second)
+			for _, link := range f.links {
+				link.set(linkSilent)
+			}
+			time.Sleep(1750*time.Millisecond + time.Duration(offset)*200*time.Millisecond)
+			f.store.put("config", testConfig{13})
+			for _, link := range f.links {
+				link.set(linkWorks)
+			}
+			began := time.Now()
+			for i := range f.links {
+				within(t, 1000*time.Millisecond-time.Since(began), "version 13 is in force", func() bool { return f.version(i) == 13 })
+			}
+		})
+	}
+}
+
 // Guards against more store calls on a quiet day than one long poll after the other takes.
 func TestQuietDayTakesNoMoreCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -57,6 +57,11 @@
 	reader   string
 	// answered is the reader that has answered the latest poll; empty after a failure.
 	answered string
+	// reached is set while the latest call to the store was answered and no reader has been
+	// polled since. Otherwise the store may be away, and the next call does not wait.
+	reached bool
+	// overtime is how much longer than its wait the latest long poll took.
+	overtime time.Duration
 	// era is the latest era that this router has heard of and acted on; newerEra is closed when
 	// there is a newer one.
 	era      uint64
@@ -74,6 +79,7 @@
 		return
 	}
 	if ok {
+		s.reached = false
 		s.follow(ctx, reader)
 		return
 	}
@@ -145,10 +151,15 @@
 			return a
 		}
 	}
-	answer, ok := s.call(ctx, poll(wait), poll(0), wait+pollAllowance, s.probeInterval(), s.newerEra)
+	allowance := wait + min(pollAllowance+2*s.overtime, maxPollAllowance)
+	if !s.reached {
+		wait, allowance = 0, s.probeInterval()
+	}
+	answer, ok := s.call(ctx, poll(wait), poll(0), allowance, s.probeInterval(), s.newerEra)
 	if !ok {
 		return
 	}
+	s.overtime = max(0, time.Since(answer.started)-wait)
 	if answer.err != nil {
 		s.edge.log.Warn().Err(answer.err).Stringer("position", after).Msg("store does not have the history; reading all keys again")
 		s.synced = false
@@ -221,6 +232,7 @@
 			}
 		}()
 	}
+	s.reached = false
 	schedule := callSchedule{interval: interval, jitter: rand.Float64}
 	schedule.first(time.Now(), allowance)
 	start(first)
@@ -235,6 +247,7 @@
 		case answer := <-answers:
 			delete(outstanding, answer.started)
 			if answer.received() {
+				s.reached = true
 				s.markAnswered(answer, outstanding)
 				return answer, true
 			}
