edge: data race between a poll of a reader and the next one

Cause: the goroutine that cancels a poll when a newer era is heard of read the channel from storeSync while the next round replaced it. In the virtual-time tests, an answer that came after its call had been given up was written to the variables of the call.

Change: the goroutine keeps the channel in a local variable; answers of the test store travel by a channel.

Measured: go test -race ./edge reported both (TestRecoveryIsBounded, TestFollowersDoNotCallTheStore) before; the tests of recovery, readers, restores and outages pass with -race. mirror and relay passed with -race before.

--- a/daemon/edge/follow.go
+++ b/daemon/edge/follow.go
@@ -31,9 +31,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+followMargin)
 	defer cancel()
+	newerEra := s.newerEra
 	go func() {
 		select {
-		case <-s.newerEra:
+		case <-newerEra:
 			cancel()
 		case <-ctx.Done():
 		}
--- a/daemon/edge/virtual_test.go
+++ b/daemon/edge/virtual_test.go
@@ -66,25 +66,33 @@
 	return n
 }
 
+// answer is what the store answers to a call.
+type answer struct {
+	list    []kv.Entry
+	changes []mirror.Change
+	at      kv.Position
+	err     error
+}
+
 // roundTrip performs a call with the faults of the link.
-func (l *storeLink) roundTrip(ctx context.Context, work func()) error {
+func (l *storeLink) roundTrip(ctx context.Context, work func() answer) answer {
 	l.mu.Lock()
 	l.calls++
 	fault, broken, latency := l.fault, l.broken, l.latency
 	l.mu.Unlock()
-	done := make(chan struct{})
+	done := make(chan answer, 1)
 	if fault == linkWorks {
 		go func() {
 			sleep(ctx, latency/2)
-			work()
+			result := work()
 			sleep(ctx, latency/2)
-			close(done)
+			done <- result
 		}()
 		select {
-		case <-done:
-			return nil
+		case result := <-done:
+			return result
 		case <-ctx.Done():
-			return errors.Join(kv.ErrUnavailable, ctx.Err())
+			return answer{err: errors.Join(kv.ErrUnavailable, ctx.Err())}
 		case <-broken:
 		}
 		l.mu.Lock()
@@ -96,36 +104,31 @@
 	} else {
 		<-ctx.Done()
 	}
-	return kv.ErrUnavailable
+	return answer{err: kv.ErrUnavailable}
 }
 
-func (l *storeLink) Range(ctx context.Context, prefix string) (list []kv.Entry, at kv.Position, err error) {
+func (l *storeLink) Range(ctx context.Context, prefix string) ([]kv.Entry, kv.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
 	defer cancel()
-	var listed []kv.Entry
 	// A listing takes two pages.
-	if err := l.roundTrip(ctx, func() {}); err != nil {
-		return nil, kv.Position{}, err
+	if first := l.roundTrip(ctx, func() answer { return answer{} }); first.err != nil {
+		return nil, kv.Position{}, first.err
 	}
-	err = l.roundTrip(ctx, func() { listed, at, _ = (&storeClient{store: l.store}).Range(ctx, prefix) })
-	if err != nil {
-		return nil, kv.Position{}, err
-	}
-	return listed, at, nil
+	second := l.roundTrip(ctx, func() (a answer) {
+		a.list, a.at, a.err = (&storeClient{store: l.store}).Range(ctx, prefix)
+		return a
+	})
+	return second.list, second.at, second.err
 }
 
 func (l *storeLink) Watch(ctx context.Context, _ string, after kv.Position, wait time.Duration) ([]mirror.Change, kv.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, max(wait+700*time.Millisecond, 1500*time.Millisecond))
 	defer cancel()
-	var (
-		changes []mirror.Change
-		at      kv.Position
-		result  error
-	)
-	if err := l.roundTrip(ctx, func() { changes, at, result = l.store.poll(ctx, after, wait) }); err != nil {
-		return nil, kv.Position{}, err
-	}
-	return changes, at, result
+	a := l.roundTrip(ctx, func() (a answer) {
+		a.changes, a.at, a.err = l.store.poll(ctx, after, wait)
+		return a
+	})
+	return a.changes, a.at, a.err
 }
 
 // poll waits for changes after a revision. Only the answer tells the era, so that a poll goes
@@ -222,7 +225,7 @@
 // revision that the routers hold, so that the store then has nothing to report to them.
 func (f *virtualFleet) restoreUnnoticed(c storeCopy) {
 	f.store.restore(c)
-	for f.store.revision+1 < f.edges[0].mirror.Position().Revision {
+	for f.store.copy().revision+1 < f.edges[0].mirror.Position().Revision {
 		f.store.put("servers/a", testServer{Service: "svc"})
 	}
 }
