--- a/daemon/edge/bound_test.go
+++ b/daemon/edge/bound_test.go
@@ -9,7 +9,8 @@
 )
 
 // noticedOutage is how long a silent outage must last for the bound to hold: a shorter one may
-// be over before the long poll that it has broken is late.
+// be over long before the long poll that it has broken is late. After such a one, or a restore
+// that breaks no call, the configuration must be in force when the router counts as in touch.
 const noticedOutage = 1100 * time.Millisecond
 
 // Guards against waits that add up, over random interleavings of loss, return, restore, dropped
@@ -40,10 +41,17 @@
 
 	// outage takes the store away from some routers and returns when it is back.
 	ends := make([]time.Time, len(f.links))
+	bound := f.edges[0].settings.recoveryBound()
 	outage := func(links []*storeLink, restored bool) {
 		fault, length := linkRefuses, 10*time.Millisecond+upTo(4*time.Second)
-		if chance(50) {
+		switch kind := random.IntN(100); {
+		case kind < 40:
 			fault, length = linkSilent, noticedOutage+upTo(4*time.Second)
+		case kind < 50:
+			fault, length, bound = linkSilent, upTo(noticedOutage), DefaultContact
+		case kind < 60:
+			// A restore that breaks no call.
+			fault, length, bound = linkWorks, upTo(noticedOutage), DefaultContact
 		}
 		for _, link := range links {
 			link.set(fault)
@@ -78,7 +86,6 @@
 	f.store.remove("servers/a")
 	removed := time.Now()
 
-	bound := f.edges[0].settings.recoveryBound()
 	inForce := make([]time.Time, len(f.links))
 	for time.Since(removed) < 5*time.Second {
 		time.Sleep(5 * time.Millisecond)
--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -152,7 +152,7 @@
 // recordStoreResponse records a response of the store.
 func (c *controller) recordStoreResponse(now time.Time) {
 	if away := c.contact.responded(now); away > 0 {
-		c.edge.log.Info().Dur("away_ms", away).Msg("store available again")
+		c.edge.log.Info().Dur("away_ms", away).Dur("hold_ms", max(0, c.contact.hold().Sub(now))).Msg("store available again")
 	}
 }
 
@@ -499,6 +499,7 @@
 	until := c.contact.hold()
 	if b.receivedAt.Before(until) && !s.Draining {
 		s.removeAfter = until
+		c.edge.storeMetrics.GetOrCreateCounter("cactusknot_servers_held_total").Inc()
 		c.edge.log.Info().Str("server", id).Dur("hold_ms", until.Sub(b.receivedAt)).Uint64("revision", uint64(change.Revision)).
 			Msg("vanished backend server held")
 		return
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -258,6 +258,7 @@
 				return storeAnswer{}, false
 			}
 			schedule.repeat(now)
+			s.edge.storeMetrics.GetOrCreateCounter("cactusknot_store_probes_total").Inc()
 			start(again)
 		}
 		timer.Reset(time.Until(schedule.due))
