--- a/daemon/edge/recovery.go
+++ b/daemon/edge/recovery.go
@@ -41,7 +41,8 @@
 )
 
 // recoveryBound is the longest time from the end of an outage, as this router sees it, until
-// the newest configuration is in force, if no call takes more than a fifth of it.
+// the newest configuration is in force, if a probe and a listing together are answered within two
+// fifths of it.
 func (s *Settings) recoveryBound() time.Duration {
 	return min(s.contact(), orDefault(s.ConfigApply, DefaultConfigApply)) * 95 / 100
 }
