edge: the era in the first answer does not hide which calls were lost

Cause: the store client tells the era of a response before the call returns. That news cancelled all calls, so that the unanswered ones of a silent outage were not counted as lost, and the hold on vanished servers counted from a call that was up to 1.9 s older.

Change: once a call was lost, news of an era start a probe at once instead of cancelling those under way. The virtual-time store tells eras like the real one.

Measured: TestHoldAfterASilentOutageAndARestore failed before and passes; TestRecoveryIsBounded and the tests of restores pass.

--- a/daemon/edge/hold_test.go
+++ b/daemon/edge/hold_test.go
@@ -97,3 +97,22 @@
 		})
 	}
 }
+
+// Guards against a hold that is too short after a silent outage, because the calls that were
+// not answered are forgotten when the first answer names a new era.
+func TestHoldAfterASilentOutageAndARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startVirtualFleet(t, 1, 0)
+		before := f.store.copy()
+		f.store.put("servers/c", testServer{Service: "svc"})
+		time.Sleep(time.Second)
+		f.links[0].set(linkSilent)
+		time.Sleep(6 * time.Second)
+		f.store.restore(before)
+		f.links[0].set(linkWorks)
+		time.Sleep(2 * time.Second)
+		if !f.uses(0, "c") {
+			t.Error("a server that the copy lacks is not used 2 s after the return of the store")
+		}
+	})
+}
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -214,7 +214,7 @@
 // call calls the store until it answers. If the first call is lost, or is not answered within
 // its allowance, further calls are started while the older ones may still be answered; the
 // first answer counts. ok is false if this router is to use another source, or ctx has ended, or
-// interrupt is closed.
+// interrupt is closed before a call was lost.
 func (s *storeSync) call(ctx context.Context, first, again storeCall, allowance, interval time.Duration, interrupt <-chan struct{}) (answer storeAnswer, ok bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -243,7 +243,12 @@
 		case <-ctx.Done():
 			return storeAnswer{}, false
 		case <-interrupt:
-			return storeAnswer{}, false
+			if !schedule.lost {
+				return storeAnswer{}, false
+			}
+			// The next answer names the era, and tells which calls were lost.
+			interrupt = nil
+			schedule.due = time.Now()
 		case answer := <-answers:
 			delete(outstanding, answer.started)
 			if answer.received() {
--- a/daemon/edge/virtual_test.go
+++ b/daemon/edge/virtual_test.go
@@ -37,8 +37,12 @@
 	broken  chan struct{}
 	latency time.Duration
 	calls   int
+	observe func(era uint64)
 }
 
+// ObserveEra implements eraObserver.
+func (l *storeLink) ObserveEra(observe func(era uint64)) { l.observe = observe }
+
 // set changes the fault of the link. Calls in progress are lost at the start of a fault.
 func (l *storeLink) set(fault linkFault) {
 	l.mu.Lock()
@@ -90,6 +94,10 @@
 		}()
 		select {
 		case result := <-done:
+			l.store.mu.Lock()
+			era := l.store.era
+			l.store.mu.Unlock()
+			l.observe(era)
 			return result
 		case <-ctx.Done():
 			return answer{err: errors.Join(kv.ErrUnavailable, ctx.Err())}
