--- a/daemon/admission/admission.go
+++ b/daemon/admission/admission.go
@@ -32,10 +32,10 @@
 	// refusalHoldShare is the part of its latency target from its arrival up to which a
 	// request may be refused after it was held.
 	refusalHoldShare = 0.5
-	// maxHoldTargets bounds the time from its arrival for which a request is held, as a multiple
-	// of its latency target. Callers of streams give up after some silence, and a late answer
-	// is worth something: from then on the server's own queue serves the request better.
-	maxHoldTargets = 1
+	// maxHoldShare is the part of its latency target from its arrival for which a request is
+	// held at most. What is held for longer can hardly be in time, and callers of streams
+	// give up after some silence: the server's own queue serves such a request sooner.
+	maxHoldShare = 0.5
 	// delayPerWork times its work is the delay of a request that weighs as much as the delay of
 	// others by the same multiple of theirs.
 	delayPerWork = 10
@@ -208,7 +208,7 @@
 		refusable = share
 	}
 	e.latestStart = e.Deadline.Add(-e.Work - e.Answer - e.Target)
-	if held := e.ArrivedAt.Add(maxHoldTargets * e.Target); e.Target > 0 && held.Before(e.latestStart) {
+	if held := e.ArrivedAt.Add(time.Duration(maxHoldShare * float64(e.Target))); e.Target > 0 && held.Before(e.latestStart) {
 		e.latestStart = held
 	}
 	if e.latestStart.Before(refusable) {
--- a/daemon/gateway/admission.go
+++ b/daemon/gateway/admission.go
@@ -29,9 +29,6 @@
 	// before it returns. leastRetryAfter is the shortest time that callers can be told.
 	maxRetryAfterShare = 0.33
 	leastRetryAfter    = 10 * time.Millisecond
-	// leastUrgent is the urgency at the server of a late request that is sent without room, so
-	// that it does not delay others.
-	leastUrgent = 9
 	// plainWork is the expected time that a request of a service without a model takes a slot.
 	plainWork = 100 * time.Millisecond
 )
@@ -416,7 +413,6 @@
 			continue
 		}
 		q.queue.Remove(entry)
-		w.x.urgency = leastUrgent
 		q.send(now, entry, choice, "held_enough")
 	}
 }
