edge: a stop that notices the quiet backlog late looks again before it closes the listener

Clients saw resets during a planned stop beside heavy load. The listener is closed once no connection was established for 100 ms; a process that did not run in that time found the deadline passed although connections waited in the backlog, which the kernel then reset (67 to 91 of them).

A deadline that is noticed more than 5 ms late now begins another quiet time.

--- a/daemon/edge/drain.go
+++ b/daemon/edge/drain.go
@@ -20,6 +20,9 @@
 	// backlogQuiet is how long no connection must have been established before a listener
 	// is closed. The kernel resets those that are in the backlog then.
 	backlogQuiet = 100 * time.Millisecond
+	// maxQuietLateness is how late the end of that time may be noticed. A process that did not
+	// run in the meantime says nothing of the connections that were established since.
+	maxQuietLateness = 5 * time.Millisecond
 	// lingerTime is how long a connection is read after its end was sent, so that a request
 	// that crosses it does not cause a reset.
 	lingerTime = time.Second
@@ -77,7 +80,7 @@
 	if listener == nil {
 		return nil
 	}
-	if err := listener.SetDeadline(time.Now().Add(backlogQuiet)); err != nil {
+	if err := listener.awaitQuiet(); err != nil {
 		return err
 	}
 	for {
@@ -102,21 +105,46 @@
 	mu sync.Mutex
 	// open holds the connections that have not ended.
 	open map[*drainConn]bool
+	// quietUntil is when the listener is closed if no connection is established before.
+	quietUntil time.Time
+}
+
+// awaitQuiet lets Accept close the listener after backlogQuiet without a connection.
+func (l *drainListener) awaitQuiet() error {
+	until := time.Now().Add(backlogQuiet)
+	l.mu.Lock()
+	l.quietUntil = until
+	l.mu.Unlock()
+	return l.SetDeadline(until)
+}
+
+// wasQuiet reports whether no connection has been established up to now, as far as a deadline
+// that has passed tells.
+func (l *drainListener) wasQuiet(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.quietUntil) <= maxQuietLateness
 }
 
 // Accept implements net.Listener.
 func (l *drainListener) Accept() (net.Conn, error) {
 	conn, err := l.AcceptTCP()
-	if err != nil {
-		if l.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+	for err != nil && l.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		if l.wasQuiet(time.Now()) {
 			l.closed.Store(true)
 			return nil, errors.Join(net.ErrClosed, l.TCPListener.Close())
 		}
+		if err := l.awaitQuiet(); err != nil {
+			return nil, err
+		}
+		conn, err = l.AcceptTCP()
+	}
+	if err != nil {
 		return nil, err
 	}
 	if l.draining.Load() {
 		// An error means that the listener is closed, which the next call reports.
-		_ = l.SetDeadline(time.Now().Add(backlogQuiet))
+		_ = l.awaitQuiet()
 	}
 	c := &drainConn{TCPConn: conn, listener: l, idle: true}
 	l.mu.Lock()
