admission: the backlog of prompts holds requests only where a setting asks for it

Holding requests back until servers have worked off their prompts brings more of the urgent ones in time and makes late ones later, or too late. Whether that is better for callers depends on what a late answer is worth to them, so it is the deployment's choice: bounds.limit_backlog.

--- a/daemon/admission/admission.go
+++ b/daemon/admission/admission.go
@@ -32,10 +32,6 @@
 	// refusalHoldShare is the part of its latency target from its arrival up to which a
 	// request may be refused after it was held.
 	refusalHoldShare = 0.5
-	// maxHoldShare is the part of its latency target from its arrival for which a request is
-	// held at most. What is held for longer can hardly be in time, and callers of streams
-	// give up after some silence: the server's own queue serves such a request sooner.
-	maxHoldShare = 0.5
 	// delayPerWork times its work is the delay of a request that weighs as much as the delay of
 	// others by the same multiple of theirs.
 	delayPerWork = 10
@@ -208,9 +204,6 @@
 		refusable = share
 	}
 	e.latestStart = e.Deadline.Add(-e.Work - e.Answer - e.Target)
-	if held := e.ArrivedAt.Add(time.Duration(maxHoldShare * float64(e.Target))); e.Target > 0 && held.Before(e.latestStart) {
-		e.latestStart = held
-	}
 	if e.latestStart.Before(refusable) {
 		e.latestStart = refusable
 	}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -155,6 +155,9 @@
 	// LateAnswerValue is the value of an answer after the latency target, as a fraction of a
 	// timely one's; 0 means the default.
 	LateAnswerValue float64
+	// LimitBacklog holds requests at the router while the servers have a long backlog of
+	// prompts.
+	LimitBacklog bool
 }
 
 const (
@@ -229,7 +232,8 @@
 		Name: settings.VM, Codec: settings.HeaderCodec, View: e.view.Load, Observe: e.controller.observe,
 		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Retries: settings.Retries,
 		ModelPolicy: settings.ModelPolicy, ServerPolicy: settings.ServerPolicy, LateAnswerValue: settings.LateAnswerValue,
-		Count: e.duties.usage.count, Log: e.log,
+		LimitBacklog: settings.LimitBacklog,
+		Count:        e.duties.usage.count, Log: e.log,
 	})
 	e.config.edge = e
 	e.exchanged = []exchanged{
--- a/daemon/gateway/admission.go
+++ b/daemon/gateway/admission.go
@@ -29,6 +29,9 @@
 	// before it returns. leastRetryAfter is the shortest time that callers can be told.
 	maxRetryAfterShare = 0.33
 	leastRetryAfter    = 10 * time.Millisecond
+	// leastUrgent is the urgency at the server of a late request that is sent without room, so
+	// that it does not delay others.
+	leastUrgent = 9
 	// plainWork is the expected time that a request of a service without a model takes a slot.
 	plainWork = 100 * time.Millisecond
 )
@@ -177,7 +180,7 @@
 }
 
 func (g *Gateway) chooseWithRoom(now time.Time, x *requestState, request selection.Request) (*selection.Choice, selection.Room) {
-	limit := selection.BacklogLimit(x.route.LatencyTarget)
+	limit := g.backlogLimit(x.route.LatencyTarget, false)
 	return g.Chooser.ChooseWithRoom(now, x.candidates, request, limit, x.route.LatencyTarget-x.age-now.Sub(x.startedAt))
 }
 
@@ -200,7 +203,7 @@
 	g.grantRoom(now, q)
 	if refusal != nil {
 		// The expected wait may be that of requests for which there is no room.
-		if choice, room := g.Chooser.ChooseWithRoom(now, x.candidates, request, limitOf(entry), 0); room == selection.RoomFound {
+		if choice, room := g.Chooser.ChooseWithRoom(now, x.candidates, request, g.backlogLimit(entry.Target, entry.Late()), 0); room == selection.RoomFound {
 			q.send(now, entry, choice, "room")
 		} else {
 			w.refuse(refusal)
@@ -323,7 +326,7 @@
 			w.done <- grant{err: err, how: "not_sent"}
 			continue
 		}
-		own := limitOf(entry)
+		own := g.backlogLimit(entry.Target, entry.Late())
 		if limit > 0 && own > 0 {
 			own = min(own, limit)
 		}
@@ -355,12 +358,15 @@
 	g.setTimer(now, q)
 }
 
-// limitOf returns the backlog limit of the servers for an entry.
-func limitOf(entry *admission.Entry) time.Duration {
-	if entry.Late() {
-		return selection.LateBacklogLimit(entry.Target)
+// backlogLimit returns the backlog limit of the servers for a request with the latency target.
+func (g *Gateway) backlogLimit(target time.Duration, late bool) time.Duration {
+	switch {
+	case !g.LimitBacklog:
+		return 0
+	case late:
+		return selection.LateBacklogLimit(target)
 	}
-	return selection.BacklogLimit(entry.Target)
+	return selection.BacklogLimit(target)
 }
 
 // sameServers reports whether two lists are the same slice, as the candidates of most requests
@@ -413,6 +419,7 @@
 			continue
 		}
 		q.queue.Remove(entry)
+		w.x.urgency = leastUrgent
 		q.send(now, entry, choice, "held_enough")
 	}
 }
--- a/daemon/gateway/admission_load_test.go
+++ b/daemon/gateway/admission_load_test.go
@@ -94,7 +94,7 @@
 		c.view.Routers = append(c.view.Routers, name)
 		c.routers = append(c.routers, New(Config{
 			Name: name, Codec: testCodec{}, View: func() *topology.View { return c.view }, Observe: func(Sample) {},
-			Retries: limit.RetryConfig{Ratio: 0.1, Extra: 10, Window: 10 * time.Second}, Log: zerolog.Nop(),
+			LimitBacklog: true, Retries: limit.RetryConfig{Ratio: 0.1, Extra: 10, Window: 10 * time.Second}, Log: zerolog.Nop(),
 		}))
 	}
 	return c
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -65,6 +65,9 @@
 	ColdFactor, ColdExtra float64
 	Retries               limit.RetryConfig
 	Log                   zerolog.Logger
+	// LimitBacklog holds requests at the router while the servers have a long backlog of
+	// prompts. Otherwise they are held only while no server may take them at all.
+	LimitBacklog bool
 	// ModelPolicy and ServerPolicy choose the policies; the zero values are the
 	// production policies.
 	ModelPolicy  ModelPolicy
--- a/daemon/gateway/harness_test.go
+++ b/daemon/gateway/harness_test.go
@@ -208,7 +208,7 @@
 	r := &harness{}
 	r.Gateway = New(Config{
 		Name: "r1", Codec: testCodec{}, View: r.view.Load, Observe: r.observe,
-		Retries: limit.RetryConfig{Ratio: 0.9, Extra: 50, Window: 10 * time.Second}, Log: zerolog.New(&r.logs),
+		LimitBacklog: true, Retries: limit.RetryConfig{Ratio: 0.9, Extra: 50, Window: 10 * time.Second}, Log: zerolog.New(&r.logs),
 	})
 	r.publish(route, servers...)
 	r.frontend = httptest.NewServer(r.Gateway)
