--- a/daemon/topology/check.go
+++ b/daemon/topology/check.go
@@ -1,8 +1,100 @@
 package topology
 
 import (
+	"cmp"
 	"fmt"
+	"math"
+	"net"
+	"slices"
 	"sort"
+	"strings"
+	"time"
+)
+
+// Severity tells how a finding affects requests.
+type Severity string
+
+// Severities of findings.
+const (
+	// SeverityError marks a part that makes requests fail or that processes read otherwise
+	// than it is written.
+	SeverityError Severity = "error"
+	// SeverityWarning marks a part without effect, or limits that contradict each other.
+	SeverityWarning Severity = "warning"
+)
+
+// Finding is a fault in a configuration.
+type Finding struct {
+	Severity Severity `json:"severity"`
+	// Rule identifies the rule that found the fault.
+	Rule string `json:"rule"`
+	// Place is the entry in the operators' file, for example routes[3], and Name the name
+	// that it has there.
+	Place string `json:"place"`
+	Name  string `json:"name,omitempty"`
+	// Field is the path of the field within Place.
+	Field  string `json:"field,omitempty"`
+	Reason string `json:"reason"`
+
+	section section
+	index   int
+}
+
+// section is a part of the configuration file. The order of the values is that of the
+// findings.
+type section int
+
+const (
+	inFile section = iota
+	inLimits
+	inRoutes
+	inServices
+	inWorkspaces
+)
+
+// sectionNames holds the key in the file and the name of one entry.
+var sectionNames = [...]struct{ key, entry string }{
+	inFile:       {"", "configuration"},
+	inLimits:     {"limits", "limits"},
+	inRoutes:     {"routes", "route"},
+	inServices:   {"backends", "service"},
+	inWorkspaces: {"tenants", "workspace"},
+}
+
+// String returns the finding as one line for logs.
+func (f Finding) String() string {
+	entry := sectionNames[f.section].entry
+	if f.section > inLimits {
+		return fmt.Sprintf("%s %q: %s", entry, f.Name, f.Reason)
+	}
+	return fmt.Sprintf("%s: %s", entry, f.Reason)
+}
+
+// KeyedWorkspace is a workspace and its API keys as the configuration file lists them.
+type KeyedWorkspace struct {
+	*Workspace
+	Keys []string
+}
+
+// declarations holds the entries as the file lists them, including those that an index
+// drops because a later entry replaces them.
+type declarations struct {
+	routes     []*Route
+	services   []*Service
+	workspaces []KeyedWorkspace
+	limits     Limits
+}
+
+// DeclareWorkspaces records the workspaces in the order of the file, for the rules on
+// workspaces that the index by API key cannot decide.
+func (c *Config) DeclareWorkspaces(workspaces []KeyedWorkspace) { c.declared.workspaces = workspaces }
+
+const (
+	// minAttemptTime is the shortest time per attempt that is taken for intended. A smaller
+	// quotient of timeout and attempts is usually a timeout in the wrong unit.
+	minAttemptTime = time.Millisecond
+	// minRequestHead is the size of the shortest request line and Host header.
+	minRequestHead = int64(len("GET / HTTP/1.1\r\nHost: h\r\n"))
 )
 
 // Routes returns the routes ordered by host, and for each host from the longest prefix
@@ -33,32 +125,275 @@
 // that never matches or has no service. The configuration is used nevertheless.
 func (c *Config) Problems() []string {
 	var problems []string
-	seen := make(map[string]string)
-	for _, r := range c.Routes() {
-		location := r.Host + r.Prefix
+	for _, f := range c.Findings() {
+		problems = append(problems, f.String())
+	}
+	return problems
+}
+
+// Findings applies all rules. Errors come before warnings; findings of the same severity
+// have the order of the file.
+func (c *Config) Findings() []Finding {
+	k := &checker{config: c}
+	k.limits()
+	k.routes()
+	k.services()
+	k.workspaces()
+	k.access()
+	slices.SortStableFunc(k.findings, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.Severity, b.Severity), cmp.Compare(a.section, b.section), cmp.Compare(a.index, b.index))
+	})
+	return k.findings
+}
+
+// HasErrors tells whether one of the findings is an error.
+func HasErrors(findings []Finding) bool {
+	return slices.ContainsFunc(findings, func(f Finding) bool { return f.Severity == SeverityError })
+}
+
+// checker collects the findings of one configuration.
+type checker struct {
+	config   *Config
+	findings []Finding
+	// section, index and name tell which entry is checked.
+	section section
+	index   int
+	name    string
+}
+
+func (k *checker) enter(s section, index int, name string) {
+	k.section, k.index, k.name = s, index, name
+}
+
+func (k *checker) add(severity Severity, rule, field, reason string, args ...any) {
+	place := sectionNames[k.section].key
+	if k.section > inLimits && k.index >= 0 {
+		place = fmt.Sprintf("%s[%d]", place, k.index)
+	}
+	k.findings = append(k.findings, Finding{
+		Severity: severity, Rule: rule, Place: place, Name: k.name, Field: field, Reason: fmt.Sprintf(reason, args...),
+		section: k.section, index: k.index,
+	})
+}
+
+// negative reports a value below 0. A time that is too large for its type is read as
+// negative too.
+func (k *checker) negative(field string, isNegative bool) {
+	if isNegative {
+		k.add(SeverityError, "negative", field, "%s is negative or too large", field)
+	}
+}
+
+func (k *checker) limits() {
+	k.enter(inLimits, 0, "")
+	l := k.config.declared.limits
+	k.negative("max_body_bytes", l.MaxBodyBytes < 0)
+	k.negative("max_header_bytes", l.MaxHeaderBytes < 0)
+	k.negative("header_timeout_ms", l.HeaderTimeout < 0)
+	k.negative("idle_timeout_ms", l.IdleTimeout < 0)
+	if l.MaxHeaderBytes > 0 && l.MaxHeaderBytes < minRequestHead {
+		k.add(SeverityError, "header-limit", "max_header_bytes", "no request has a head of at most %d bytes", l.MaxHeaderBytes)
+	}
+}
+
+func (k *checker) routes() {
+	seen := make(map[routeLocation]string)
+	for i, r := range k.config.declared.routes {
+		k.enter(inRoutes, i, r.Name)
+		location := routeLocation{strings.ToLower(r.Host), r.Prefix}
 		if first, duplicate := seen[location]; duplicate {
-			problems = append(problems, fmt.Sprintf("route %q: never used, %q has the same host and prefix", r.Name, first))
-		}
-		seen[location] = r.Name
-		problems = append(problems, c.shareProblems(r)...)
-		if r.Timeout < 0 || r.LatencyTarget < 0 {
-			problems = append(problems, fmt.Sprintf("route %q: timeout or latency target is negative", r.Name))
+			k.add(SeverityWarning, "route-shadowed", "prefix", "never used, %q has the same host and prefix", first)
+		} else {
+			seen[location] = r.Name
 		}
+		k.location(r)
+		k.shares(r)
+		k.times(r)
+		k.models(r)
 	}
-	return problems
 }
 
-func (c *Config) shareProblems(r *Route) []string {
-	var problems []string
-	total := 0.0
-	for _, share := range r.Shares {
+// location reports a host or prefix that no request has.
+func (k *checker) location(r *Route) {
+	if r.Host == "" {
+		k.add(SeverityWarning, "host-missing", "hostname", "never used, the host is missing")
+	} else if _, _, err := net.SplitHostPort(r.Host); err == nil {
+		k.add(SeverityWarning, "host-with-port", "hostname", "never used, hosts are compared without the port")
+	}
+	if r.Prefix != "" && !strings.HasPrefix(r.Prefix, "/") {
+		k.add(SeverityWarning, "prefix-not-absolute", "prefix", "never used, the prefix %q does not start with /", r.Prefix)
+	}
+}
+
+func (k *checker) shares(r *Route) {
+	total, negative := 0.0, false
+	for i, share := range r.Shares {
+		field := fmt.Sprintf("traffic_split[%d].", i)
+		if len(r.Shares) == 1 && share.Weight == 1 {
+			field = ""
+		}
 		total += share.Weight
-		if c.Services[share.Service] == nil {
-			problems = append(problems, fmt.Sprintf("route %q: service %q is not configured", r.Name, share.Service))
+		negative = negative || share.Weight < 0
+		if k.config.Services[share.Service] == nil {
+			k.add(SeverityError, "service-unknown", field+"backend", "service %q is not configured", share.Service)
+		}
+		if share.Weight < 0 {
+			k.add(SeverityError, "weight-negative", field+"weight", "the weight of service %q is negative", share.Service)
 		}
 	}
-	if total <= 0 {
-		problems = append(problems, fmt.Sprintf("route %q: no service with a weight above 0", r.Name))
+	switch {
+	case math.IsInf(total, 0):
+		k.add(SeverityError, "weight-sum", "traffic_split", "the sum of the weights is too large")
+	case total <= 0:
+		if !negative {
+			k.add(SeverityError, "weight-sum", "traffic_split", "no service with a weight above 0")
+		}
+	default:
+		for i, share := range r.Shares {
+			if share.Weight == 0 {
+				k.add(SeverityWarning, "weight-zero", fmt.Sprintf("traffic_split[%d].weight", i), "service %q has weight 0 and gets no requests", share.Service)
+			}
+		}
 	}
-	return problems
+}
+
+func (k *checker) times(r *Route) {
+	k.negative("timeout_ms", r.Timeout < 0)
+	k.negative("target_latency_ms", r.LatencyTarget < 0)
+	k.negative("max_attempts", r.MaxAttempts < 0)
+	k.negative("priority_class", r.Urgency < 0)
+	if r.Timeout <= 0 {
+		return
+	}
+	if r.LatencyTarget > r.Timeout {
+		k.add(SeverityWarning, "target-above-timeout", "target_latency_ms", "the latency target %s is above the timeout %s", r.LatencyTarget, r.Timeout)
+	}
+	if r.Timeout/time.Duration(max(r.MaxAttempts, 1)) < minAttemptTime {
+		k.add(SeverityWarning, "attempts-against-timeout", "timeout_ms", "the timeout %s leaves less than %s for each of %d attempts",
+			r.Timeout, minAttemptTime, max(r.MaxAttempts, 1))
+	}
+}
+
+func (k *checker) models(r *Route) {
+	for i, model := range r.Models {
+		field := fmt.Sprintf("sizes[%d]", i)
+		if model == "" {
+			k.add(SeverityError, "model-empty", field, "the name of a model is empty")
+		} else if slices.Contains(r.Models[:i], model) {
+			k.add(SeverityWarning, "model-twice", field, "model %q is listed twice", model)
+		}
+	}
+}
+
+func (k *checker) services() {
+	last := make(map[string]int)
+	for i, s := range k.config.declared.services {
+		last[s.Name] = i
+	}
+	for i, s := range k.config.declared.services {
+		k.enter(inServices, i, s.Name)
+		if s.Name == "" {
+			k.add(SeverityError, "service-unnamed", "name", "the name is missing")
+		}
+		if last[s.Name] != i {
+			k.add(SeverityWarning, "service-replaced", "name", "never used, backends[%d] has the same name", last[s.Name])
+		}
+		k.negative("cold_per_s", s.ColdRateLimit < 0)
+		k.negative("cold_start_s", s.ColdStart < 0)
+		k.negative("engine_type.stride", s.EventTokens < 0)
+	}
+}
+
+// workspaces checks the keys of each workspace. The reasons do not contain keys, because
+// they are secret.
+func (k *checker) workspaces() {
+	last := make(map[string]int)
+	for i, w := range k.config.declared.workspaces {
+		for _, key := range w.Keys {
+			last[key] = i
+		}
+	}
+	for i, w := range k.config.declared.workspaces {
+		k.enter(inWorkspaces, i, w.Name)
+		if w.Name == "" {
+			k.add(SeverityWarning, "workspace-unnamed", "name", "the name is missing, requests count as anonymous")
+		}
+		if len(w.Keys) == 0 {
+			k.add(SeverityWarning, "workspace-without-key", "api_keys", "never used, it has no API key")
+		}
+		k.negative("priority_class", w.HasUrgency && w.Urgency < 0)
+		for n, key := range w.Keys {
+			field := fmt.Sprintf("api_keys[%d]", n)
+			switch {
+			case key == "":
+				k.add(SeverityError, "key-empty", field, "the API key is empty, so that requests without a key are accepted")
+			case strings.TrimSpace(key) != key:
+				k.add(SeverityError, "key-with-space", field, "never used, the API key starts or ends with white space")
+			case last[key] != i:
+				k.add(SeverityError, "key-shared", field, "the API key belongs to %q too, which gets its requests", k.config.declared.workspaces[last[key]].Name)
+			}
+		}
+	}
+}
+
+// access reports routes that no workspace may call, and workspaces that may call no route.
+func (k *checker) access() {
+	c := k.config
+	if !c.HasWorkspaces {
+		return
+	}
+	var routes, workspaces regionUnion
+	for _, r := range c.declared.routes {
+		if !r.Anonymous {
+			routes.add(r.Regions)
+		}
+	}
+	for _, w := range c.declared.workspaces {
+		workspaces.add(w.Regions)
+	}
+	if routes.lists == 0 {
+		return
+	}
+	if len(c.declared.workspaces) == 0 && len(c.byKey) == 0 {
+		k.enter(inWorkspaces, -1, "")
+		k.add(SeverityWarning, "no-workspaces", "", "without a workspace only anonymous routes accept requests")
+	}
+	if workspaces.lists == 0 {
+		return
+	}
+	for i, r := range c.declared.routes {
+		if !r.Anonymous && !workspaces.meets(r.Regions) {
+			k.enter(inRoutes, i, r.Name)
+			k.add(SeverityWarning, "route-without-workspace", "allowed_regions", "no workspace may use one of the regions %v", r.Regions)
+		}
+	}
+	for i, w := range c.declared.workspaces {
+		if !routes.meets(w.Regions) {
+			k.enter(inWorkspaces, i, w.Name)
+			k.add(SeverityWarning, "workspace-without-route", "allowed_regions", "no route may use one of the regions %v", w.Regions)
+		}
+	}
+}
+
+// regionUnion is the union of lists of allowed regions, in which an empty list allows all.
+type regionUnion struct {
+	lists   int
+	all     bool
+	regions map[string]bool
+}
+
+func (u *regionUnion) add(list []string) {
+	u.lists++
+	u.all = u.all || len(list) == 0
+	if u.regions == nil {
+		u.regions = make(map[string]bool)
+	}
+	for _, region := range list {
+		u.regions[region] = true
+	}
+}
+
+// meets tells whether a region is allowed by both list and one of the lists of u.
+func (u *regionUnion) meets(list []string) bool {
+	return u.all || len(list) == 0 || slices.ContainsFunc(list, func(region string) bool { return u.regions[region] })
 }
--- /dev/null
+++ b/daemon/topology/compare.go
@@ -0,0 +1,400 @@
+package topology
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+	"strings"
+)
+
+// Difference describes a set of requests that two configurations answer differently.
+type Difference struct {
+	// Requests describes the set, and Example is one request of it.
+	Requests string `json:"requests"`
+	Example  string `json:"example"`
+	// OldRule and NewRule name the entries that decide about these requests.
+	OldRule string        `json:"old_rule"`
+	NewRule string        `json:"new_rule"`
+	Changes []FieldChange `json:"changes"`
+}
+
+// FieldChange is one property of the answer that differs.
+type FieldChange struct {
+	Field string `json:"field"`
+	Old   string `json:"old"`
+	New   string `json:"new"`
+}
+
+// noRule stands for the entry that decides about a request when there is none.
+const noRule = "none"
+
+// Compare returns the sets of requests that next answers differently from old, in the order
+// routes by host and prefix, services, workspaces, limits. Changes of names or of the order
+// of entries are not reported unless they change an answer. API keys are not part of the
+// result.
+func Compare(old, next *Config) []Difference {
+	c := &comparison{old: old, next: next, listed: make(map[string]bool)}
+	c.findClasses()
+	c.routes()
+	c.services()
+	c.workspaces()
+	c.limits()
+	return c.differences
+}
+
+// comparison holds two configurations and the differences found so far.
+type comparison struct {
+	old, next   *Config
+	classes     []requestClass
+	differences []Difference
+	// listed contains the descriptions of the differences of workspaces.
+	listed map[string]bool
+}
+
+// requestClass is a set of requests that match the same route in each configuration: those
+// of the host whose path has the prefix and no longer prefix of either configuration.
+type requestClass struct {
+	host, prefix string
+	// narrowed is set if another class has a longer prefix that starts with this one.
+	narrowed  bool
+	old, next *Route
+}
+
+// example returns the URL of a request of the class, without scheme.
+func (c *requestClass) example() string {
+	if c.prefix == "" {
+		return c.host + "/"
+	}
+	return c.host + c.prefix
+}
+
+func (c *requestClass) requests() string {
+	if c.narrowed {
+		return "to " + c.host + c.prefix + "* that no longer prefix matches"
+	}
+	return "to " + c.host + c.prefix + "*"
+}
+
+// findClasses divides the requests to the routes of both configurations into classes. For
+// each host it visits the prefixes in ascending order, in which a prefix is followed by those
+// that start with it, and keeps the enclosing prefixes on a stack.
+func (c *comparison) findClasses() {
+	hosts := make(map[string]bool)
+	for host := range c.old.byHost {
+		hosts[host] = true
+	}
+	for host := range c.next.byHost {
+		hosts[host] = true
+	}
+	for _, host := range sortedKeys(hosts) {
+		oldRoutes, newRoutes := firstByPrefix(c.old.byHost[host]), firstByPrefix(c.next.byHost[host])
+		prefixes := make(map[string]bool)
+		for prefix := range oldRoutes {
+			prefixes[prefix] = true
+		}
+		for prefix := range newRoutes {
+			prefixes[prefix] = true
+		}
+		var enclosing []int
+		for _, prefix := range sortedKeys(prefixes) {
+			if prefix != "" && prefix[0] != '/' {
+				continue // No path has this prefix.
+			}
+			class := requestClass{host: host, prefix: prefix, old: oldRoutes[prefix], next: newRoutes[prefix]}
+			for len(enclosing) > 0 && !strings.HasPrefix(prefix, c.classes[enclosing[len(enclosing)-1]].prefix) {
+				enclosing = enclosing[:len(enclosing)-1]
+			}
+			if len(enclosing) > 0 {
+				outer := &c.classes[enclosing[len(enclosing)-1]]
+				outer.narrowed = true
+				if class.old == nil {
+					class.old = outer.old
+				}
+				if class.next == nil {
+					class.next = outer.next
+				}
+			}
+			// The prefix / includes all paths, so that no request is left for the empty one.
+			if n := len(c.classes); prefix == "/" && n > 0 && c.classes[n-1].host == host && c.classes[n-1].prefix == "" {
+				c.classes[n-1], enclosing = class, nil
+			} else {
+				c.classes = append(c.classes, class)
+			}
+			enclosing = append(enclosing, len(c.classes)-1)
+		}
+	}
+}
+
+// firstByPrefix returns the route of each prefix; the first of several is the one in use.
+func firstByPrefix(routes []*Route) map[string]*Route {
+	first := make(map[string]*Route, len(routes))
+	for _, r := range routes {
+		if first[r.Prefix] == nil {
+			first[r.Prefix] = r
+		}
+	}
+	return first
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (c *comparison) add(d Difference) {
+	if len(d.Changes) > 0 {
+		c.differences = append(c.differences, d)
+	}
+}
+
+func routeRule(r *Route) string {
+	if r == nil {
+		return noRule
+	}
+	return fmt.Sprintf("route %q", r.Name)
+}
+
+func (c *comparison) routes() {
+	keyed := c.old.HasWorkspaces && c.next.HasWorkspaces
+	for i := range c.classes {
+		class := &c.classes[i]
+		c.add(Difference{
+			Requests: class.requests(), Example: class.example(), OldRule: routeRule(class.old), NewRule: routeRule(class.next),
+			Changes: routeChanges(class.old, class.next, keyed),
+		})
+	}
+}
+
+// changeList collects the fields that differ.
+type changeList []FieldChange
+
+func (l *changeList) compare(field string, old, next any) {
+	a, b := fmt.Sprint(old), fmt.Sprint(next)
+	if a != b {
+		*l = append(*l, FieldChange{Field: field, Old: a, New: b})
+	}
+}
+
+// routeChanges returns the differences between two routes that affect answers. keyed is set
+// if both configurations ask for API keys.
+func routeChanges(old, next *Route, keyed bool) []FieldChange {
+	var l changeList
+	if old == nil || next == nil {
+		answer := func(r *Route) string {
+			if r == nil {
+				return "refused as not found"
+			}
+			return "served by " + describeShares(r.Shares)
+		}
+		l.compare("answer", answer(old), answer(next))
+		return l
+	}
+	l.compare("services", describeShares(old.Shares), describeShares(next.Shares))
+	l.compare("route_type", old.Kind, next.Kind)
+	l.compare("timeout_ms", describeMillis(old.Timeout.Seconds()), describeMillis(next.Timeout.Seconds()))
+	l.compare("target_latency_ms", describeMillis(old.LatencyTarget.Seconds()), describeMillis(next.LatencyTarget.Seconds()))
+	l.compare("max_attempts", max(old.MaxAttempts, 1), max(next.MaxAttempts, 1))
+	l.compare("priority_class", old.Urgency, next.Urgency)
+	l.compare("sizes", fmt.Sprintf("%q", old.Models), fmt.Sprintf("%q", next.Models))
+	l.compare("stream_resumption", old.Resumable, next.Resumable)
+	l.compare("allowed_regions", describeRegions(old.Regions), describeRegions(next.Regions))
+	if keyed {
+		l.compare("anonymous", old.Anonymous, next.Anonymous)
+	}
+	return l
+}
+
+// describeMillis writes a time in milliseconds; "default" stands for a time that is not set.
+func describeMillis(seconds float64) string {
+	if seconds <= 0 {
+		return "default"
+	}
+	return fmt.Sprint(seconds * 1000)
+}
+
+// describeShares writes the services that get requests, with their parts of all requests.
+func describeShares(shares []Share) string {
+	total := 0.0
+	parts := make(map[string]float64)
+	for _, s := range shares {
+		if s.Weight > 0 {
+			total += s.Weight
+			parts[s.Service] += s.Weight
+		}
+	}
+	if total == 0 || math.IsInf(total, 0) {
+		return "no service"
+	}
+	var words []string
+	for _, name := range sortedKeys(parts) {
+		words = append(words, fmt.Sprintf("%s %.4g%%", name, 100*parts[name]/total))
+	}
+	return strings.Join(words, ", ")
+}
+
+func describeRegions(regions []string) string {
+	if len(regions) == 0 {
+		return "any"
+	}
+	sorted := slices.Clone(regions)
+	slices.Sort(sorted)
+	return strings.Join(slices.Compact(sorted), " ")
+}
+
+// services reports services whose definition changed, each with the first class of requests
+// that uses it in both configurations.
+func (c *comparison) services() {
+	users := make(map[string]*requestClass)
+	for i := range c.classes {
+		class := &c.classes[i]
+		if class.old == nil || class.next == nil {
+			continue
+		}
+		for _, s := range class.next.Shares {
+			if users[s.Service] == nil && s.Weight > 0 && usesService(class.old, s.Service) {
+				users[s.Service] = class
+			}
+		}
+	}
+	for _, name := range sortedKeys(users) {
+		var l changeList
+		old, next := c.old.Services[name], c.next.Services[name]
+		switch {
+		case old != nil && next != nil:
+			l.compare("cold_per_s", old.ColdRateLimit, next.ColdRateLimit)
+			l.compare("cold_start_s", old.ColdStart.Seconds(), next.ColdStart.Seconds())
+			l.compare("engine_type.stride", old.EventTokens, next.EventTokens)
+		default:
+			l.compare("configured", old != nil, next != nil)
+		}
+		rule := fmt.Sprintf("service %q", name)
+		c.add(Difference{Requests: "to routes of service " + name, Example: users[name].example(), OldRule: rule, NewRule: rule, Changes: l})
+	}
+}
+
+func usesService(r *Route, name string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == name && s.Weight > 0 })
+}
+
+// firstClass returns the first class that the test accepts, or nil.
+func (c *comparison) firstClass(accept func(class *requestClass) bool) *requestClass {
+	for i := range c.classes {
+		if accept(&c.classes[i]) {
+			return &c.classes[i]
+		}
+	}
+	return nil
+}
+
+// workspaces reports requests that are refused or accepted, or that get other properties,
+// because of their API key.
+func (c *comparison) workspaces() {
+	oldKeyed := func(class *requestClass) bool {
+		return c.old.HasWorkspaces && class.old != nil && !class.old.Anonymous && class.next != nil
+	}
+	newKeyed := func(class *requestClass) bool {
+		return c.next.HasWorkspaces && class.next != nil && !class.next.Anonymous && class.old != nil
+	}
+	if c.old.HasWorkspaces != c.next.HasWorkspaces {
+		class := c.firstClass(func(class *requestClass) bool { return oldKeyed(class) || newKeyed(class) })
+		if class != nil {
+			c.addAccess("without an API key, to routes that are not anonymous", class.example()+" without a key", noRule, noRule,
+				accepted(!c.old.HasWorkspaces), accepted(!c.next.HasWorkspaces))
+		}
+		return
+	}
+	// Where only one of the routes asks for a key, the difference of the routes says so.
+	both := c.firstClass(func(class *requestClass) bool { return oldKeyed(class) && newKeyed(class) })
+	if both == nil {
+		return
+	}
+	keys := make(map[string]bool, len(c.old.byKey))
+	for key := range c.old.byKey {
+		keys[key] = true
+	}
+	for key := range c.next.byKey {
+		keys[key] = true
+	}
+	for _, key := range sortedKeys(keys) {
+		old, next := c.old.byKey[key], c.next.byKey[key]
+		switch {
+		case old == nil:
+			rule := workspaceRule(next)
+			c.addAccess("with a new key of "+rule, both.example()+" with that key", noRule, rule, accepted(false), accepted(true))
+		case next == nil:
+			rule := workspaceRule(old)
+			c.addAccess("with a removed key of "+rule, both.example()+" with that key", rule, noRule, accepted(true), accepted(false))
+		default:
+			c.compareWorkspace(old, next, both)
+		}
+	}
+}
+
+func accepted(ok bool) string {
+	if ok {
+		return "accepted"
+	}
+	return "refused as unauthenticated"
+}
+
+func workspaceRule(w *Workspace) string { return fmt.Sprintf("workspace %q", w.Name) }
+
+func (c *comparison) addAccess(requests, example, oldRule, newRule, old, next string) {
+	c.addOnce(Difference{
+		Requests: requests, Example: example, OldRule: oldRule, NewRule: newRule, Changes: []FieldChange{{Field: "answer", Old: old, New: next}},
+	})
+}
+
+// addOnce adds the difference unless another key of the same workspace has it too.
+func (c *comparison) addOnce(d Difference) {
+	if id := fmt.Sprint(d); !c.listed[id] {
+		c.listed[id] = true
+		c.add(d)
+	}
+}
+
+func (c *comparison) compareWorkspace(old, next *Workspace, class *requestClass) {
+	urgency := func(w *Workspace) string {
+		if w.HasUrgency {
+			return fmt.Sprint(w.Urgency)
+		}
+		return "that of the route"
+	}
+	var l changeList
+	l.compare("name", old.Name, next.Name)
+	l.compare("priority_class", urgency(old), urgency(next))
+	l.compare("allowed_regions", describeRegions(old.Regions), describeRegions(next.Regions))
+	c.addOnce(Difference{
+		Requests: "with a key of " + workspaceRule(old), Example: class.example() + " with such a key",
+		OldRule: workspaceRule(old), NewRule: workspaceRule(next), Changes: l,
+	})
+}
+
+// limits reports requests that are refused by only one of the configurations because of
+// their size or slowness.
+func (c *comparison) limits() {
+	class := c.firstClass(func(class *requestClass) bool { return class.old != nil && class.next != nil })
+	if class == nil {
+		return
+	}
+	old, next := c.old.Limits, c.next.Limits
+	add := func(field, requests, example string, a, b float64) {
+		var l changeList
+		l.compare(field, a, b)
+		c.add(Difference{
+			Requests: requests, Example: fmt.Sprintf("%s %s", class.example(), fmt.Sprintf(example, min(a, b))),
+			OldRule: "limits", NewRule: "limits", Changes: l,
+		})
+	}
+	add("max_body_bytes", "with a body between the limits", "with a body of 1 byte more than %.0f", float64(old.MaxBodyBytes), float64(next.MaxBodyBytes))
+	add("max_header_bytes", "with a head between the limits", "with a head of 1 byte more than %.0f", float64(old.MaxHeaderBytes), float64(next.MaxHeaderBytes))
+	add("header_timeout_ms", "whose head takes a time between the limits", "with a head that takes 1 ms more than %.0f ms",
+		1000*old.HeaderTimeout.Seconds(), 1000*next.HeaderTimeout.Seconds())
+	add("idle_timeout_ms", "on connections idle for a time between the limits", "on a connection that was idle for 1 ms more than %.0f ms",
+		1000*old.IdleTimeout.Seconds(), 1000*next.IdleTimeout.Seconds())
+}
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -141,6 +141,7 @@
 	byHost    map[string][]*Route
 	byKey     map[string]*Workspace
 	withdrawn withdrawals
+	declared  declarations
 }
 
 // NewConfig indexes the routes by host and the workspaces by API key.
@@ -148,6 +149,7 @@
 	c := &Config{
 		Version: version, Limits: limits.withDefaults(), byKey: keys, HasWorkspaces: keys != nil,
 		Services: make(map[string]*Service, len(services)), byHost: make(map[string][]*Route),
+		declared: declarations{routes: routes, services: services, limits: limits},
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
