--- a/daemon/ctl/bundle.go
+++ b/daemon/ctl/bundle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"strconv"
@@ -18,7 +17,7 @@
 func bundleCommands() []Command {
 	return []Command{
 		keygenCommand(),
-		{Name: "check", Summary: "validate a bundle file", Run: runCheck},
+		{Name: "check", Summary: "check a bundle, or the configuration and settings of an edge deployment", Run: runCheck},
 		{Name: "export", Summary: "write the bundle in force to a file", Run: runExport},
 		{Name: "sign", Summary: "sign a proposal, or the operator keys of a bundle file", Run: runSign},
 		{Name: "propose", Summary: "put a bundle file or signed proposal in force", Run: runPropose},
@@ -29,35 +28,6 @@
 	}
 }
 
-func runCheck(ctx context.Context, env Env, args []string) int {
-	inv := newInvocation(env, "check", "[FILE]", "Validates FILE, or the bundle in the store if FILE is omitted.").withStore()
-	return inv.run(ctx, func(ctx context.Context) error {
-		if err := inv.parse(args, 0, 1); err != nil {
-			return err
-		}
-		err := inv.validateBundle(ctx)
-		var invalid *bundle.ValidationError
-		if err != nil && !errors.As(err, &invalid) {
-			return err
-		}
-		problems := []bundle.Problem{}
-		if invalid != nil {
-			problems = invalid.Problems
-		}
-		inv.print(map[string]any{"valid": invalid == nil, "problems": problems}, func(w io.Writer) {
-			if invalid == nil {
-				fmt.Fprintln(w, "valid")
-				return
-			}
-			fmt.Fprintln(w, invalid)
-		})
-		if invalid != nil {
-			return fmt.Errorf("%w: invalid", errNegative)
-		}
-		return nil
-	})
-}
-
 // validateBundle validates the bundle file given as operand, or else the bundle
 // in the store.
 func (inv *invocation) validateBundle(ctx context.Context) error {
--- a/daemon/rollout/rollout.go
+++ b/daemon/rollout/rollout.go
@@ -72,8 +72,8 @@
 	failingRate = 0.3
 	// maxAllowedBadRate bounds the allowed rate, however high the old version's rate is.
 	maxAllowedBadRate = 0.45
-	// minSamples is the minimum number of answers before a version gets all requests.
-	minSamples = 16
+	// MinSamples is the minimum number of answers before a version gets all requests.
+	MinSamples = 16
 )
 
 // State is the state of a rollout as kept in the store.
@@ -215,7 +215,7 @@
 // unfitForFullShare tells whether a target that gets all requests must be reverted: its
 // exposure grows too fast to wait for a significant difference from the old version.
 func (e Evidence) unfitForFullShare() bool {
-	return e.Target.Total() >= 2*minSamples && e.Target.badRate() > maxFullShareBadRate
+	return e.Target.Total() >= 2*MinSamples && e.Target.badRate() > maxFullShareBadRate
 }
 
 // failing tells whether the target fails so often that it must be reverted whatever the
@@ -230,7 +230,7 @@
 // the deadline. This needs more evidence than earlier, because the rollout would be
 // completed right afterwards.
 func (e Evidence) fitForLateFullShare() bool {
-	return e.Target.Total() >= 3*minSamples && e.Target.badRate() <= toleratedBadRate
+	return e.Target.Total() >= 3*MinSamples && e.Target.badRate() <= toleratedBadRate
 }
 
 // allowedRate returns the rate of bad answers up to which the target does not count as
@@ -255,7 +255,7 @@
 	if s.Phase == Full && e.unfitForFullShare() {
 		return Reverted
 	}
-	enough := e.Target.Total() >= minSamples
+	enough := e.Target.Total() >= MinSamples
 	switch {
 	case s.Phase == Hold && progress >= canaryStart:
 		return Canary
@@ -263,7 +263,7 @@
 		return Wide
 	case s.Phase == Wide && progress >= fullStart && enough && e.paceFit() && e.fitForFullShare() && (progress < completeStart || e.fitForLateFullShare()):
 		return Full
-	case s.Phase == Full && progress >= completeStart && e.Target.Total() >= 2*minSamples && e.fitForFullShare():
+	case s.Phase == Full && progress >= completeStart && e.Target.Total() >= 2*MinSamples && e.fitForFullShare():
 		return Completed
 	}
 	return s.Phase
--- a/daemon/topology/check.go
+++ b/daemon/topology/check.go
@@ -216,7 +216,7 @@
 // location reports a host or prefix that no request has.
 func (k *checker) location(r *Route) {
 	if r.Host == "" {
-		k.add(SeverityWarning, "host-missing", "hostname", "never used, the host is missing")
+		k.add(SeverityWarning, "host-missing", "hostname", "used only by requests without a host, the host is missing")
 	} else if _, _, err := net.SplitHostPort(r.Host); err == nil {
 		k.add(SeverityWarning, "host-with-port", "hostname", "never used, hosts are compared without the port")
 	}
--- a/daemon/topology/compare.go
+++ b/daemon/topology/compare.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 )
 
@@ -174,8 +175,13 @@
 type changeList []FieldChange
 
 func (l *changeList) compare(field string, old, next any) {
-	a, b := fmt.Sprint(old), fmt.Sprint(next)
-	if a != b {
+	text := func(v any) string {
+		if number, ok := v.(float64); ok {
+			return strconv.FormatFloat(number, 'f', -1, 64)
+		}
+		return fmt.Sprint(v)
+	}
+	if a, b := text(old), text(next); a != b {
 		*l = append(*l, FieldChange{Field: field, Old: a, New: b})
 	}
 }
@@ -214,7 +220,7 @@
 	if seconds <= 0 {
 		return "default"
 	}
-	return fmt.Sprint(seconds * 1000)
+	return strconv.FormatFloat(seconds*1000, 'f', -1, 64)
 }
 
 // describeShares writes the services that get requests, with their parts of all requests.
@@ -320,6 +326,8 @@
 	for key := range c.next.byKey {
 		keys[key] = true
 	}
+	regions := c.regionClasses(func(class *requestClass) bool { return oldKeyed(class) && newKeyed(class) })
+	first := len(c.differences)
 	for _, key := range sortedKeys(keys) {
 		old, next := c.old.byKey[key], c.next.byKey[key]
 		switch {
@@ -330,9 +338,45 @@
 			rule := workspaceRule(old)
 			c.addAccess("with a removed key of "+rule, both.example()+" with that key", rule, noRule, accepted(true), accepted(false))
 		default:
-			c.compareWorkspace(old, next, both)
+			c.compareWorkspace(old, next, both, regions)
+		}
+	}
+	slices.SortStableFunc(c.differences[first:], func(a, b Difference) int { return strings.Compare(a.Requests, b.Requests) })
+}
+
+// regionClasses returns the first class of each list of allowed regions among the accepted
+// classes.
+func (c *comparison) regionClasses(accept func(class *requestClass) bool) []*requestClass {
+	var classes []*requestClass
+	seen := make(map[string]bool)
+	for i := range c.classes {
+		class := &c.classes[i]
+		if !accept(class) {
+			continue
+		}
+		if regions := describeRegions(class.next.Regions); !seen[regions] {
+			seen[regions] = true
+			classes = append(classes, class)
 		}
 	}
+	return classes
+}
+
+// commonRegions describes the regions that both lists allow.
+func commonRegions(a, b []string) string {
+	if len(a) == 0 || len(b) == 0 {
+		return describeRegions(append(slices.Clone(a), b...))
+	}
+	var common []string
+	for _, region := range a {
+		if slices.Contains(b, region) {
+			common = append(common, region)
+		}
+	}
+	if len(common) == 0 {
+		return "none"
+	}
+	return describeRegions(common)
 }
 
 func accepted(ok bool) string {
@@ -358,7 +402,7 @@
 	}
 }
 
-func (c *comparison) compareWorkspace(old, next *Workspace, class *requestClass) {
+func (c *comparison) compareWorkspace(old, next *Workspace, class *requestClass, regions []*requestClass) {
 	urgency := func(w *Workspace) string {
 		if w.HasUrgency {
 			return fmt.Sprint(w.Urgency)
@@ -368,7 +412,16 @@
 	var l changeList
 	l.compare("name", old.Name, next.Name)
 	l.compare("priority_class", urgency(old), urgency(next))
-	l.compare("allowed_regions", describeRegions(old.Regions), describeRegions(next.Regions))
+	if describeRegions(old.Regions) != describeRegions(next.Regions) {
+		for _, r := range regions {
+			// The regions matter only for routes that allow some of those that differ.
+			if a, b := commonRegions(r.next.Regions, old.Regions), commonRegions(r.next.Regions, next.Regions); a != b {
+				class = r
+				l.compare("allowed_regions", a, b)
+				break
+			}
+		}
+	}
 	c.addOnce(Difference{
 		Requests: "with a key of " + workspaceRule(old), Example: class.example() + " with such a key",
 		OldRule: workspaceRule(old), NewRule: workspaceRule(next), Changes: l,
