--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 fuzz:
 	cd daemon && $(GO) test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZ_TIME) ./upstream
 	cd daemon && $(GO) test -run '^$$' -fuzz FuzzEventReader -fuzztime $(FUZZ_TIME) ./gateway
+	cd daemon && $(GO) test -run '^$$' -fuzz FuzzCheck -fuzztime $(FUZZ_TIME) ./ctl
 
 tools:
 	cd tools && GOWORK=off $(GO) build -o ../bin/ tool
--- a/daemon/bundle/bundle_test.go
+++ b/daemon/bundle/bundle_test.go
@@ -34,7 +34,8 @@
 }
 
 // TestValidate checks that invalid fields and references are refused with a message that
-// names the field. The cases are in testdata/validate.
+// names the field, that parts without effect have a warning and that sane bundles have none.
+// The cases are in testdata/validate.
 func TestValidate(t *testing.T) {
 	datadriven.RunTest(t, "testdata/validate", func(t *testing.T, d *datadriven.TestData) string {
 		file := baseFile(t)
@@ -52,6 +53,13 @@
 		if err != nil {
 			return err.Error() + "\n"
 		}
+		if d.Cmd == "warnings" {
+			var out strings.Builder
+			for _, w := range b.Warnings() {
+				out.WriteString(w.Path + ": " + w.Reason + "\n")
+			}
+			return out.String()
+		}
 		return "ok\n"
 	})
 }
--- a/daemon/ctl/bundle.go
+++ b/daemon/ctl/bundle.go
@@ -28,22 +28,21 @@
 	}
 }
 
-// validateBundle validates the bundle file given as operand, or else the bundle
+// validateBundle reads and validates the bundle file given as operand, or else the bundle
 // in the store.
-func (inv *invocation) validateBundle(ctx context.Context) error {
+func (inv *invocation) validateBundle(ctx context.Context) (*bundle.Bundle, error) {
 	if len(inv.args) == 1 {
-		_, err := readBundle(inv.args[0])
-		return err
+		return readBundle(inv.args[0])
 	}
 	store, err := inv.openStore()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	base, err := readCurrent(ctx, store)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return base.Bundle.Validate()
+	return base.Bundle, base.Bundle.Validate()
 }
 
 func runExport(ctx context.Context, env Env, args []string) int {
--- a/daemon/ctl/check.go
+++ b/daemon/ctl/check.go
@@ -131,18 +131,21 @@
 }
 
 func (c *checkCommand) checkBundle(ctx context.Context) error {
-	err := c.validateBundle(ctx)
+	file := "bundle in the store"
+	if len(c.args) == 1 {
+		file = c.args[0]
+	}
+	b, err := c.validateBundle(ctx)
 	var invalid *bundle.ValidationError
 	if err != nil && !errors.As(err, &invalid) {
 		return err
 	}
 	if invalid == nil {
+		for _, w := range b.Warnings() {
+			c.report.add(file, topology.Finding{Severity: topology.SeverityWarning, Rule: "bundle-unused", Place: w.Path, Reason: w.Reason})
+		}
 		return nil
 	}
-	file := "bundle in the store"
-	if len(c.args) == 1 {
-		file = c.args[0]
-	}
 	c.report.Problems = invalid.Problems
 	for _, p := range invalid.Problems {
 		c.report.add(file, topology.Finding{Severity: topology.SeverityError, Rule: "bundle-invalid", Place: p.Path, Reason: p.Reason})
--- a/daemon/ctl/check_test.go
+++ b/daemon/ctl/check_test.go
@@ -14,6 +14,7 @@
 	"cactusknot.example/platform"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/tidwall/sjson"
 )
 
 // TestCheck guards against rules that miss their fault, report a sane configuration or give
@@ -147,6 +148,39 @@
 	}
 }
 
+// Guards against a bundle whose exit code does not tell errors, warnings and neither apart.
+func TestCheckBundle(t *testing.T) {
+	env := newTestEnv(t)
+	raw, err := os.ReadFile(filepath.Join(env.dir, "base.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		path, value, args string
+		code              int
+		want              string
+	}{
+		{"vms", `[]`, "-strict", ExitOK, "valid"},
+		{"workspaces.0.allowed", `["absent"]`, "", ExitUsage, `error: workspaces[0].allowed[0]: model "absent" does not exist [bundle-invalid]`},
+		{"workspaces.0.allowed", `["absent"]`, "-json", ExitUsage, `"path": "workspaces[0].allowed[0]"`},
+		{"workspaces.0.key_hashes", `[]`, "", ExitOK, "warning: workspaces[0].key_hashes: never used"},
+		{"workspaces.0.key_hashes", `[]`, "-strict", ExitFailed, "warning: workspaces[0].key_hashes: never used"},
+	} {
+		changed, err := sjson.SetRawBytes(raw, c.path, []byte(c.value))
+		if err != nil {
+			t.Fatal(err)
+		}
+		file := filepath.Join(env.dir, "changed.json")
+		if err := os.WriteFile(file, changed, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		code, out, errs := runCommand(runCheck, append(strings.Fields(c.args), file)...)
+		if code != c.code || !strings.Contains(out, c.want) {
+			t.Errorf("%s %s %s: code %d: %s%s", c.args, c.path, c.value, code, out, errs)
+		}
+	}
+}
+
 // FuzzCheck guards against a panic of the check on any file.
 func FuzzCheck(f *testing.F) {
 	f.Add([]byte(`{"version":7,"routes":[{"name":"r1","hostname":"h","prefix":"/a/","traffic_split":[{"backend":"b1","weight":1}],"sizes":["m"],"allowed_regions":["eu"]}],`+
