--- a/daemon/ctl/check_test.go
+++ b/daemon/ctl/check_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"cactusknot.example/daemon/topology"
 	"cactusknot.example/platform"
@@ -181,6 +182,30 @@
 	}
 }
 
+// Guards against a check whose time grows faster than the number of routes. The bound of 1 s
+// is generous for a whole run with a comparison, so that it holds on a busy machine.
+func TestCheckOf10000RoutesWithinASecond(t *testing.T) {
+	dir := t.TempDir()
+	for version := 1; version <= 2; version++ {
+		var routes []string
+		for i := range 10_000 {
+			routes = append(routes, fmt.Sprintf(`{"name":"r%d","hostname":"h%d","prefix":"/p%d/","backend":"b","timeout_ms":%d}`, i, i%10, i, version*100))
+		}
+		text := fmt.Sprintf(`{"version":%d,"backends":[{"name":"b"}],"routes":[%s]}`, version, strings.Join(routes, ","))
+		if err := os.WriteFile(filepath.Join(dir, fmt.Sprint(version)), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	start := time.Now()
+	code, out, errs := runCommand(runCheck, "-strict", "-against", filepath.Join(dir, "1"), "-config", filepath.Join(dir, "2"))
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("took %s", took)
+	}
+	if n := strings.Count(out, "timeout_ms: 100 -> 200"); code != ExitOK || n != 10_000 {
+		t.Errorf("code %d, %d differences: %s", code, n, errs)
+	}
+}
+
 // FuzzCheck guards against a panic of the check on any file.
 func FuzzCheck(f *testing.F) {
 	f.Add([]byte(`{"version":7,"routes":[{"name":"r1","hostname":"h","prefix":"/a/","traffic_split":[{"backend":"b1","weight":1}],"sizes":["m"],"allowed_regions":["eu"]}],`+
