--- a/daemon/ctl/check.go
+++ b/daemon/ctl/check.go
@@ -30,7 +30,7 @@
 	Problems []bundle.Problem `json:"problems"`
 	Findings []fileFinding    `json:"findings"`
 	// Differences is absent unless two configurations were compared.
-	Differences []topology.Difference `json:"differences,omitempty"`
+	Differences []topology.Difference `json:"differences,omitzero"`
 }
 
 // add appends findings about a file.
@@ -230,7 +230,7 @@
 	default:
 		return nil
 	}
-	c.report.Differences = topology.Compare(old, config)
+	c.report.Differences = append([]topology.Difference{}, topology.Compare(old, config)...)
 	if config.Version < old.Version || (config.Version == old.Version && len(c.report.Differences) > 0) {
 		c.report.add(c.config, topology.Finding{
 			Severity: topology.SeverityError, Rule: "version-not-above", Place: "version",
--- a/daemon/ctl/check_test.go
+++ b/daemon/ctl/check_test.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"cactusknot.example/daemon/bundle"
 	"cactusknot.example/daemon/topology"
 	"cactusknot.example/platform"
 
@@ -211,6 +213,11 @@
 	f.Add([]byte(`{"version":7,"routes":[{"name":"r1","hostname":"h","prefix":"/a/","traffic_split":[{"backend":"b1","weight":1}],"sizes":["m"],"allowed_regions":["eu"]}],`+
 		`"backends":[{"name":"b1","engine_type":{"stride":1}}],"tenants":[{"name":"t","api_keys":["k"],"priority_class":1}],"limits":{"max_body_bytes":1}}`),
 		[]byte(`{"version":8,"routes":[{"name":"r1","hostname":"h","prefix":"","backend":"b1","timeout_ms":1e300,"anonymous":true}],"tenants":[]}`), []byte(edgeSettings))
+	base, err := os.ReadFile("testdata/base.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add([]byte(`{}`), base, []byte(edgeSettings))
 	dir := f.TempDir()
 	f.Fuzz(func(t *testing.T, old, next, settings []byte) {
 		report := checkReport{}
@@ -225,6 +232,10 @@
 				report.Differences = topology.Compare(a, b)
 			}
 		}
+		if b, err := bundle.Decode(bytes.NewReader(next)); err == nil {
+			_ = b.Validate()
+			_ = b.Warnings()
+		}
 		file := filepath.Join(dir, "settings")
 		if err := os.WriteFile(file, settings, 0o600); err != nil {
 			t.Fatal(err)
--- a/daemon/topology/check.go
+++ b/daemon/topology/check.go
@@ -229,7 +229,7 @@
 	total, negative := 0.0, false
 	for i, share := range r.Shares {
 		field := fmt.Sprintf("traffic_split[%d].", i)
-		if len(r.Shares) == 1 && share.Weight == 1 {
+		if r.NoSplit {
 			field = ""
 		}
 		total += share.Weight
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -59,6 +59,9 @@
 	// names the model.
 	Models []string
 	Shares []Share
+	// NoSplit is set if the configuration file names the only service of the route instead
+	// of a split.
+	NoSplit bool `json:"-"`
 	// Anonymous routes need no API key.
 	Anonymous bool
 	// Resumable streams may be continued by another backend server.
