--- a/daemon/ctl/check.go
+++ b/daemon/ctl/check.go
@@ -173,10 +173,11 @@
 	if c.settings == "" {
 		return nil
 	}
-	if _, err := os.Stat(c.settings); err != nil {
+	raw, err := os.ReadFile(c.settings)
+	if err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
-	settings, err := platform.LoadSettings(c.settings)
+	settings, err := platform.DecodeSettings(c.settings, raw)
 	if err != nil {
 		c.report.add(c.settings, platform.SettingsFinding(c.settings, err))
 		return nil
