--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -59,6 +59,9 @@
 	// names the model.
 	Models []string
 	Shares []Share
+	// NoSplit is set if the configuration file names the only service of the route instead
+	// of a split.
+	NoSplit bool `json:"-"`
 	// Anonymous routes need no API key.
 	Anonymous bool
 	// Resumable streams may be continued by another backend server.
@@ -141,6 +144,7 @@
 	byHost    map[string][]*Route
 	byKey     map[string]*Workspace
 	withdrawn withdrawals
+	declared  declarations
 }
 
 // NewConfig indexes the routes by host and the workspaces by API key.
@@ -148,6 +152,7 @@
 	c := &Config{
 		Version: version, Limits: limits.withDefaults(), byKey: keys, HasWorkspaces: keys != nil,
 		Services: make(map[string]*Service, len(services)), byHost: make(map[string][]*Route),
+		declared: declarations{routes: routes, services: services, limits: limits},
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
