--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -543,4 +543,4 @@
 }
 
 // deregister revokes the lease of this router's store entry.
-func (c *controller) deregister() { c.routers.deregister() }
+func (c *controller) deregister(ctx context.Context) { c.routers.deregister(ctx) }
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -172,8 +173,10 @@
 	// lateRequestDelay is how long after the begin of a shutdown requests are taken that may
 	// not end before the process does. Clients may hold a connection, or find no other VM.
 	lateRequestDelay = 3 * time.Second
-	// shutdownMargin is the time left between the end of the shutdown and SIGKILL.
+	// shutdownMargin is the time left between the end of the last request and SIGKILL, and
+	// exitMargin that between the end of the calls after it and SIGKILL.
 	shutdownMargin = 400 * time.Millisecond
+	exitMargin     = 150 * time.Millisecond
 	// peerHeaderTimeout and peerIdleTimeout apply to connections of other routers,
 	// operators' tools and the load balancer.
 	peerHeaderTimeout = 10 * time.Second
@@ -332,8 +335,13 @@
 	if err := frontend.shutdown(ctx); err != nil {
 		e.log.Warn().Err(err).Msg("grace period ended with requests still in progress")
 	}
-	e.duties.usage.lastReport()
-	e.controller.deregister()
+	// The process must end by itself even if the store or a peer does not answer.
+	ctx, cancel = context.WithDeadline(context.Background(), began.Add(e.settings.GracePeriod-exitMargin))
+	defer cancel()
+	var calls sync.WaitGroup
+	calls.Go(func() { e.duties.usage.lastReport(ctx) })
+	calls.Go(func() { e.controller.deregister(ctx) })
+	calls.Wait()
 	e.log.Info().Dur("took_ms", time.Since(began)).Msg("edge stopped")
 }
 
--- a/daemon/edge/routers.go
+++ b/daemon/edge/routers.go
@@ -286,12 +286,12 @@
 }
 
 // deregister revokes the lease, which removes this router's entry.
-func (r *routers) deregister() {
+func (r *routers) deregister(ctx context.Context) {
 	lease := r.lease.Load()
 	if lease == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
 	if err := r.edge.settings.Store.Revoke(ctx, *lease); err != nil {
 		r.edge.log.Warn().Err(err).Msg("failed to revoke lease")
--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -124,13 +124,13 @@
 func (w *usageWork) backUp(report *rpc.UsageReport) {
 	first, second := w.edge.duties.aggregators()
 	if first.Name == w.edge.settings.VM && second.Name != "" {
-		go w.sendReport(second, report)
+		go w.sendReport(context.Background(), second, report)
 	}
 }
 
 // lastReport sends the counts of this process before it ends to the router that aggregates after
 // it.
-func (w *usageWork) lastReport() {
+func (w *usageWork) lastReport(ctx context.Context) {
 	if !w.enabled {
 		return
 	}
@@ -139,13 +139,13 @@
 		first = second
 	}
 	if first.Name != "" {
-		w.sendReport(first, w.ownReport(time.Now()))
+		w.sendReport(ctx, first, w.ownReport(time.Now()))
 	}
 }
 
 // sendReport sends a report without other facts.
-func (w *usageWork) sendReport(to relay.Member, report *rpc.UsageReport) {
-	ctx, cancel := context.WithTimeout(context.Background(), loadExchangeTimeout)
+func (w *usageWork) sendReport(ctx context.Context, to relay.Member, report *rpc.UsageReport) {
+	ctx, cancel := context.WithTimeout(ctx, loadExchangeTimeout)
 	defer cancel()
 	reply, err := w.edge.peerClient(to.Address).ExchangeLoad(ctx, &rpc.LoadReport{Usage: report, CollectsUsage: w.edge.duties.owns(UsageDuty)})
 	if err != nil {
