--- a/daemon/topology/check.go
+++ b/daemon/topology/check.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 )
 
@@ -45,9 +47,20 @@
 			problems = append(problems, fmt.Sprintf("route %q: timeout or latency target is negative", r.Name))
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
+		if a := c.Services[name].Autoscaling; a != nil && !a.Valid() {
+			problems = append(problems, fmt.Sprintf(
+				"service %q: not scaled, min_replicas %d, max_replicas %d or the boot time %v is out of range", name, a.MinReplicas, a.MaxReplicas, a.BootTime))
+		}
+	}
 	return problems
 }
 
+// Valid reports whether servers can be ordered within the bounds.
+func (a *Autoscaling) Valid() bool {
+	return a.MinReplicas >= 0 && a.MaxReplicas >= max(a.MinReplicas, 1) && a.BootTime >= 0
+}
+
 func (c *Config) shareProblems(r *Route) []string {
 	var problems []string
 	total := 0.0
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -83,6 +83,15 @@
 	ColdStart time.Duration
 	// EventTokens is the number of tokens in an event of a stream; 0 when unknown.
 	EventTokens int
+	// Autoscaling is nil for a service whose number of servers is not changed.
+	Autoscaling *Autoscaling `json:",omitempty"`
+}
+
+// Autoscaling bounds the number of a service's servers in each data centre.
+type Autoscaling struct {
+	MinReplicas, MaxReplicas int
+	// BootTime is the time after which a new server serves.
+	BootTime time.Duration
 }
 
 // Workspace is a customer with API keys.
