--- a/daemon/autoscale/autoscale.go
+++ b/daemon/autoscale/autoscale.go
@@ -169,7 +169,9 @@
 	return in.bounded(count)
 }
 
-func (in *Input) bounded(count int) int { return min(max(count, in.Bounds.Min), in.Bounds.Max) }
+// bounded returns the nearest number within the bounds. It is at least 1: the demand for a service
+// without servers would not be seen, because its requests wait at the routers.
+func (in *Input) bounded(count int) int { return min(max(count, in.Bounds.Min, 1), in.Bounds.Max) }
 
 // needed returns the number of servers that each of n data centres needs for the demand of the
 // service and its own one. The rest can bear the loss of one data centre.
--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -536,6 +536,9 @@
 		}
 	}
 	view.Splits = c.rollouts.splits(view.Servers)
+	if a := c.edge.duties.autoscale; a != nil {
+		a.fleet.Store(c.fleet())
+	}
 	if c.edge.view.Swap(view) == nil {
 		close(c.firstView)
 		c.edge.log.Info().Msg("first view published")
--- a/daemon/edge/duties.go
+++ b/daemon/edge/duties.go
@@ -57,6 +57,8 @@
 	roles []*dutyRole
 	// usage counts the requests; its work is that of the role named UsageDuty.
 	usage *usageWork
+	// autoscale orders servers; nil unless the settings name AutoscaleDuty.
+	autoscale *autoscaleWork
 
 	mu sync.Mutex
 	// members holds the registered routers by name.
@@ -74,6 +76,10 @@
 	if d.usage.enabled {
 		d.add(UsageDuty, d.usage)
 	}
+	if e.settings.has(AutoscaleDuty) {
+		d.autoscale = newAutoscaleWork(e)
+		d.add(AutoscaleDuty, d.autoscale)
+	}
 	return d
 }
 
@@ -424,4 +430,7 @@
 			fmt.Fprintf(w, "cactusknot_usage_last_settled_window %d\n", s.LastSettled)
 		}
 	}
+	if d.autoscale != nil {
+		d.autoscale.writeMetrics(w)
+	}
 }
--- a/daemon/edge/helpers_test.go
+++ b/daemon/edge/helpers_test.go
@@ -247,21 +247,28 @@
 
 type testConfig struct{ Version uint64 }
 
+// scaledConfig is a testConfig whose service has bounds for its number of servers.
+type scaledConfig struct {
+	Version     uint64
+	Autoscaling *topology.Autoscaling
+}
+
 type testServer struct {
 	Service, Version, DataCentre string
 	Draining                     bool
 	ColdMS, Started              int64
+	Slots                        int
 }
 
 func (testDecoder) Config(e kv.Entry) (*topology.Config, bool, error) {
 	if e.Key != "config" {
 		return nil, false, nil
 	}
-	var c testConfig
+	var c scaledConfig
 	if err := json.Unmarshal(e.Value, &c); err != nil {
 		return nil, true, err
 	}
-	services := []*topology.Service{{Name: "svc", ColdRateLimit: 5, ColdStart: time.Second}}
+	services := []*topology.Service{{Name: "svc", ColdRateLimit: 5, ColdStart: time.Second, Autoscaling: c.Autoscaling}}
 	return topology.NewConfig(c.Version, nil, services, nil, topology.Limits{}), true, nil
 }
 
@@ -276,7 +283,7 @@
 	}
 	return &topology.Server{
 		ID: id, Service: s.Service, Version: s.Version, DataCentre: s.DataCentre, Draining: s.Draining,
-		ColdFor: time.Duration(s.ColdMS) * time.Millisecond, StartedMS: s.Started,
+		ColdFor: time.Duration(s.ColdMS) * time.Millisecond, StartedMS: s.Started, Slots: s.Slots,
 	}, true, nil
 }
 
--- a/daemon/selection/peers.go
+++ b/daemon/selection/peers.go
@@ -43,6 +43,26 @@
 	return own
 }
 
+// InFlight returns the unfinished requests of all routers by the ID of the backend server. ok is
+// false without a recent report of the other routers.
+func (c *Chooser) InFlight(now time.Time) (requests map[string]int, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.peerWorkAt) >= MaxPeerWorkAge {
+		return nil, false
+	}
+	requests = make(map[string]int, len(c.peerWork))
+	for id, work := range c.peerWork {
+		requests[id] = work.InFlight
+	}
+	for id, s := range c.servers {
+		if s.inFlight > 0 {
+			requests[id] += s.inFlight
+		}
+	}
+	return requests, true
+}
+
 // Busy reports whether a request of this router is unfinished or has wanted a server with
 // a rate limit since the last exchange.
 func (c *Chooser) Busy() bool {
