--- a/daemon/autoscale/autoscale_test.go
+++ b/daemon/autoscale/autoscale_test.go
@@ -270,3 +270,56 @@
 		t.Errorf("orders within impossible bounds: %+v", orders)
 	}
 }
+
+// Guards against each input that is left out of account: every case differs from the first one in
+// one input, and its orders differ too.
+func TestEachInputCounts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cases := []struct {
+		name   string
+		demand func(age int) float64
+		change func(in *Input)
+		// want is the number ordered for dc1; 0 for no order.
+		want int
+	}{
+		{"low demand", nil, nil, 2},
+		{"gap", nil, func(in *Input) {
+			in.History = append(in.History[:len(in.History)-30:len(in.History)-30], in.History[len(in.History)-10:]...)
+		}, 0},
+		{"outdated", nil, func(in *Input) { in.History = in.History[:len(in.History)-10] }, 0},
+		{"short history", nil, func(in *Input) { in.History = in.History[len(in.History)-20:] }, 0},
+		{"recent order", nil, func(in *Input) { in.Last = map[string]Order{"dc1": {Count: 6, At: now.Add(-10 * time.Second)}} }, 0},
+		{"lost servers without an order", nil, func(in *Input) { in.History[0].Running = map[string]int{"dc1": 8} }, 0},
+		{"lost servers after an order", nil, func(in *Input) { in.Last = map[string]Order{"dc1": {Count: 8}} }, 0},
+		{"no demand, no minimum", func(int) float64 { return 0 }, func(in *Input) { in.Bounds.Min = 0 }, 1},
+		{"rising", func(age int) float64 { return 80 - float64(age) }, nil, 11},
+		{"saturated", func(int) float64 { return 119 }, nil, 19},
+		{"saturated while cold", func(int) float64 { return 59 }, func(in *Input) {
+			in.DataCentres["dc1"], in.DataCentres["dc2"] = DataCentre{Usable: 3, Cold: 3}, DataCentre{Usable: 3, Cold: 3}
+		}, 10},
+	}
+	for _, c := range cases {
+		in := Input{
+			Now: now, Bounds: testBounds, Slots: testSlots, DataCentres: map[string]DataCentre{"dc1": {Usable: 6}, "dc2": {Usable: 6}},
+		}
+		for age := 63; age >= 0; age-- {
+			demand := 10.0
+			if c.demand != nil {
+				demand = c.demand(age)
+			}
+			in.History = append(in.History, Sample{At: now.Add(-time.Duration(age) * time.Second), Work: map[string]float64{"dc1": demand / 2, "dc2": demand / 2}})
+		}
+		if c.change != nil {
+			c.change(&in)
+		}
+		got := 0
+		for _, d := range Decide(in) {
+			if d.DataCentre == "dc1" {
+				got = d.Count
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: ordered %d, want %d", c.name, got, c.want)
+		}
+	}
+}
