--- a/daemon/edge/duties.go
+++ b/daemon/edge/duties.go
@@ -49,6 +49,8 @@
 	act(ctx context.Context, now time.Time, role *dutyRole)
 	// observe takes over a change of the store, and reports whether it was one of its keys.
 	observe(change mirror.Change) bool
+	// wanted reports whether there may be anything to do. It is safe for concurrent use.
+	wanted() bool
 }
 
 // duties are this router's parts in the duties that one router at a time fulfils.
@@ -57,6 +59,8 @@
 	roles []*dutyRole
 	// usage counts the requests; its work is that of the role named UsageDuty.
 	usage *usageWork
+	// autoscale orders servers; nil unless the settings name AutoscaleDuty.
+	autoscale *autoscaleWork
 
 	mu sync.Mutex
 	// members holds the registered routers by name.
@@ -74,6 +78,10 @@
 	if d.usage.enabled {
 		d.add(UsageDuty, d.usage)
 	}
+	if e.settings.has(AutoscaleDuty) {
+		d.autoscale = newAutoscaleWork(e)
+		d.add(AutoscaleDuty, d.autoscale)
+	}
 	return d
 }
 
@@ -97,7 +105,11 @@
 			now := time.Now()
 			return duty.Instant{Monotonic: now.Sub(began), Wall: now.Round(0)}
 		},
-		Rank: d.rank, Notify: role.notify,
+		Rank: func() (int, bool) {
+			rank, ok := d.rank()
+			return rank, ok && work.wanted()
+		},
+		Notify: role.notify,
 	})
 	if err != nil {
 		d.edge.log.Error().Err(err).Str("duty", name).Msg("duty not taken part in")
@@ -424,4 +436,7 @@
 			fmt.Fprintf(w, "cactusknot_usage_last_settled_window %d\n", s.LastSettled)
 		}
 	}
+	if d.autoscale != nil {
+		d.autoscale.writeMetrics(w)
+	}
 }
--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -345,3 +345,6 @@
 	}
 	return r
 }
+
+// wanted implements dutyWork.
+func (w *usageWork) wanted() bool { return w.enabled }
--- a/daemon/topology/check.go
+++ b/daemon/topology/check.go
@@ -301,6 +301,10 @@
 		k.negative("cold_per_s", s.ColdRateLimit < 0)
 		k.negative("cold_start_s", s.ColdStart < 0)
 		k.negative("engine_type.stride", s.EventTokens < 0)
+		if a := s.Autoscaling; a != nil && !a.Valid() {
+			k.add(SeverityError, "autoscaling-invalid", "autoscaling",
+				"not scaled, min_replicas %d, max_replicas %d or the boot time %s is out of range", a.MinReplicas, a.MaxReplicas, a.BootTime)
+		}
 	}
 }
 
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -86,6 +86,20 @@
 	ColdStart time.Duration
 	// EventTokens is the number of tokens in an event of a stream; 0 when unknown.
 	EventTokens int
+	// Autoscaling is nil for a service whose number of servers is not changed.
+	Autoscaling *Autoscaling `json:",omitempty"`
+}
+
+// Autoscaling bounds the number of a service's servers in each data centre.
+type Autoscaling struct {
+	MinReplicas, MaxReplicas int
+	// BootTime is the time after which a new server serves.
+	BootTime time.Duration
+}
+
+// Valid reports whether servers can be ordered within the bounds.
+func (a *Autoscaling) Valid() bool {
+	return a.MinReplicas >= 0 && a.MaxReplicas >= max(a.MinReplicas, 1) && a.BootTime >= 0
 }
 
 // Workspace is a customer with API keys.
