admission: priorities out of the range of the queue's classes

A configured priority below 0 or above 9 panicked when the first such request had to wait (index out of range), with the queue locked, so that all later requests of the service that had to wait hung. Found by reading.

Entries get their class before the queue is asked for anything, and the locked part releases the lock by defer. A sent entry is charged to the line that held it, not to one that is looked up again. Ends of a wait are named constants; grantRoom and grantRoomLocked follow the usual suffix.

TestPrioritiesOutOfRangeWait panicked and hung before and passes.

--- a/daemon/admission/admission.go
+++ b/daemon/admission/admission.go
@@ -19,9 +19,11 @@
 	// MaxEntries and MaxBytes bound a queue. The bytes are those of the requests' bodies.
 	MaxEntries = 12_000
 	MaxBytes   = 64 << 20
-	// maxRefusalShare is the part of the time to its deadline up to which a request may be
-	// refused after it was held, if its latency target is longer than half of that.
-	maxRefusalShare = 0.25
+	// A held request may be refused until refusalHoldShare of its latency target, or
+	// maxRefusalShare of the time from its arrival to its deadline, has passed, whichever is
+	// earlier.
+	refusalHoldShare = 0.5
+	maxRefusalShare  = 0.25
 	// certainShare is the part of an expected wait and of an expected answer that counts when
 	// a request is refused: the wait is the estimate for the end of the queue, and callers
 	// often state an upper bound as the length of the answer. With 1 in place of 0.5, requests
@@ -29,9 +31,6 @@
 	certainShare = 0.5
 	// minSpareShare is the least part of the room that late requests are expected to get.
 	minSpareShare = 0.25
-	// refusalHoldShare is the part of its latency target from its arrival up to which a
-	// request may be refused after it was held.
-	refusalHoldShare = 0.5
 	// delayPerWork times its work is the delay of a request that weighs as much as the delay of
 	// others by the same multiple of theirs.
 	delayPerWork = 10
@@ -51,7 +50,7 @@
 	CannotEnd Reason = "cannot_end"
 	// QueueFull: the queue is full, and the refusal of the request costs least.
 	QueueFull Reason = "queue_full"
-	// NoServer: no server may take the request for half of its latency target.
+	// NoServer: no server may take the request when it is decided whether to go on holding it.
 	NoServer Reason = "no_server"
 )
 
@@ -97,12 +96,18 @@
 	due time.Time
 	// line is the heap that holds the entry, at lineIndex; dueIndex is its place in the heap
 	// by due time. They are -1 while the entry is in none.
-	line                *line
+	line *line
+	// lineName is the name of the line that last held the entry.
+	lineName            string
 	weight              float64
 	lineIndex, dueIndex int
 	late                bool
 }
 
+// ClassOf returns the class of a priority: configured priorities may be out of the range of
+// the classes that are told apart.
+func ClassOf(priority int) int { return min(max(priority, 0), maxClasses-1) }
+
 // Returned reports whether the caller has sent the request before and was refused.
 func (e *Entry) Returned() bool { return e.CallerSince.Before(e.ArrivedAt) }
 
@@ -162,7 +167,7 @@
 // refused entry is the new one or one that had waited, which is no longer in the queue.
 func (q *Queue) Offer(now time.Time, e *Entry, capacity float64) *Refusal {
 	q.rate.expected = capacity
-	e.Class = min(max(e.Class, 0), maxClasses-1)
+	e.Class = ClassOf(e.Class)
 	e.Work = max(e.Work, time.Millisecond)
 	e.lineIndex, e.dueIndex = -1, -1
 	e.large = q.kinds.arrive(e.Kind, e.Work)
@@ -514,8 +519,8 @@
 }
 
 // cheapest returns the entry whose refusal costs least: the new one or one that may still be
-// refused. Late requests come first, then less urgent classes, then the workspace furthest
-// beyond its share.
+// refused. Late requests come first, then less urgent classes, then the workspace with
+// the most waiting requests for its weight.
 func (q *Queue) cheapest(now time.Time, added *Entry) *Entry {
 	q.advance(now)
 	for _, late := range []bool{true, false} {
--- a/daemon/admission/flows.go
+++ b/daemon/admission/flows.go
@@ -43,7 +43,7 @@
 	index int
 }
 
-// name returns the flow of a workspace.
+// name returns the name of a workspace's line.
 func (f *flows) name(workspace string) string {
 	if f.byName[workspace] != nil || len(f.byName) < maxFlows {
 		return workspace
@@ -51,9 +51,8 @@
 	return "#" + strconv.FormatUint(maphash.String(flowSeed, workspace)%maxFlows, 10)
 }
 
-// line returns the line of a workspace.
-func (f *flows) line(workspace string) *line {
-	name := f.name(workspace)
+// line returns the line with a name.
+func (f *flows) line(name string) *line {
 	l := f.byName[name]
 	if l == nil {
 		if f.byName == nil {
@@ -77,9 +76,9 @@
 }
 
 func (f *flows) push(e *Entry, weight float64) {
-	l := f.line(e.Workspace)
+	l := f.line(f.name(e.Workspace))
 	l.weight, e.weight = weight, weight
-	e.line = l
+	e.line, e.lineName = l, l.name
 	heap.Push(l, e)
 	f.entries++
 	f.work += e.Work
@@ -124,9 +123,9 @@
 	return int(max(l.served-virtual, 0) / burst.Seconds())
 }
 
-// spend charges a sent entry to its workspace.
+// spend charges a sent entry to the line that held it.
 func (f *flows) spend(e *Entry) {
-	l := f.line(e.Workspace)
+	l := f.line(e.lineName)
 	l.weight = e.weight
 	l.served = max(l.served, f.virtual) + e.Work.Seconds()/l.weight
 	lowest := l.served
@@ -141,8 +140,8 @@
 	f.virtual = max(f.virtual, lowest)
 }
 
-// cheapest returns an entry of the workspace furthest ahead of its share whose refusal costs
-// little, or nil if none may be refused.
+// cheapest returns an entry of the workspace with the most waiting requests for its weight whose
+// refusal costs little, or nil if none may be refused.
 func (f *flows) cheapest(q *Queue) *Entry {
 	var best *Entry
 	var of *line
@@ -157,7 +156,7 @@
 	return best
 }
 
-// excess is how much work of a workspace waits in proportion to its weight.
+// excess is the number of waiting requests of a workspace in proportion to its weight.
 func (l *line) excess() float64 { return float64(len(l.list)) / l.weight }
 
 // cheapest compares the last entries of the heap, which are among the later ones.
--- a/daemon/gateway/admission.go
+++ b/daemon/gateway/admission.go
@@ -36,6 +36,20 @@
 	plainWork = 100 * time.Millisecond
 )
 
+// Ends of a wait, as log lines and metrics name them; a refusal is named by its reason.
+const (
+	// endRoom: a server had room.
+	endRoom = "room"
+	// endNotSent: the request must not be sent any more.
+	endNotSent = "not_sent"
+	// endNoProgress: nothing got room for so long that the room must be misjudged.
+	endNoProgress = "no_progress"
+	// endHeldEnough: the request was held as long as it may be.
+	endHeldEnough = "held_enough"
+	// endAbandoned: the caller left, or its deadline passed.
+	endAbandoned = "abandoned"
+)
+
 // admissions holds the queue of each service by its name, and what the callers of each route
 // state as their timeouts.
 type admissions struct{ queues, timeouts sync.Map }
@@ -189,35 +203,44 @@
 	w := &waiter{x: x, request: request, done: make(chan grant, 1)}
 	now := time.Now()
 	entry := g.newEntry(now, w)
+	position, expected := g.offer(now, q, entry, w)
+	var end grant
+	select {
+	case end = <-w.done:
+	case <-ctx.Done():
+		end = g.abandon(ctx, q, entry)
+	}
+	g.recordWait(w, entry, end, now, position, expected)
+	return end.choice, end.err
+}
+
+// offer adds the entry to the queue and gives the room there is. It returns the entry's position
+// and the expected wait.
+func (g *Gateway) offer(now time.Time, q *serviceQueue, entry *admission.Entry, w *waiter) (position int, expected time.Duration) {
 	q.mu.Lock()
+	defer q.mu.Unlock()
 	if q.queue.Len() == 0 {
 		q.grantedAt = now
 	}
 	q.queue.Arrive(now, entry.Workspace, entry.Work)
-	position, expected := q.queue.Position(entry), q.queue.ExpectedWait(now, entry)
-	refusal := q.queue.Offer(now, entry, g.capacity(x))
+	position, expected = q.queue.Position(entry), q.queue.ExpectedWait(now, entry)
+	refusal := q.queue.Offer(now, entry, g.capacity(w.x))
 	if refusal != nil && refusal.Entry != entry {
 		refusal.Entry.Payload.(*waiter).refuse(refusal)
 		refusal = nil
 	}
-	g.grantRoom(now, q)
-	if refusal != nil {
-		// The expected wait may be that of requests for which there is no room.
-		if choice, room := g.Chooser.ChooseWithRoom(now, x.candidates, request, g.backlogLimit(entry.Target, entry.Late()), 0); room == selection.RoomFound {
-			q.send(now, entry, choice, "room")
-		} else {
-			w.refuse(refusal)
-		}
+	g.grantRoomLocked(now, q)
+	if refusal == nil {
+		return position, expected
 	}
-	q.mu.Unlock()
-	var end grant
-	select {
-	case end = <-w.done:
-	case <-ctx.Done():
-		end = g.abandon(ctx, q, entry)
+	// The expected wait may be that of requests for which there is no room.
+	choice, room := g.Chooser.ChooseWithRoom(now, w.x.candidates, w.request, g.backlogLimit(entry.Target, entry.Late()), 0)
+	if room == selection.RoomFound {
+		q.send(now, entry, choice, endRoom)
+	} else {
+		w.refuse(refusal)
 	}
-	g.recordWait(w, entry, end, now, position, expected)
-	return end.choice, end.err
+	return position, expected
 }
 
 // abandon ends the wait of a request whose caller has left or whose deadline has passed.
@@ -231,7 +254,7 @@
 	case end := <-w.done:
 		return end
 	default:
-		return grant{err: result.NoBackend.With("%v", ctx.Err()), how: "abandoned"}
+		return grant{err: result.NoBackend.With("%v", ctx.Err()), how: endAbandoned}
 	}
 }
 
@@ -252,7 +275,7 @@
 func (g *Gateway) newEntry(now time.Time, w *waiter) *admission.Entry {
 	x := w.x
 	entry := &admission.Entry{
-		Class: x.urgency, Workspace: x.workspace, Kind: x.route.Name, ArrivedAt: x.startedAt, CallerSince: x.startedAt.Add(-x.age),
+		Class: admission.ClassOf(x.urgency), Workspace: x.workspace, Kind: x.route.Name, ArrivedAt: x.startedAt, CallerSince: x.startedAt.Add(-x.age),
 		Target: x.route.LatencyTarget, Deadline: x.deadline, Work: plainWork, Bytes: len(x.call.Body), Payload: w,
 	}
 	if x.call.PromptTokens > 0 {
@@ -279,7 +302,7 @@
 func (g *Gateway) wakeWaiting(service string) {
 	for _, q := range g.admission.queues.Range {
 		if q := q.(*serviceQueue); q.waiting.Load() > 0 && (service == "" || q.service == service) {
-			g.grantRoomLocked(q)
+			g.grantRoom(q)
 		}
 	}
 }
@@ -297,15 +320,15 @@
 // WakeWaiting gives room that may have become available at any service to waiting requests.
 func (g *Gateway) WakeWaiting() { g.wakeWaiting("") }
 
-func (g *Gateway) grantRoomLocked(q *serviceQueue) {
+func (g *Gateway) grantRoom(q *serviceQueue) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	g.grantRoom(time.Now(), q)
+	g.grantRoomLocked(time.Now(), q)
 }
 
-// grantRoom sends the waiting requests that find room, in order, and decides on those whose
+// grantRoomLocked sends the waiting requests that find room, in order, and decides on those whose
 // time has come. The caller holds the queue's lock.
-func (g *Gateway) grantRoom(now time.Time, q *serviceQueue) {
+func (g *Gateway) grantRoomLocked(now time.Time, q *serviceQueue) {
 	g.decideDue(now, q)
 	var passedOver []*admission.Entry
 	// Requests that are passed over keep their claim: a later one with a longer latency target
@@ -323,7 +346,7 @@
 		}
 		w := entry.Payload.(*waiter)
 		if err := g.checkBeforeAttempt(w.x); err != nil {
-			w.done <- grant{err: err, how: "not_sent"}
+			w.done <- grant{err: err, how: endNotSent}
 			continue
 		}
 		own := g.backlogLimit(entry.Target, entry.Late())
@@ -336,7 +359,7 @@
 		}
 		choice, room := g.Chooser.ChooseWithRoom(now, w.x.candidates, w.request, own, entry.Target-now.Sub(entry.CallerSince))
 		if room == selection.RoomFound {
-			q.send(now, entry, choice, "room")
+			q.send(now, entry, choice, endRoom)
 			continue
 		}
 		q.closed = q.closed || room == selection.RoomClosed
@@ -384,7 +407,7 @@
 	w := first.Payload.(*waiter)
 	choice, ok := g.Chooser.Choose(now, w.x.candidates, w.request)
 	if ok {
-		q.send(now, first, choice, "no_progress")
+		q.send(now, first, choice, endNoProgress)
 	}
 	return ok
 }
@@ -403,7 +426,7 @@
 		w := entry.Payload.(*waiter)
 		if err := g.checkBeforeAttempt(w.x); err != nil {
 			q.queue.Remove(entry)
-			w.done <- grant{err: err, how: "not_sent"}
+			w.done <- grant{err: err, how: endNotSent}
 			continue
 		}
 		_, open := g.Chooser.Estimate(now, w.x.candidates, w.request)
@@ -420,7 +443,7 @@
 		}
 		q.queue.Remove(entry)
 		w.x.urgency = leastUrgent
-		q.send(now, entry, choice, "held_enough")
+		q.send(now, entry, choice, endHeldEnough)
 	}
 }
 
@@ -440,7 +463,7 @@
 		interval = max(min(interval, at.Sub(now)), minTimerInterval)
 	}
 	if q.timer == nil {
-		q.timer = time.AfterFunc(interval, func() { g.grantRoomLocked(q) })
+		q.timer = time.AfterFunc(interval, func() { g.grantRoom(q) })
 		return
 	}
 	q.timer.Reset(interval)
--- a/daemon/gateway/admission_test.go
+++ b/daemon/gateway/admission_test.go
@@ -75,3 +75,42 @@
 		t.Errorf("%v allocations", n)
 	}
 }
+
+// Guards against priorities out of the range of the queue's classes: the first such request
+// that had to wait panicked with the queue locked, and all later ones of the service hung.
+func TestPrioritiesOutOfRangeWait(t *testing.T) {
+	release := make(chan struct{}, 100)
+	s := newServer(t, "s1", func(n int, r receivedRequest, c net.Conn) bool {
+		<-release
+		return respond(200, "ok")(n, r, c)
+	})
+	s.Slots = 1
+	route := topology.Route{LatencyTarget: 10 * time.Second, Timeout: 30 * time.Second}
+	r := newHarness(t, route, s)
+	r.keys = map[string]*topology.Workspace{
+		"usual":   {Name: "usual"},
+		"below":   {Name: "below", HasUrgency: true, Urgency: -1},
+		"largest": {Name: "largest", HasUrgency: true, Urgency: 12},
+	}
+	r.publish(route, s)
+	var calls sync.WaitGroup
+	call := func(id, key string) {
+		calls.Go(func() {
+			if a := r.call("GET", "/", "", "Id", id, "Key", key); a.status != 200 {
+				t.Errorf("%s: status %d, %v", id, a.status, a.err)
+			}
+		})
+	}
+	const places = 4 // maxQueueFactor of selection times one slot
+	for range places {
+		call("first", "usual")
+	}
+	eventually(t, 2*time.Second, "the server is full", func() bool { return totalRequests(s) == places })
+	call("below", "below")
+	call("largest", "largest")
+	eventually(t, 2*time.Second, "both wait", func() bool { return r.serviceQueue("svc", "").waiting.Load() == 2 })
+	for range places + 2 {
+		release <- struct{}{}
+	}
+	calls.Wait()
+}
