Comments and names of the duties, the usage table and the recovery

Corrections from a reading of the whole change by someone new to it: comments that contradicted the code, fields that nothing read, errNoCallNow.

--- a/daemon/edge/cloud_api.go
+++ b/daemon/edge/cloud_api.go
@@ -18,7 +18,8 @@
 	ErrTokenRefused = errors.New("edge: fencing token refused")
 	// ErrOverRate means that the API refused the call because of its rate limit.
 	ErrOverRate = errors.New("edge: over the rate limit of the API")
-	// ErrAPIUnavailable means that the API did not execute the call.
+	// ErrAPIUnavailable means that no connection could be opened or that the API answered with
+	// 5xx. In the second case it may have executed the call.
 	ErrAPIUnavailable = errors.New("edge: API unavailable")
 	// ErrAPIUnknownOutcome means that the call got no answer. It may be executed later.
 	ErrAPIUnknownOutcome = errors.New("edge: outcome of the API call unknown")
--- a/daemon/edge/duties.go
+++ b/daemon/edge/duties.go
@@ -28,7 +28,7 @@
 	// dutyMarginShare is the margin of the local lease deadline, as a share of the lease
 	// duration. It covers the drift of the clocks.
 	dutyMarginShare = 6
-	// dutyInterval is the time between two looks of a duty's work.
+	// dutyInterval is the time between two calls of dutyWork.act.
 	dutyInterval = 100 * time.Millisecond
 	// apiCallTimeout limits one call of the API.
 	apiCallTimeout = 3 * time.Second
@@ -258,9 +258,9 @@
 	}
 }
 
-// errNotOwner is returned for a call that is not made because this router does not own the duty,
+// errNoCallNow is returned for a call that is not made because this router does not own the duty,
 // or because it is too early for the next call.
-var errNotOwner = errors.New("edge: no call of the API may be made now")
+var errNoCallNow = errors.New("edge: no call of the API may be made now")
 
 // ready reports whether a call may be made at a time, apart from the ownership.
 func (r *dutyRole) ready(now time.Time) bool {
@@ -274,11 +274,11 @@
 func (r *dutyRole) call(ctx context.Context, subject string, age time.Duration, send func(context.Context, DutyCaller) error) error {
 	began := time.Now()
 	if !r.ready(began) {
-		return errNotOwner
+		return errNoCallNow
 	}
 	token := r.owner.BeginCall()
 	if token == 0 {
-		return errNotOwner
+		return errNoCallNow
 	}
 	ctx, cancel := context.WithTimeout(ctx, apiCallTimeout)
 	err := send(ctx, DutyCaller{Holder: r.edge.settings.VM, Token: uint64(token)})
--- a/daemon/edge/recovery.go
+++ b/daemon/edge/recovery.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// Bounds of a deployment that leaves them out: the shortest ones that are known.
+// Bounds that apply if the settings of a deployment leave them out: the smallest of all
+// deployments known.
 const (
 	DefaultContact     = 3 * time.Second
 	DefaultConfigApply = 2 * time.Second
@@ -35,8 +36,8 @@
 	// away once more without any call being lost.
 	settleTime = 10 * time.Second
 	settleWait = 500 * time.Millisecond
-	// contactMargin is how long before this router counts as in touch the hold on vanished
-	// entries ends, and the error of the times that peers state.
+	// contactMargin is the time by which the hold on vanished entries ends before this router
+	// counts as in touch. It also covers the error of the times that peers state.
 	contactMargin = 200 * time.Millisecond
 )
 
@@ -199,7 +200,7 @@
 	if c.servedSince.IsZero() || holdSince.Before(c.servedSince) {
 		c.servedSince = holdSince
 	}
-	// The peer's changes may be removals that it still doubts.
+	// The peer's changes may be removals that it still holds back.
 	c.holdUntil = latest(c.holdUntil, c.servedSince.Add(reregistrationGrace))
 }
 
--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -304,7 +304,7 @@
 		return w.edge.settings.CloudAPI.ReportUsage(ctx, by, window, record.Counts)
 	})
 	if err == nil {
-		w.ledger.Sent(time.Now(), window)
+		w.ledger.Sent(window)
 	}
 }
 
--- a/daemon/usage/settle.go
+++ b/daemon/usage/settle.go
@@ -30,7 +30,8 @@
 	// less often.
 	openWindowGrace = 250 * time.Millisecond
 	// doubtWait is how long an owner waits, after it has entered an era or acquired the duty,
-	// for the routers to say that a window was not settled in an earlier era.
+	// for the routers to say that a window was not settled in an earlier era; takeoverGrace
+	// applies to such windows too.
 	doubtWait = 6 * time.Second
 	// commitTime is the longest time between a write to the store and its acknowledgement at
 	// its author.
@@ -94,7 +95,6 @@
 	// sentThrough is the last window up to which all records were sent.
 	sentThrough int64
 	lastSent    int64
-	lastSentAt  time.Time
 }
 
 // NewLedger returns an empty Ledger.
@@ -308,10 +308,10 @@
 }
 
 // Sent records that a record was accepted.
-func (l *Ledger) Sent(now time.Time, window int64) {
+func (l *Ledger) Sent(window int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sentThrough, l.lastSent, l.lastSentAt = max(l.sentThrough, window), window, now
+	l.sentThrough, l.lastSent = max(l.sentThrough, window), window
 }
 
 // State is the state of the ledger for operators.
@@ -319,18 +319,15 @@
 	// LastSettled and LastSent are the latest windows that are known as settled, and that
 	// this router has sent; 0 for none.
 	LastSettled, LastSent int64
-	LastSentAt            time.Time
 	// Unsettled is the number of windows that have ended and are not settled.
 	Unsettled int
-	// CertainFrom is the first window that was certainly not settled in an earlier era.
-	CertainFrom int64
 }
 
 // State returns the state.
 func (l *Ledger) State(now time.Time) State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := State{LastSent: l.lastSent, LastSentAt: l.lastSentAt, CertainFrom: l.certainFrom}
+	s := State{LastSent: l.lastSent}
 	for w := range l.known {
 		s.LastSettled = max(s.LastSettled, w)
 	}
--- a/daemon/usage/settle_test.go
+++ b/daemon/usage/settle_test.go
@@ -155,7 +155,7 @@
 	if w, record, ok := r.ledger.Unsent(f.now); ok && r.token != 0 {
 		token := r.token
 		if f.outcome(func() bool { return f.execute(token, w, record) }) {
-			r.ledger.Sent(f.now, w)
+			r.ledger.Sent(w)
 		}
 	}
 }
--- a/daemon/usage/table.go
+++ b/daemon/usage/table.go
@@ -65,8 +65,8 @@
 	return list
 }
 
-// Prune removes the windows that keep does not accept, and the reports without windows that
-// are older than maxAge.
+// Prune removes the reports that were received at least maxAge ago and hold no window that keep
+// accepts.
 func (t *Table) Prune(now time.Time, maxAge time.Duration, keep func(window int64) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
