topology: findings and differences in the project's own terms

They use the names of the types now; platform translates place and field at the boundary, and differences show durations. The union of the keys of two maps, which stood three times, is one function; the search for classes of requests is split; severities have an order of their own in place of that of their letters.

--- a/daemon/ctl/check.go
+++ b/daemon/ctl/check.go
@@ -1,7 +1,6 @@
 package ctl
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -42,7 +41,7 @@
 
 // finish puts errors before warnings. Findings of the same severity keep their order.
 func (r *checkReport) finish() {
-	slices.SortStableFunc(r.Findings, func(a, b fileFinding) int { return cmp.Compare(a.Severity, b.Severity) })
+	slices.SortStableFunc(r.Findings, func(a, b fileFinding) int { return a.Severity.Compare(b.Severity) })
 	r.Valid = len(r.Findings) == 0 || r.Findings[0].Severity != topology.SeverityError
 }
 
@@ -164,7 +163,7 @@
 		if config, err = platform.DecodeConfig(raw); err != nil {
 			c.report.add(c.config, decodeFinding(raw, err))
 		} else {
-			c.report.add(c.config, config.Findings()...)
+			c.report.add(c.config, platform.Findings(config)...)
 			if err := c.compare(ctx, config); err != nil {
 				return err
 			}
--- a/daemon/ctl/check_test.go
+++ b/daemon/ctl/check_test.go
@@ -203,7 +203,7 @@
 	if took := time.Since(start); took > time.Second {
 		t.Errorf("took %s", took)
 	}
-	if n := strings.Count(out, "timeout_ms: 100 -> 200"); code != ExitOK || n != 10_000 {
+	if n := strings.Count(out, "timeout: 100ms -> 200ms"); code != ExitOK || n != 10_000 {
 		t.Errorf("code %d, %d differences: %s", code, n, errs)
 	}
 }
--- a/daemon/topology/check.go
+++ b/daemon/topology/check.go
@@ -3,10 +3,10 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"net"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 )
@@ -23,16 +23,22 @@
 	SeverityWarning Severity = "warning"
 )
 
+// Compare orders errors before warnings.
+func (s Severity) Compare(o Severity) int {
+	rank := func(s Severity) int { return slices.Index([]Severity{SeverityError, SeverityWarning}, s) }
+	return cmp.Compare(rank(s), rank(o))
+}
+
 // Finding is a fault in a configuration.
 type Finding struct {
 	Severity Severity `json:"severity"`
 	// Rule identifies the rule that found the fault.
 	Rule string `json:"rule"`
-	// Place is the entry in the operators' file, for example routes[3], and Name the name
-	// that it has there.
+	// Place is the entry in the order of the operators' file, for example routes[3], and Name
+	// its name.
 	Place string `json:"place"`
 	Name  string `json:"name,omitempty"`
-	// Field is the path of the field within Place.
+	// Field is the path of the property within Place.
 	Field  string `json:"field,omitempty"`
 	Reason string `json:"reason"`
 
@@ -52,13 +58,13 @@
 	inWorkspaces
 )
 
-// sectionNames holds the key in the file and the name of one entry.
+// sectionNames holds the name of a section and that of one entry.
 var sectionNames = [...]struct{ key, entry string }{
 	inFile:       {"", "configuration"},
 	inLimits:     {"limits", "limits"},
 	inRoutes:     {"routes", "route"},
-	inServices:   {"backends", "service"},
-	inWorkspaces: {"tenants", "workspace"},
+	inServices:   {"services", "service"},
+	inWorkspaces: {"workspaces", "workspace"},
 }
 
 // String returns the finding as one line for logs.
@@ -100,13 +106,8 @@
 // Routes returns the routes ordered by host, and for each host from the longest prefix
 // to the shortest.
 func (c *Config) Routes() []*Route {
-	var hosts []string
-	for host := range c.byHost {
-		hosts = append(hosts, host)
-	}
-	sort.Strings(hosts)
 	var routes []*Route
-	for _, host := range hosts {
+	for _, host := range slices.Sorted(maps.Keys(c.byHost)) {
 		routes = append(routes, c.byHost[host]...)
 	}
 	return routes
@@ -141,7 +142,7 @@
 	k.workspaces()
 	k.access()
 	slices.SortStableFunc(k.findings, func(a, b Finding) int {
-		return cmp.Or(cmp.Compare(a.Severity, b.Severity), cmp.Compare(a.section, b.section), cmp.Compare(a.index, b.index))
+		return cmp.Or(a.Severity.Compare(b.Severity), cmp.Compare(a.section, b.section), cmp.Compare(a.index, b.index))
 	})
 	return k.findings
 }
@@ -189,8 +190,8 @@
 	l := k.config.declared.limits
 	k.negative("max_body_bytes", l.MaxBodyBytes < 0)
 	k.negative("max_header_bytes", l.MaxHeaderBytes < 0)
-	k.negative("header_timeout_ms", l.HeaderTimeout < 0)
-	k.negative("idle_timeout_ms", l.IdleTimeout < 0)
+	k.negative("header_timeout", l.HeaderTimeout < 0)
+	k.negative("idle_timeout", l.IdleTimeout < 0)
 	if l.MaxHeaderBytes > 0 && l.MaxHeaderBytes < minRequestHead {
 		k.add(SeverityError, "header-limit", "max_header_bytes", "no request has a head of at most %d bytes", l.MaxHeaderBytes)
 	}
@@ -216,9 +217,9 @@
 // location reports a host or prefix that no request has.
 func (k *checker) location(r *Route) {
 	if r.Host == "" {
-		k.add(SeverityWarning, "host-missing", "hostname", "used only by requests without a host, the host is missing")
+		k.add(SeverityWarning, "host-missing", "host", "used only by requests without a host, the host is missing")
 	} else if _, _, err := net.SplitHostPort(r.Host); err == nil {
-		k.add(SeverityWarning, "host-with-port", "hostname", "never used, hosts are compared without the port")
+		k.add(SeverityWarning, "host-with-port", "host", "never used, hosts are compared without the port")
 	}
 	if r.Prefix != "" && !strings.HasPrefix(r.Prefix, "/") {
 		k.add(SeverityWarning, "prefix-not-absolute", "prefix", "never used, the prefix %q does not start with /", r.Prefix)
@@ -228,14 +229,14 @@
 func (k *checker) shares(r *Route) {
 	total, negative := 0.0, false
 	for i, share := range r.Shares {
-		field := fmt.Sprintf("traffic_split[%d].", i)
+		field := fmt.Sprintf("shares[%d].", i)
 		if r.NoSplit {
 			field = ""
 		}
 		total += share.Weight
 		negative = negative || share.Weight < 0
 		if k.config.Services[share.Service] == nil {
-			k.add(SeverityError, "service-unknown", field+"backend", "service %q is not configured", share.Service)
+			k.add(SeverityError, "service-unknown", field+"service", "service %q is not configured", share.Service)
 		}
 		if share.Weight < 0 {
 			k.add(SeverityError, "weight-negative", field+"weight", "the weight of service %q is negative", share.Service)
@@ -243,40 +244,40 @@
 	}
 	switch {
 	case math.IsInf(total, 0):
-		k.add(SeverityError, "weight-sum", "traffic_split", "the sum of the weights is too large")
+		k.add(SeverityError, "weight-sum", "shares", "the sum of the weights is too large")
 	case total <= 0:
 		if !negative {
-			k.add(SeverityError, "weight-sum", "traffic_split", "no service with a weight above 0")
+			k.add(SeverityError, "weight-sum", "shares", "no service with a weight above 0")
 		}
 	default:
 		for i, share := range r.Shares {
 			if share.Weight == 0 {
-				k.add(SeverityWarning, "weight-zero", fmt.Sprintf("traffic_split[%d].weight", i), "service %q has weight 0 and gets no requests", share.Service)
+				k.add(SeverityWarning, "weight-zero", fmt.Sprintf("shares[%d].weight", i), "service %q has weight 0 and gets no requests", share.Service)
 			}
 		}
 	}
 }
 
 func (k *checker) times(r *Route) {
-	k.negative("timeout_ms", r.Timeout < 0)
-	k.negative("target_latency_ms", r.LatencyTarget < 0)
+	k.negative("timeout", r.Timeout < 0)
+	k.negative("latency_target", r.LatencyTarget < 0)
 	k.negative("max_attempts", r.MaxAttempts < 0)
-	k.negative("priority_class", r.Urgency < 0)
+	k.negative("urgency", r.Urgency < 0)
 	if r.Timeout <= 0 {
 		return
 	}
 	if r.LatencyTarget > r.Timeout {
-		k.add(SeverityWarning, "target-above-timeout", "target_latency_ms", "the latency target %s is above the timeout %s", r.LatencyTarget, r.Timeout)
+		k.add(SeverityWarning, "target-above-timeout", "latency_target", "the latency target %s is above the timeout %s", r.LatencyTarget, r.Timeout)
 	}
 	if r.Timeout/time.Duration(max(r.MaxAttempts, 1)) < minAttemptTime {
-		k.add(SeverityWarning, "attempts-against-timeout", "timeout_ms", "the timeout %s leaves less than %s for each of %d attempts",
+		k.add(SeverityWarning, "attempts-against-timeout", "timeout", "the timeout %s leaves less than %s for each of %d attempts",
 			r.Timeout, minAttemptTime, max(r.MaxAttempts, 1))
 	}
 }
 
 func (k *checker) models(r *Route) {
 	for i, model := range r.Models {
-		field := fmt.Sprintf("sizes[%d]", i)
+		field := fmt.Sprintf("models[%d]", i)
 		if model == "" {
 			k.add(SeverityError, "model-empty", field, "the name of a model is empty")
 		} else if slices.Contains(r.Models[:i], model) {
@@ -296,14 +297,14 @@
 			k.add(SeverityError, "service-unnamed", "name", "the name is missing")
 		}
 		if last[s.Name] != i {
-			k.add(SeverityWarning, "service-replaced", "name", "never used, backends[%d] has the same name", last[s.Name])
+			k.add(SeverityWarning, "service-replaced", "name", "never used, a later service has the same name")
 		}
-		k.negative("cold_per_s", s.ColdRateLimit < 0)
-		k.negative("cold_start_s", s.ColdStart < 0)
-		k.negative("engine_type.stride", s.EventTokens < 0)
+		k.negative("cold_rate_limit", s.ColdRateLimit < 0)
+		k.negative("cold_start", s.ColdStart < 0)
+		k.negative("event_tokens", s.EventTokens < 0)
 		if a := s.Autoscaling; a != nil && !a.Valid() {
 			k.add(SeverityError, "autoscaling-invalid", "autoscaling",
-				"not scaled, min_replicas %d, max_replicas %d or the boot time %s is out of range", a.MinReplicas, a.MaxReplicas, a.BootTime)
+				"not scaled, the bounds %d to %d or the boot time %s is out of range", a.MinReplicas, a.MaxReplicas, a.BootTime)
 		}
 	}
 }
@@ -323,11 +324,11 @@
 			k.add(SeverityWarning, "workspace-unnamed", "name", "the name is missing, requests count as anonymous")
 		}
 		if len(w.Keys) == 0 {
-			k.add(SeverityWarning, "workspace-without-key", "api_keys", "never used, it has no API key")
+			k.add(SeverityWarning, "workspace-without-key", "keys", "never used, it has no API key")
 		}
-		k.negative("priority_class", w.HasUrgency && w.Urgency < 0)
+		k.negative("urgency", w.HasUrgency && w.Urgency < 0)
 		for n, key := range w.Keys {
-			field := fmt.Sprintf("api_keys[%d]", n)
+			field := fmt.Sprintf("keys[%d]", n)
 			switch {
 			case key == "":
 				k.add(SeverityError, "key-empty", field, "the API key is empty, so that requests without a key are accepted")
@@ -368,13 +369,13 @@
 	for i, r := range c.declared.routes {
 		if !r.Anonymous && !workspaces.meets(r.Regions) {
 			k.enter(inRoutes, i, r.Name)
-			k.add(SeverityWarning, "route-without-workspace", "allowed_regions", "no workspace may use one of the regions %v", r.Regions)
+			k.add(SeverityWarning, "route-without-workspace", "regions", "no workspace may use one of the regions %v", r.Regions)
 		}
 	}
 	for i, w := range c.declared.workspaces {
 		if !routes.meets(w.Regions) {
 			k.enter(inWorkspaces, i, w.Name)
-			k.add(SeverityWarning, "workspace-without-route", "allowed_regions", "no route may use one of the regions %v", w.Regions)
+			k.add(SeverityWarning, "workspace-without-route", "regions", "no route may use one of the regions %v", w.Regions)
 		}
 	}
 }
--- a/daemon/topology/compare.go
+++ b/daemon/topology/compare.go
@@ -2,11 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
-	"sort"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Difference describes a set of requests that two configurations answer differently.
@@ -77,53 +78,49 @@
 	return "to " + c.host + c.prefix + "*"
 }
 
-// findClasses divides the requests to the routes of both configurations into classes. For
-// each host it visits the prefixes in ascending order, in which a prefix is followed by those
-// that start with it, and keeps the enclosing prefixes on a stack.
+// findClasses divides the requests to the routes of both configurations into classes.
 func (c *comparison) findClasses() {
-	hosts := make(map[string]bool)
-	for host := range c.old.byHost {
-		hosts[host] = true
-	}
-	for host := range c.next.byHost {
-		hosts[host] = true
-	}
-	for _, host := range sortedKeys(hosts) {
-		oldRoutes, newRoutes := firstByPrefix(c.old.byHost[host]), firstByPrefix(c.next.byHost[host])
-		prefixes := make(map[string]bool)
-		for prefix := range oldRoutes {
-			prefixes[prefix] = true
+	for _, host := range sortedKeys(c.old.byHost, c.next.byHost) {
+		c.findClassesOf(host, firstByPrefix(c.old.byHost[host]), firstByPrefix(c.next.byHost[host]))
+	}
+}
+
+// findClassesOf divides the requests to a host into classes. It visits the prefixes in ascending
+// order, in which a prefix is followed by those that start with it, and keeps the enclosing
+// prefixes on a stack.
+func (c *comparison) findClassesOf(host string, oldRoutes, newRoutes map[string]*Route) {
+	first := len(c.classes)
+	var enclosing []int
+	for _, prefix := range sortedKeys(oldRoutes, newRoutes) {
+		if prefix != "" && prefix[0] != '/' {
+			continue // No path has this prefix.
 		}
-		for prefix := range newRoutes {
-			prefixes[prefix] = true
+		class := requestClass{host: host, prefix: prefix, old: oldRoutes[prefix], next: newRoutes[prefix]}
+		for len(enclosing) > 0 && !strings.HasPrefix(prefix, c.classes[enclosing[len(enclosing)-1]].prefix) {
+			enclosing = enclosing[:len(enclosing)-1]
 		}
-		var enclosing []int
-		for _, prefix := range sortedKeys(prefixes) {
-			if prefix != "" && prefix[0] != '/' {
-				continue // No path has this prefix.
-			}
-			class := requestClass{host: host, prefix: prefix, old: oldRoutes[prefix], next: newRoutes[prefix]}
-			for len(enclosing) > 0 && !strings.HasPrefix(prefix, c.classes[enclosing[len(enclosing)-1]].prefix) {
-				enclosing = enclosing[:len(enclosing)-1]
-			}
-			if len(enclosing) > 0 {
-				outer := &c.classes[enclosing[len(enclosing)-1]]
-				outer.narrowed = true
-				if class.old == nil {
-					class.old = outer.old
-				}
-				if class.next == nil {
-					class.next = outer.next
-				}
-			}
-			// The prefix / includes all paths, so that no request is left for the empty one.
-			if n := len(c.classes); prefix == "/" && n > 0 && c.classes[n-1].host == host && c.classes[n-1].prefix == "" {
-				c.classes[n-1], enclosing = class, nil
-			} else {
-				c.classes = append(c.classes, class)
-			}
-			enclosing = append(enclosing, len(c.classes)-1)
+		if len(enclosing) > 0 {
+			class.inherit(&c.classes[enclosing[len(enclosing)-1]])
 		}
+		if prefix == "/" && len(c.classes) > first {
+			// The prefix / includes all paths, so that no request is left for the empty one, the
+			// only one before it.
+			c.classes[first], enclosing = class, nil
+		} else {
+			c.classes = append(c.classes, class)
+		}
+		enclosing = append(enclosing, len(c.classes)-1)
+	}
+}
+
+// inherit takes over the routes of the enclosing class where this one's prefix has none.
+func (c *requestClass) inherit(outer *requestClass) {
+	outer.narrowed = true
+	if c.old == nil {
+		c.old = outer.old
+	}
+	if c.next == nil {
+		c.next = outer.next
 	}
 }
 
@@ -138,13 +135,15 @@
 	return first
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
+// sortedKeys returns the keys of all maps, each once.
+func sortedKeys[V any](all ...map[string]V) []string {
+	union := make(map[string]bool)
+	for _, m := range all {
+		for key := range m {
+			union[key] = true
+		}
 	}
-	sort.Strings(keys)
-	return keys
+	return slices.Sorted(maps.Keys(union))
 }
 
 func (c *comparison) add(d Difference) {
@@ -201,26 +200,26 @@
 		return l
 	}
 	l.compare("services", describeShares(old.Shares), describeShares(next.Shares))
-	l.compare("route_type", old.Kind, next.Kind)
-	l.compare("timeout_ms", describeMillis(old.Timeout.Seconds()), describeMillis(next.Timeout.Seconds()))
-	l.compare("target_latency_ms", describeMillis(old.LatencyTarget.Seconds()), describeMillis(next.LatencyTarget.Seconds()))
+	l.compare("kind", old.Kind, next.Kind)
+	l.compare("timeout", describeTime(old.Timeout), describeTime(next.Timeout))
+	l.compare("latency_target", describeTime(old.LatencyTarget), describeTime(next.LatencyTarget))
 	l.compare("max_attempts", max(old.MaxAttempts, 1), max(next.MaxAttempts, 1))
-	l.compare("priority_class", old.Urgency, next.Urgency)
-	l.compare("sizes", fmt.Sprintf("%q", old.Models), fmt.Sprintf("%q", next.Models))
-	l.compare("stream_resumption", old.Resumable, next.Resumable)
-	l.compare("allowed_regions", describeRegions(old.Regions), describeRegions(next.Regions))
+	l.compare("urgency", old.Urgency, next.Urgency)
+	l.compare("models", fmt.Sprintf("%q", old.Models), fmt.Sprintf("%q", next.Models))
+	l.compare("resumable", old.Resumable, next.Resumable)
+	l.compare("regions", describeRegions(old.Regions), describeRegions(next.Regions))
 	if keyed {
 		l.compare("anonymous", old.Anonymous, next.Anonymous)
 	}
 	return l
 }
 
-// describeMillis writes a time in milliseconds; "default" stands for a time that is not set.
-func describeMillis(seconds float64) string {
-	if seconds <= 0 {
+// describeTime writes a time; "default" stands for one that is not set.
+func describeTime(d time.Duration) string {
+	if d <= 0 {
 		return "default"
 	}
-	return strconv.FormatFloat(seconds*1000, 'f', -1, 64)
+	return d.String()
 }
 
 // describeShares writes the services that get requests, with their parts of all requests.
@@ -272,9 +271,9 @@
 		old, next := c.old.Services[name], c.next.Services[name]
 		switch {
 		case old != nil && next != nil:
-			l.compare("cold_per_s", old.ColdRateLimit, next.ColdRateLimit)
-			l.compare("cold_start_s", old.ColdStart.Seconds(), next.ColdStart.Seconds())
-			l.compare("engine_type.stride", old.EventTokens, next.EventTokens)
+			l.compare("cold_rate_limit", old.ColdRateLimit, next.ColdRateLimit)
+			l.compare("cold_start", old.ColdStart, next.ColdStart)
+			l.compare("event_tokens", old.EventTokens, next.EventTokens)
 		default:
 			l.compare("configured", old != nil, next != nil)
 		}
@@ -319,16 +318,9 @@
 	if both == nil {
 		return
 	}
-	keys := make(map[string]bool, len(c.old.byKey))
-	for key := range c.old.byKey {
-		keys[key] = true
-	}
-	for key := range c.next.byKey {
-		keys[key] = true
-	}
 	regions := c.regionClasses(func(class *requestClass) bool { return oldKeyed(class) && newKeyed(class) })
 	first := len(c.differences)
-	for _, key := range sortedKeys(keys) {
+	for _, key := range sortedKeys(c.old.byKey, c.next.byKey) {
 		old, next := c.old.byKey[key], c.next.byKey[key]
 		switch {
 		case old == nil:
@@ -411,13 +403,13 @@
 	}
 	var l changeList
 	l.compare("name", old.Name, next.Name)
-	l.compare("priority_class", urgency(old), urgency(next))
+	l.compare("urgency", urgency(old), urgency(next))
 	if describeRegions(old.Regions) != describeRegions(next.Regions) {
 		for _, r := range regions {
 			// The regions matter only for routes that allow some of those that differ.
 			if a, b := commonRegions(r.next.Regions, old.Regions), commonRegions(r.next.Regions, next.Regions); a != b {
 				class = r
-				l.compare("allowed_regions", a, b)
+				l.compare("regions", a, b)
 				break
 			}
 		}
@@ -436,18 +428,17 @@
 		return
 	}
 	old, next := c.old.Limits, c.next.Limits
-	add := func(field, requests, example string, a, b float64) {
+	add := func(field, requests, example string, a, b any) {
 		var l changeList
 		l.compare(field, a, b)
-		c.add(Difference{
-			Requests: requests, Example: fmt.Sprintf("%s %s", class.example(), fmt.Sprintf(example, min(a, b))),
-			OldRule: "limits", NewRule: "limits", Changes: l,
-		})
-	}
-	add("max_body_bytes", "with a body between the limits", "with a body of 1 byte more than %.0f", float64(old.MaxBodyBytes), float64(next.MaxBodyBytes))
-	add("max_header_bytes", "with a head between the limits", "with a head of 1 byte more than %.0f", float64(old.MaxHeaderBytes), float64(next.MaxHeaderBytes))
-	add("header_timeout_ms", "whose head takes a time between the limits", "with a head that takes 1 ms more than %.0f ms",
-		1000*old.HeaderTimeout.Seconds(), 1000*next.HeaderTimeout.Seconds())
-	add("idle_timeout_ms", "on connections idle for a time between the limits", "on a connection that was idle for 1 ms more than %.0f ms",
-		1000*old.IdleTimeout.Seconds(), 1000*next.IdleTimeout.Seconds())
+		c.add(Difference{Requests: requests, Example: class.example() + " " + example, OldRule: "limits", NewRule: "limits", Changes: l})
+	}
+	add("max_body_bytes", "with a body between the limits",
+		fmt.Sprintf("with a body of 1 byte more than %d", min(old.MaxBodyBytes, next.MaxBodyBytes)), old.MaxBodyBytes, next.MaxBodyBytes)
+	add("max_header_bytes", "with a head between the limits",
+		fmt.Sprintf("with a head of 1 byte more than %d", min(old.MaxHeaderBytes, next.MaxHeaderBytes)), old.MaxHeaderBytes, next.MaxHeaderBytes)
+	add("header_timeout", "whose head takes a time between the limits",
+		fmt.Sprintf("with a head that takes 1 ms more than %s", min(old.HeaderTimeout, next.HeaderTimeout)), old.HeaderTimeout, next.HeaderTimeout)
+	add("idle_timeout", "on connections idle for a time between the limits",
+		fmt.Sprintf("on a connection that was idle for 1 ms more than %s", min(old.IdleTimeout, next.IdleTimeout)), old.IdleTimeout, next.IdleTimeout)
 }
