duties: the membership comes from the control loop; one place for open counts

The duties kept a second copy of the registered routers, filled by a special case of their merge that claimed not to be one. The counts of windows without requests were filled in by the edge and once more by the test; the ledger does it. Failed settlements and rewrites have lines of their own in place of those of success. Routers that own no duty look every 0.5 s and not every 0.1 s.

--- a/daemon/edge/duties.go
+++ b/daemon/edge/duties.go
@@ -7,11 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -28,8 +28,10 @@
 	// dutyMarginShare is the margin of the local lease deadline, as a share of the lease
 	// duration. It covers the drift of the clocks.
 	dutyMarginShare = 6
-	// dutyInterval is the time between two calls of dutyWork.act.
-	dutyInterval = 100 * time.Millisecond
+	// dutyInterval is the time between two calls of dutyWork.act at the owner, idleDutyInterval
+	// that at the other routers, which have little to do.
+	dutyInterval     = 100 * time.Millisecond
+	idleDutyInterval = 500 * time.Millisecond
 	// apiCallTimeout limits one call of the API.
 	apiCallTimeout = 3 * time.Second
 	// apiLateTime is how long after a call without an answer it may still be executed.
@@ -44,8 +46,8 @@
 
 // dutyWork is what the owner of a duty does. Its methods are called by one goroutine.
 type dutyWork interface {
-	// act does what is due. It is called about every dutyInterval at each router, also at
-	// those that do not own the duty. A call of the API is made by role.call.
+	// act does what is due. It is called every dutyInterval at the owner and every
+	// idleDutyInterval at the other routers. A call of the API is made by role.call.
 	act(ctx context.Context, now time.Time, role *dutyRole)
 	// observe takes over a change of the store, and reports whether it was one of its keys.
 	observe(change mirror.Change) bool
@@ -61,19 +63,13 @@
 	usage *usageWork
 	// autoscale orders servers; nil unless the settings name AutoscaleDuty.
 	autoscale *autoscaleWork
-
-	mu sync.Mutex
-	// members holds the registered routers by name.
-	members map[string]relay.Member
-	// ranked holds members in the order in which they try to own a duty.
-	ranked []relay.Member
-	// goneAt holds when the entries of other routers ended, by name.
-	goneAt map[string]time.Time
+	// membership is the latest snapshot of the routers. Candidates for a duty try in its order.
+	membership atomic.Pointer[membership]
 }
 
 // newDuties returns the duties that the settings name. There are none without an API.
 func newDuties(e *Edge) *duties {
-	d := &duties{edge: e, members: make(map[string]relay.Member), goneAt: make(map[string]time.Time)}
+	d := &duties{edge: e}
 	d.usage = newUsageWork(e)
 	if d.usage.enabled {
 		d.add(UsageDuty, d.usage)
@@ -135,12 +131,8 @@
 }
 
 // merge applies a change of a duty's record or of the keys of its work. It reports whether the
-// change was one. It also notes the registered routers.
+// change was one.
 func (d *duties) merge(change mirror.Change) bool {
-	if name, ok := strings.CutPrefix(change.Key, routerPrefix); ok {
-		d.noteMember(name, change)
-		return false
-	}
 	name, ok := strings.CutPrefix(change.Key, dutyPrefix)
 	for _, role := range d.roles {
 		if ok && role.name == name {
@@ -157,65 +149,40 @@
 	return ok
 }
 
-func (d *duties) noteMember(name string, change mirror.Change) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if change.Deleted {
-		delete(d.members, name)
-		d.goneAt[name] = time.Now()
-	} else {
-		d.members[name] = decodeMember(name, change.Value)
-		delete(d.goneAt, name)
+// members returns the latest snapshot of the registered routers.
+func (d *duties) members() *membership {
+	if m := d.membership.Load(); m != nil {
+		return m
 	}
-	d.ranked = relay.Rank(slices.Collect(maps.Values(d.members)))
+	return &membership{}
 }
 
 // rank returns the position of this router among the candidates for a duty; ok is false while
 // it does not reach the store or is not registered.
 func (d *duties) rank() (rank int, ok bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	rank = slices.IndexFunc(d.ranked, func(m relay.Member) bool { return m.Name == d.edge.settings.VM })
+	ranked := d.members().ranked
+	rank = slices.IndexFunc(ranked, func(m relay.Member) bool { return m.Name == d.edge.settings.VM })
 	if rank < 0 {
-		return len(d.ranked), false
+		return len(ranked), false
 	}
 	return rank, d.edge.controller.storeOutage() == 0 && !d.edge.stopping.Load()
 }
 
-// registered returns the names of the registered routers.
-func (d *duties) registered() []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return slices.Collect(maps.Keys(d.members))
-}
-
-// recent returns the names of the routers that are registered or were within a time.
-func (d *duties) recent(now time.Time, within time.Duration) []string {
-	names := d.registered()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for name, at := range d.goneAt {
-		if now.Sub(at) > within {
-			delete(d.goneAt, name)
-		} else {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // aggregators returns the two routers with the most processor share; the names of those that
 // don't exist are empty.
 func (d *duties) aggregators() (first, second relay.Member) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(d.ranked) > 0 {
-		first = d.ranked[0]
-	}
-	if len(d.ranked) > 1 {
-		second = d.ranked[1]
+	ranked := append(slices.Clone(d.members().ranked), relay.Member{}, relay.Member{})
+	return ranked[0], ranked[1]
+}
+
+// owns reports whether this router owns a duty.
+func (d *duties) owns(name string) bool {
+	for _, role := range d.roles {
+		if role.name == name {
+			return role.owner.Token() != 0
+		}
 	}
-	return first, second
+	return false
 }
 
 // dutyRole is this router's part in one duty.
@@ -253,7 +220,11 @@
 		r.owner.Observe(nil, at)
 	}
 	for ctx.Err() == nil {
-		sleep(ctx, dutyInterval)
+		interval := idleDutyInterval
+		if r.owner.Token() != 0 {
+			interval = dutyInterval
+		}
+		sleep(ctx, interval)
 		r.work.act(ctx, time.Now(), r)
 	}
 }
--- a/daemon/edge/duties_test.go
+++ b/daemon/edge/duties_test.go
@@ -97,7 +97,7 @@
 		}
 	}
 	for _, e := range edges {
-		eventually(t, waitTimeout, "the routers know each other", func() bool { return len(e.duties.registered()) == n && len(e.controller.peers()) == n-1 })
+		eventually(t, waitTimeout, "the routers know each other", func() bool { return len(e.duties.members().ranked) == n && len(e.controller.peers()) == n-1 })
 	}
 	return edges, stop
 }
--- a/daemon/edge/routers.go
+++ b/daemon/edge/routers.go
@@ -15,6 +15,7 @@
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/mirror"
 	"cactusknot.example/daemon/relay"
+	"cactusknot.example/daemon/usage"
 )
 
 // Prefixes of the keys that the edge processes write to the store.
@@ -55,12 +56,50 @@
 	lease atomic.Pointer[Lease]
 	// restored receives a value when the store was restored and may lack the entry.
 	restored chan struct{}
+	// memory is how long expired routers are remembered.
+	memory time.Duration
 	// lastCount is the number of routers at the last call of changed.
 	lastCount int
 }
 
 func newRouters(e *Edge) *routers {
-	return &routers{edge: e, registered: make(map[string]relay.Member), expired: make(map[string]time.Time), restored: make(chan struct{}, 1)}
+	return &routers{
+		edge: e, registered: make(map[string]relay.Member), expired: make(map[string]time.Time), restored: make(chan struct{}, 1),
+		memory: max(expiredRouterRetention, usage.OpenTime(usage.Windows(e.settings.Duties.ReportWindow))),
+	}
+}
+
+// membership is a snapshot of the routers for goroutines other than the control loop.
+type membership struct {
+	// ranked holds the registered routers, the fittest first.
+	ranked []relay.Member
+	// expired holds when the entries of other routers expired, by name.
+	expired map[string]time.Time
+}
+
+// registered returns the names of the registered routers.
+func (m *membership) registered() []string {
+	var names []string
+	for _, member := range m.ranked {
+		names = append(names, member.Name)
+	}
+	return names
+}
+
+// recent returns the names of the routers that are registered or were within a time.
+func (m *membership) recent(now time.Time, within time.Duration) []string {
+	names := m.registered()
+	for name, at := range m.expired {
+		if now.Sub(at) <= within {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// membership returns the present members.
+func (r *routers) membership() *membership {
+	return &membership{ranked: relay.Rank(r.members()), expired: maps.Clone(r.expired)}
 }
 
 // merge applies a change of a router's entry. It reports whether the change was one.
@@ -93,9 +132,10 @@
 		}
 	}
 	for name, at := range r.expired {
-		if now.Sub(at) > expiredRouterRetention {
+		switch age := now.Sub(at); {
+		case age > r.memory:
 			delete(r.expired, name)
-		} else if name != r.edge.settings.VM {
+		case age <= expiredRouterRetention && name != r.edge.settings.VM:
 			names = append(names, name)
 		}
 	}
--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -42,9 +42,8 @@
 type usageWork struct {
 	edge    *Edge
 	enabled bool
-	// incarnation identifies this process, which started at startedAt.
+	// incarnation identifies this process.
 	incarnation uint64
-	startedAt   time.Time
 	windows     usage.Windows
 	counter     *usage.Counter
 	table       usage.Table
@@ -62,14 +61,14 @@
 
 func newUsageWork(e *Edge) *usageWork {
 	s := e.settings
-	w := &usageWork{edge: e, startedAt: time.Now(), enabled: s.has(UsageDuty) && s.Duties.ReportWindow > 0}
-	w.incarnation = usage.NewIncarnation(w.startedAt, rand.Uint64())
+	started := time.Now()
+	w := &usageWork{edge: e, enabled: s.has(UsageDuty) && s.Duties.ReportWindow > 0, incarnation: usage.NewIncarnation(started, rand.Uint64())}
 	if !w.enabled {
 		return w
 	}
 	w.windows = usage.Windows(s.Duties.ReportWindow)
 	w.counter = usage.NewCounter(w.windows)
-	w.ledger = usage.NewLedger(usage.Settings{Window: w.windows, Delay: s.Duties.ReportDelay, Started: w.startedAt})
+	w.ledger = usage.NewLedger(usage.Settings{Window: w.windows, Delay: s.Duties.ReportDelay, Started: started})
 	return w
 }
 
@@ -108,14 +107,9 @@
 
 // ownReport returns the counts of this process in all windows that it does not know as settled.
 func (w *usageWork) ownReport(now time.Time) *rpc.UsageReport {
-	open := func(window int64) bool { return w.ledger.Open(now, window) }
-	counts := w.counter.Counts(open)
-	for window := w.windows.At(now) - 1; window >= w.windows.At(w.startedAt) && w.ledger.InRange(now, window); window-- {
-		if counts[window] == nil && open(window) {
-			counts[window] = usage.Counts{}
-		}
-	}
-	return encodeUsage(usage.Report{Router: w.edge.settings.VM, Incarnation: w.incarnation, AsOf: now, Windows: counts})
+	return encodeUsage(usage.Report{
+		Router: w.edge.settings.VM, Incarnation: w.incarnation, AsOf: now, Windows: w.ledger.OpenCounts(now, w.counter),
+	})
 }
 
 // backUp sends the report of the first aggregator to the second one too, so that its own counts
@@ -200,6 +194,9 @@
 	return true
 }
 
+// wanted implements dutyWork.
+func (w *usageWork) wanted() bool { return w.enabled }
+
 // act implements dutyWork.
 func (w *usageWork) act(ctx context.Context, now time.Time, role *dutyRole) {
 	if era := w.edge.controller.era.Load(); w.edge.controller.firstViewPublished() {
@@ -226,7 +223,8 @@
 	if token == 0 {
 		return
 	}
-	s, ok := w.ledger.Settle(now, &w.table, w.edge.duties.registered(), w.edge.duties.recent(now, usage.OpenTime(w.windows)))
+	members := w.edge.duties.members()
+	s, ok := w.ledger.Settle(now, &w.table, members.registered(), members.recent(now, usage.OpenTime(w.windows)))
 	if !ok {
 		return
 	}
@@ -246,21 +244,17 @@
 		t.Removes = append(t.Removes, usageKey(window))
 	}
 	_, err = w.edge.settings.Store.Commit(ctx, t)
-	switch {
-	case err == nil && role.owner.Token() == token:
-		w.ledger.Settled(token, s)
-	case err == nil:
-		// The ownership has ended meanwhile, perhaps long ago for a suspended process. The
-		// record counts once the mirror has it.
-	default:
-		w.commitAfter = time.Now().Add(usageCommitRetry)
-	}
-	event := role.log.Info()
+	event, message := role.log.Info(), "usage window settled"
 	if err != nil {
-		event = role.log.Warn()
+		w.commitAfter = time.Now().Add(usageCommitRetry)
+		event, message = role.log.Warn(), "usage window not settled; trying again"
+	} else if role.owner.Token() == token {
+		// Otherwise the ownership has ended meanwhile, perhaps long ago for a suspended process,
+		// and the record counts once the mirror has it.
+		w.ledger.Settled(token, s)
 	}
 	event.Err(err).Int64("window", s.Window).Uint64("requests", total(s.Record.Counts)).Int("workspaces", len(s.Record.Counts)).
-		Strs("missing", s.Missing).Uint64("token", uint64(token)).Dur("age_ms", now.Sub(w.windows.End(s.Window))).Msg("usage window settled")
+		Strs("missing", s.Missing).Uint64("token", uint64(token)).Dur("age_ms", now.Sub(w.windows.End(s.Window))).Msg(message)
 }
 
 // writeAgain writes a known record that the restored store lacks.
@@ -278,13 +272,14 @@
 	_, err = w.edge.settings.Store.Commit(ctx, Txn{
 		Era: era, Conditions: []Condition{{Key: usageKey(window)}}, Writes: []Write{{Key: usageKey(window), Value: value}},
 	})
+	message := "usage record written again to the restored store"
 	if err == nil || errors.Is(err, kv.ErrConflict) && w.stored(window) {
 		w.ledger.Restored(window, era)
 	} else {
 		w.commitAfter = time.Now().Add(usageCommitRetry)
+		message = "usage record not written again to the restored store; trying again"
 	}
-	role.log.Warn().Err(err).Int64("window", window).Uint64("era", era).Uint64("settled_in_era", record.Era).
-		Msg("usage record written again to the restored store")
+	role.log.Warn().Err(err).Int64("window", window).Uint64("era", era).Uint64("settled_in_era", record.Era).Msg(message)
 }
 
 // stored reports whether the mirror holds the record of a window.
@@ -308,16 +303,6 @@
 	}
 }
 
-// owns reports whether this router owns a duty.
-func (d *duties) owns(name string) bool {
-	for _, role := range d.roles {
-		if role.name == name {
-			return role.owner.Token() != 0
-		}
-	}
-	return false
-}
-
 func usageKey(window int64) string { return usagePrefix + strconv.FormatInt(window, 10) }
 
 func total(counts map[string]uint64) (sum uint64) {
@@ -345,6 +330,3 @@
 	}
 	return r
 }
-
-// wanted implements dutyWork.
-func (w *usageWork) wanted() bool { return w.enabled }
--- a/daemon/usage/settle.go
+++ b/daemon/usage/settle.go
@@ -159,16 +159,29 @@
 	return l.open(now, window)
 }
 
-// InRange reports whether a window is recent enough for its counts to be kept.
-func (l *Ledger) InRange(now time.Time, window int64) bool {
+// inRange reports whether a window is recent enough for its counts to be kept.
+func (l *Ledger) inRange(now time.Time, window int64) bool {
 	return window > l.cfg.Window.At(now)-openWindows
 }
 
+// OpenCounts returns what a counter of this process holds for the windows whose counts are needed,
+// including those that have ended without a request. The counter forgets the others.
+func (l *Ledger) OpenCounts(now time.Time, counter *Counter) map[int64]Counts {
+	open := func(window int64) bool { return l.Open(now, window) }
+	counts := counter.Counts(open)
+	for window := l.cfg.Window.At(now) - 1; window >= l.cfg.Window.At(l.cfg.Started) && l.inRange(now, window); window-- {
+		if counts[window] == nil && open(window) {
+			counts[window] = Counts{}
+		}
+	}
+	return counts
+}
+
 // OpenTime returns the time for which counts are kept.
 func OpenTime(w Windows) time.Duration { return openWindows * time.Duration(w) }
 
 func (l *Ledger) open(now time.Time, window int64) bool {
-	if !l.InRange(now, window) {
+	if !l.inRange(now, window) {
 		return false
 	}
 	_, known := l.known[window]
--- a/daemon/usage/settle_test.go
+++ b/daemon/usage/settle_test.go
@@ -85,13 +85,7 @@
 
 // report tells all routers what this one has counted.
 func (r *router) report() {
-	open := func(w int64) bool { return r.ledger.Open(r.f.now, w) }
-	counts := r.counter.Counts(open)
-	for w := testWindow.At(r.f.now) - 1; w >= testWindow.At(StartOf(r.incarnation)) && r.ledger.InRange(r.f.now, w); w-- {
-		if counts[w] == nil && open(w) {
-			counts[w] = Counts{}
-		}
-	}
+	counts := r.ledger.OpenCounts(r.f.now, r.counter)
 	for _, to := range r.f.routers {
 		to.table.Merge(r.f.now, Report{Router: r.name, Incarnation: r.incarnation, AsOf: r.f.now, Windows: counts}, false)
 	}
