--- a/daemon/admission/admission.go
+++ b/daemon/admission/admission.go
@@ -16,7 +16,8 @@
 	// maxClasses bounds the priority classes that are told apart; larger ones count as the
 	// last.
 	maxClasses = 10
-	// MaxEntries and MaxBytes bound a queue. The bytes are those of the requests' bodies.
+	// MaxEntries and MaxBytes bound a queue, so that the waiting requests of a router fit into its
+	// memory. The bytes are those of the requests' bodies.
 	MaxEntries = 12_000
 	MaxBytes   = 64 << 20
 	// A held request may be refused until refusalHoldShare of its latency target, or
@@ -36,6 +37,8 @@
 	delayPerWork = 10
 	// rateTime is the time constant of the rate at which work is sent while requests wait.
 	rateTime = time.Second
+	// minRate is the lowest rate in seconds of work per second; it keeps expected waits finite.
+	minRate = 1e-3
 	// minRateShare times the rate that the servers should reach is the lowest rate used for
 	// an expected wait: a rate that is measured too low must not cause refusals.
 	minRateShare = 0.5
@@ -438,7 +441,7 @@
 }
 
 func dividedBy(work time.Duration, perSecond float64) time.Duration {
-	return time.Duration(float64(work) / max(perSecond, 1e-3))
+	return time.Duration(float64(work) / max(perSecond, minRate))
 }
 
 // spare returns the work per second that is left for late requests: those that arrive
@@ -515,7 +518,7 @@
 	if !r.at.IsZero() {
 		r.decay(now)
 	}
-	return max(r.measured, minRateShare*r.expected, 1e-3)
+	return max(r.measured, minRateShare*r.expected, minRate)
 }
 
 // cheapest returns the entry whose refusal costs least: the new one or one that may still be
--- a/daemon/admission/flows.go
+++ b/daemon/admission/flows.go
@@ -32,7 +32,8 @@
 	work    time.Duration
 }
 
-// line is the queue of one workspace in order of the requests' times.
+// line is the queue of one workspace, or of several if there are more than maxFlows, in order of
+// the requests' times.
 type line struct {
 	name string
 	list []*Entry
--- a/daemon/admission/history.go
+++ b/daemon/admission/history.go
@@ -20,8 +20,12 @@
 	// largeServedShare is the least part of large requests that are served, relative to the
 	// whole kind. The guarantee is a half; the margin covers the time until it takes effect.
 	largeServedShare = 0.6
-	// kindTime is the number of requests over which the counts of a kind are averaged.
-	kindTime = 200
+	// kindRequests is the number of requests over which the counts of a kind are averaged.
+	kindRequests = 200
+	// thresholdStep is the step of the threshold of large requests, as a share of it, and
+	// minThresholdStep its least part, so that a threshold of 0 can rise.
+	thresholdStep    = 0.05
+	minThresholdStep = 100 * time.Microsecond
 	// maxKinds bounds the kinds that are told apart.
 	maxKinds = 256
 )
@@ -131,7 +135,7 @@
 	large = work > c.threshold
 	// Stochastic approximation of the quantile: the steps cancel out where largeShare of the
 	// requests are above.
-	step := float64(c.threshold)/20 + float64(time.Millisecond)/10
+	step := thresholdStep*float64(c.threshold) + float64(minThresholdStep)
 	if large {
 		c.threshold += time.Duration(step * (1 - largeShare))
 	} else {
@@ -146,7 +150,7 @@
 	if c == nil {
 		return
 	}
-	const keep, keepLarge = 1 - 1.0/kindTime, 1 - 1/(kindTime*largeShare)
+	const keep, keepLarge = 1 - 1.0/kindRequests, 1 - 1/(kindRequests*largeShare)
 	got := 0.0
 	if served {
 		got = 1
--- a/daemon/distribute/loops.go
+++ b/daemon/distribute/loops.go
@@ -38,7 +38,7 @@
 	firstRetry = 250 * time.Millisecond
 	lastRetry  = time.Second
 	// retryTimeout limits a read after a failure, so that a hung connection does not delay
-	// the next one by storeTimeout. A slow store answers after 240 ms.
+	// the next one by storeTimeout. It leaves a slow store the time to answer.
 	retryTimeout = 1500 * time.Millisecond
 	// pollInterval is the mean time between polls of an unconfirmed process. If all
 	// 2,050 processes poll, they cause 70 reads/s; the store allows 2,000.
--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -78,7 +78,7 @@
 	restored restoreDoubts
 
 	// contact records when this router reaches the store.
-	contact contact
+	contact storeContact
 	// era is the latest era of the store that this router has heard of; 0 before the first.
 	era atomic.Uint64
 	// eraMu guards eraNews, which is closed and replaced when a newer era is heard of.
@@ -111,7 +111,7 @@
 		edge: e, batches: make(chan changeBatch, changeQueueSize), queries: make(chan stateQuery), servers: make(map[string]*serverState),
 		evacuations: make(map[string]bool), firstView: make(chan struct{}), eraNews: make(chan struct{}),
 	}
-	c.contact.bound, c.contact.respondedAt = e.settings.contact(), time.Now()
+	c.contact.bound, c.contact.respondedAt = e.settings.contactBound(), time.Now()
 	c.routers = newRouters(e)
 	c.rollouts = newRollouts(e, c.routers)
 	c.quarantines = newQuarantines(e)
--- a/daemon/edge/recovery.go
+++ b/daemon/edge/recovery.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// probeInterval is the time between the starts of two probes while the store is away.
-	probeInterval = 300 * time.Millisecond
+	// maxProbeInterval is the time between the starts of two probes while the store is away, unless
+	// there are so many routers that the store could not serve them.
+	maxProbeInterval = 300 * time.Millisecond
 	// probeJitter is the largest random extension of the interval, as a share of it. The
 	// interval is only extended, so that all probes together stay within probeReadsShare.
 	probeJitter = 0.25
@@ -28,7 +29,7 @@
 	// pollAllowance is how much longer than its wait a long poll may take before a probe is
 	// started beside it, besides twice the time that the poll before took longer, and
 	// maxPollAllowance bounds the sum. A store that is usually fast is found silent sooner, and
-	// a slow one, which answers after 240 ms, is not probed beside each poll.
+	// a slow one is not probed beside each poll.
 	pollAllowance    = 200 * time.Millisecond
 	maxPollAllowance = 600 * time.Millisecond
 	// settleTime is how long after an outage or a restore the long polls are short, and
@@ -36,6 +37,10 @@
 	// away once more without any call being lost.
 	settleTime = 10 * time.Second
 	settleWait = 500 * time.Millisecond
+	// recoveryShare is the part of the shorter bound in which a router recovers; the rest covers
+	// late timers. probesPerBound is the least number of probes in that time.
+	recoveryShare  = 0.95
+	probesPerBound = 6
 	// contactMargin is the time by which the hold on vanished entries ends before this router
 	// counts as in touch. It also covers the error of the times that peers state.
 	contactMargin = 200 * time.Millisecond
@@ -45,15 +50,15 @@
 // the newest configuration is in force, if a probe and a listing together are answered within two
 // fifths of it.
 func (s *Settings) recoveryBound() time.Duration {
-	return min(s.contact(), orDefault(s.ConfigApply, DefaultConfigApply)) * 95 / 100
+	return time.Duration(recoveryShare * float64(min(s.contactBound(), orDefault(s.ConfigApply, DefaultConfigApply))))
 }
 
-func (s *Settings) contact() time.Duration { return orDefault(s.Contact, DefaultContact) }
+func (s *Settings) contactBound() time.Duration { return orDefault(s.Contact, DefaultContact) }
 
 // probeInterval returns the interval between the probes of one of some routers.
 func (s *Settings) probeInterval(routers int) time.Duration {
 	share := probeReadsShare * orDefault(s.StoreReadsPerS, DefaultReadsPerS)
-	return max(min(probeInterval, s.recoveryBound()/6), time.Duration(float64(routers)/share*float64(time.Second)))
+	return max(min(maxProbeInterval, s.recoveryBound()/probesPerBound), time.Duration(float64(routers)/share*float64(time.Second)))
 }
 
 // mayListTogether reports whether the listings of some routers, started within eraJitter, stay
@@ -96,10 +101,10 @@
 	s.due = now.Add(s.interval + time.Duration(probeJitter*s.jitter()*float64(s.interval)))
 }
 
-// contact records when this router reaches the store. It determines from when the router
+// storeContact records when this router reaches the store. It determines from when the router
 // counts as in touch after a disruption, and until when entries that vanish are held. It has
 // no clock and is safe for concurrent use.
-type contact struct {
+type storeContact struct {
 	mu sync.Mutex
 	// bound is how long after the end of a disruption the router counts as in touch.
 	bound time.Duration
@@ -124,7 +129,7 @@
 
 // responded records a response of the store. It returns how long the store was away; zero
 // if no call was lost before.
-func (c *contact) responded(now time.Time) (away time.Duration) {
+func (c *storeContact) responded(now time.Time) (away time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.lostSince.IsZero() {
@@ -138,7 +143,7 @@
 
 // lost records that a call that was started at a time has been lost. It reports whether it
 // begins an outage.
-func (c *contact) lost(now, started time.Time) bool {
+func (c *storeContact) lost(now, started time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.disruptedAt = latest(c.disruptedAt, started)
@@ -150,7 +155,7 @@
 }
 
 // inEra records that the store was in the era that this router holds.
-func (c *contact) inEra(at time.Time) {
+func (c *storeContact) inEra(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sameEraAt = latest(c.sameEraAt, at)
@@ -158,7 +163,7 @@
 
 // restored records that the store is in a new era. Entries that are missing in the restored
 // copy are written again, as after an outage.
-func (c *contact) restored(now time.Time) {
+func (c *storeContact) restored(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.disruptedAt = latest(c.disruptedAt, c.sameEraAt)
@@ -168,7 +173,7 @@
 // endDisruption begins the hold on vanished entries: live servers write their entries again
 // within reregistrationGrace of the time from which the store serves them. The hold ends
 // before this router counts as in touch.
-func (c *contact) endDisruption(now time.Time) {
+func (c *storeContact) endDisruption(now time.Time) {
 	since := now
 	if !c.servedSince.IsZero() && c.servedSince.Before(now) {
 		since = c.servedSince
@@ -182,13 +187,13 @@
 
 // inTouchAt returns the earliest time at which this router may count as in touch, less the
 // margin.
-func (c *contact) inTouchAt() time.Time { return c.disruptedAt.Add(c.bound - contactMargin) }
+func (c *storeContact) inTouchAt() time.Time { return c.disruptedAt.Add(c.bound - contactMargin) }
 
 // peerResponse records what a peer knows of the store: when it responded to the peer, and from
 // when the peer's hold on vanished entries counts; zero if it was never out of contact. If the
 // store served the peer during this router's outage, the servers could write their entries
 // since then.
-func (c *contact) peerResponse(respondedAt, holdSince time.Time) {
+func (c *storeContact) peerResponse(respondedAt, holdSince time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.lostSince.IsZero() || respondedAt.Before(c.lostSince.Add(contactMargin)) {
@@ -206,7 +211,7 @@
 
 // followReader takes over what the reader of a follower knows: when the store responded to it,
 // and from when its hold on vanished entries counts; zero for no hold.
-func (c *contact) followReader(respondedAt, holdSince time.Time) {
+func (c *storeContact) followReader(respondedAt, holdSince time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.respondedAt = respondedAt
@@ -222,7 +227,7 @@
 }
 
 // hold returns when the hold on vanished entries ends; zero before the first disruption.
-func (c *contact) hold() time.Time {
+func (c *storeContact) hold() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.holdUntil
@@ -230,7 +235,7 @@
 
 // holdSince returns the time from which the hold on vanished entries counts, for peers; zero
 // before the first disruption.
-func (c *contact) holdSince() time.Time {
+func (c *storeContact) holdSince() time.Time {
 	if until := c.hold(); !until.IsZero() {
 		return until.Add(-reregistrationGrace)
 	}
@@ -238,7 +243,7 @@
 }
 
 // outage returns the duration of the current outage; 0 while the store responds.
-func (c *contact) outage(now time.Time) time.Duration {
+func (c *storeContact) outage(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.lostSince.IsZero() {
@@ -248,14 +253,14 @@
 }
 
 // responseAge returns the time since the store's last response.
-func (c *contact) responseAge(now time.Time) time.Duration {
+func (c *storeContact) responseAge(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return now.Sub(c.respondedAt)
 }
 
 // settled reports whether the last outage or restore is some time ago.
-func (c *contact) settled(now time.Time) bool {
+func (c *storeContact) settled(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !now.Before(c.settledAt)
--- a/daemon/edge/recovery_test.go
+++ b/daemon/edge/recovery_test.go
@@ -117,7 +117,7 @@
 		s.repeat(now)
 		s.loseCall(now)
 		wait := s.due.Sub(now)
-		if perSecond := float64(routers) / wait.Seconds(); perSecond > 500.001 || routers < 150 && wait != probeInterval {
+		if perSecond := float64(routers) / wait.Seconds(); perSecond > 500.001 || routers < 150 && wait != maxProbeInterval {
 			t.Errorf("%d routers: a probe every %s, %.0f a second", routers, wait, perSecond)
 		}
 	}
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -211,6 +211,27 @@
 
 type storeCall func(ctx context.Context) storeAnswer
 
+// pendingCalls are calls to the store that have not been answered.
+type pendingCalls struct {
+	answers chan storeAnswer
+	// started holds when each of them was started.
+	started map[time.Time]bool
+}
+
+// start starts a call, whose answer is dropped when ctx ends.
+func (p *pendingCalls) start(ctx context.Context, call storeCall) {
+	started := time.Now()
+	p.started[started] = true
+	go func() {
+		answer := call(ctx)
+		answer.started = started
+		select {
+		case p.answers <- answer:
+		case <-ctx.Done():
+		}
+	}()
+}
+
 // call calls the store until it answers. If the first call is lost, or is not answered within
 // its allowance, further calls are started while the older ones may still be answered; the
 // first answer counts. ok is false if this router is to use another source, or ctx has ended, or
@@ -218,24 +239,11 @@
 func (s *storeSync) call(ctx context.Context, first, again storeCall, allowance, interval time.Duration, interrupt <-chan struct{}) (answer storeAnswer, ok bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan storeAnswer)
-	outstanding := make(map[time.Time]bool)
-	start := func(call storeCall) {
-		started := time.Now()
-		outstanding[started] = true
-		go func() {
-			answer := call(ctx)
-			answer.started = started
-			select {
-			case answers <- answer:
-			case <-ctx.Done():
-			}
-		}()
-	}
 	s.reached = false
+	pending := pendingCalls{answers: make(chan storeAnswer), started: make(map[time.Time]bool)}
 	schedule := callSchedule{interval: interval, jitter: rand.Float64}
 	schedule.first(time.Now(), allowance)
-	start(first)
+	pending.start(ctx, first)
 	timer := time.NewTimer(allowance)
 	defer timer.Stop()
 	for {
@@ -249,11 +257,11 @@
 			// The next answer names the era, and tells which calls were lost.
 			interrupt = nil
 			schedule.due = time.Now()
-		case answer := <-answers:
-			delete(outstanding, answer.started)
+		case answer := <-pending.answers:
+			delete(pending.started, answer.started)
 			if answer.received() {
 				s.reached = true
-				s.markAnswered(answer, outstanding)
+				s.markAnswered(answer, pending.started)
 				return answer, true
 			}
 			s.markLost(answer)
@@ -264,7 +272,7 @@
 			}
 			schedule.repeat(now)
 			s.edge.storeMetrics.GetOrCreateCounter("cactusknot_store_probes_total").Inc()
-			start(again)
+			pending.start(ctx, again)
 		}
 		timer.Reset(time.Until(schedule.due))
 	}
--- a/daemon/gateway/admission.go
+++ b/daemon/gateway/admission.go
@@ -107,8 +107,8 @@
 	choice  *selection.Choice
 	err     *result.Error
 	refusal *admission.Refusal
-	// how tells which rule ended the wait.
-	how string
+	// end tells which rule ended the wait.
+	end string
 }
 
 // serviceQueue returns the queue of a service, or of the group of its servers with the name.
@@ -254,7 +254,7 @@
 	case end := <-w.done:
 		return end
 	default:
-		return grant{err: result.NoBackend.With("%v", ctx.Err()), how: endAbandoned}
+		return grant{err: result.NoBackend.With("%v", ctx.Err()), end: endAbandoned}
 	}
 }
 
@@ -268,7 +268,7 @@
 		w.x.retryAfter = longest - time.Duration(rand.Float64()*float64(longest)/4)
 	}
 	w.x.retryAfter = max(w.x.retryAfter, leastRetryAfter)
-	w.done <- grant{err: code.With("%s, expected wait %s", refusal.Reason, refusal.ExpectedWait.Round(time.Millisecond)), refusal: refusal, how: string(refusal.Reason)}
+	w.done <- grant{err: code.With("%s, expected wait %s", refusal.Reason, refusal.ExpectedWait.Round(time.Millisecond)), refusal: refusal, end: string(refusal.Reason)}
 }
 
 // newEntry describes a request to the queue.
@@ -346,7 +346,7 @@
 		}
 		w := entry.Payload.(*waiter)
 		if err := g.checkBeforeAttempt(w.x); err != nil {
-			w.done <- grant{err: err, how: endNotSent}
+			w.done <- grant{err: err, end: endNotSent}
 			continue
 		}
 		own := g.backlogLimit(entry.Target, entry.Late())
@@ -383,13 +383,10 @@
 
 // backlogLimit returns the backlog limit of the servers for a request with the latency target.
 func (g *Gateway) backlogLimit(target time.Duration, late bool) time.Duration {
-	switch {
-	case !g.LimitBacklog:
+	if !g.LimitBacklog {
 		return 0
-	case late:
-		return selection.LateBacklogLimit(target)
 	}
-	return selection.BacklogLimit(target)
+	return selection.BacklogLimit(target, late)
 }
 
 // sameServers reports whether two lists are the same slice, as the candidates of most requests
@@ -413,10 +410,10 @@
 }
 
 // send ends the wait of an entry that is not in the queue.
-func (q *serviceQueue) send(now time.Time, entry *admission.Entry, choice *selection.Choice, how string) {
+func (q *serviceQueue) send(now time.Time, entry *admission.Entry, choice *selection.Choice, end string) {
 	q.queue.Granted(now, entry)
 	q.grantedAt = now
-	entry.Payload.(*waiter).done <- grant{choice: choice, how: how}
+	entry.Payload.(*waiter).done <- grant{choice: choice, end: end}
 }
 
 // decideDue refuses requests that can't end in time, and sends those that have been held as
@@ -426,7 +423,7 @@
 		w := entry.Payload.(*waiter)
 		if err := g.checkBeforeAttempt(w.x); err != nil {
 			q.queue.Remove(entry)
-			w.done <- grant{err: err, how: endNotSent}
+			w.done <- grant{err: err, end: endNotSent}
 			continue
 		}
 		_, open := g.Chooser.Estimate(now, w.x.candidates, w.request)
--- a/daemon/gateway/in_time.go
+++ b/daemon/gateway/in_time.go
@@ -17,7 +17,7 @@
 // nothing of it was passed on, the request goes back to the first model. It returns nil if
 // there is no such server, and an error if the rest of a stream can't end in time by far.
 func (g *Gateway) chooseInTime(x *requestState) (*selection.Choice, *result.Error) {
-	if len(x.servers) == 0 || x.call.PromptTokens == 0 || g.refreshCandidates(x) != nil || (!x.trial && g.Quarantine.Holds(x.parts)) {
+	if len(x.servers) == 0 || x.call.PromptTokens == 0 || g.checkBeforeAttempt(x) != nil {
 		return nil, nil
 	}
 	now := time.Now()
--- a/daemon/selection/pace.go
+++ b/daemon/selection/pace.go
@@ -13,13 +13,15 @@
 	// minSharedDeviation the deviation in percent from which it is worth it.
 	maxSharedPaceAge   = time.Minute
 	minSharedDeviation = 5
+	// averagePercent is the pace of a server that is as fast as the average of its service.
+	averagePercent = 100
 	// usualPercent is the reported time that work takes on a machine as usual.
 	usualPercent = 100
 	// paceHalfLife is the time without observations in which half of a server's learnt
 	// deviation from the average is given up.
 	paceHalfLife = 2 * time.Minute
-	// minPace and maxPace bound the pace of a server. Engines of a service differ by up to
-	// 2.4 to 1.
+	// minPace and maxPace bound the pace of a server: servers of a service may differ by more
+	// than a factor of two.
 	minPace = 0.4
 	maxPace = 2.5
 	// paceEventWeight is the weight of each observed interval between events in the moving
@@ -95,9 +97,9 @@
 	defer c.mu.Unlock()
 	var list []ServerPace
 	for id, s := range c.servers {
-		percent := int(math.Round(100 * (1 + s.pace.learnt)))
+		percent := int(math.Round(averagePercent * (1 + s.pace.learnt)))
 		age := max(now.Sub(s.pace.at), 0)
-		if s.pace.fromPeers || age > maxSharedPaceAge || max(percent-100, 100-percent) < minSharedDeviation {
+		if s.pace.fromPeers || age > maxSharedPaceAge || max(percent-averagePercent, averagePercent-percent) < minSharedDeviation {
 			continue
 		}
 		list = append(list, ServerPace{ID: id, Percent: percent, Age: age})
@@ -112,7 +114,7 @@
 	defer c.mu.Unlock()
 	for _, of := range list {
 		s, at := c.servers[of.ID], now.Add(-max(of.Age, 0))
-		value := float64(of.Percent) / 100
+		value := float64(of.Percent) / averagePercent
 		if s == nil || value < minPace || value > maxPace {
 			continue
 		}
@@ -131,6 +133,7 @@
 
 // sharedFraction returns the fraction of the prompt that is shared with other requests.
 func sharedFraction(r Request) float64 {
+	// The last prefix is the whole prompt, which only this request has.
 	shared := len(r.Prefixes) - 2
 	if shared < 0 || r.PromptTokens <= 0 {
 		return 0
@@ -144,6 +147,7 @@
 // because it is slow, nor for one that is fast: reading it again takes time from everyone.
 func trustedDeviation(deviation float64, holds bool, shared float64) float64 {
 	deviation *= paceTrust
+	// Either a slow server that holds the prompt, or a fast one that does not.
 	if holds == (deviation > 0) {
 		deviation *= 1 - shared
 	}
--- a/daemon/selection/room.go
+++ b/daemon/selection/room.go
@@ -47,21 +47,18 @@
 )
 
 // BacklogLimit returns the time that a server may need for the prompts sent to it before
-// and still have room for a request with the latency target; 0 means no limit.
-func BacklogLimit(target time.Duration) time.Duration {
+// and still have room for a request with the latency target; 0 means no limit. For a request that
+// can no longer meet its target (late) it keeps a server at work and leaves those that come next
+// the time to meet theirs.
+func BacklogLimit(target time.Duration, late bool) time.Duration {
 	if target <= 0 {
 		return 0
 	}
-	return max(time.Duration(roomShare*float64(target)), minBacklogLimit)
-}
-
-// LateBacklogLimit is BacklogLimit for a request that can no longer meet its latency target. It
-// keeps a server at work and leaves those that come next the time to meet theirs.
-func LateBacklogLimit(target time.Duration) time.Duration {
-	if target <= 0 {
-		return 0
+	share := roomShare
+	if late {
+		share = lateRoomShare
 	}
-	return max(time.Duration(lateRoomShare*float64(target)), minBacklogLimit)
+	return max(scale(target, share), minBacklogLimit)
 }
 
 // ChooseWithRoom is Choose restricted to servers that are not full for a request with the
--- a/daemon/selection/room_test.go
+++ b/daemon/selection/room_test.go
@@ -26,7 +26,7 @@
 		a, b := New(), New()
 		servers := roomServers(rapid.IntRange(1, 5).Draw(t, "servers"), 8)
 		target := time.Duration(rapid.IntRange(1, 2000).Draw(t, "target")) * time.Millisecond
-		limit := BacklogLimit(target)
+		limit := BacklogLimit(target, false)
 		for sent := range rapid.IntRange(1, 40).Draw(t, "requests") {
 			now = now.Add(time.Millisecond)
 			r := Request{Service: "svc", PromptTokens: rapid.IntRange(0, 5000).Draw(t, "tokens"), Routers: []string{"r0"}}
@@ -103,7 +103,7 @@
 		chooser := New()
 		chooser.SetPeerWork(now, map[string]OutstandingWork{"s0": c.others})
 		r := Request{Service: "svc", PromptTokens: 10, Routers: []string{"r0", "r1"}}
-		if _, room := chooser.ChooseWithRoom(now, roomServers(1, 8), r, BacklogLimit(c.target), c.target); room != c.want {
+		if _, room := chooser.ChooseWithRoom(now, roomServers(1, 8), r, BacklogLimit(c.target, false), c.target); room != c.want {
 			t.Errorf("%+v: room %d", c, room)
 		}
 	}
