duty, ledger: comments of single fields, limits without the prefix Default

Change: each field has its own comment; KeepFor, maxKeptLines and maxKeptBytes are limits; the segments to compare after a restore are named toRestore; the two random-step tests of the collector share their set-up. Measured: tests of coord/duty, coord/ledger and daemon/router pass.

--- a/coord/duty/duty.go
+++ b/coord/duty/duty.go
@@ -32,6 +32,9 @@
 	retryDelay = time.Second
 	// releaseTimeout limits the call that releases the record.
 	releaseTimeout = time.Second
+	// unreadableHolder is the holder of a record that can't be decoded. Such a record still
+	// belongs to an owner.
+	unreadableHolder = "?"
 )
 
 // Instant is a point in time by the monotonic clock and by the wall clock. The monotonic clock
@@ -99,13 +102,14 @@
 	known  bool
 	seen   kv.Position
 	holder Record
-	// lastCallAt is the latest time, by the monotonic clock, at which a call of this process or
-	// of an earlier one of its machine may have been executed and matters: a call of an earlier
-	// one that was executed after the start of this process matters only if another owner was
-	// there since. calls counts the calls in progress.
-	startedAt  time.Duration
+	// startedAt is the monotonic time at which this process began.
+	startedAt time.Duration
+	// lastCallAt is the latest monotonic time at which a call of this process, or of an earlier
+	// one of its machine, may have been executed. Calls of an earlier process that are executed
+	// after startedAt count only if another owner has been seen since.
 	lastCallAt time.Duration
-	calls      int
+	// calls is the number of calls in progress.
+	calls int
 	// attemptAt is the earliest time of the next attempt of the first candidate to acquire the
 	// duty, attemptStep the delay for each candidate before this one.
 	attemptAt   Instant
@@ -132,15 +136,19 @@
 	HolderChanged EventKind = "holder_changed"
 )
 
-// Event is a change of belief about a duty.
+// Event is a change of what this process knows about a duty.
 type Event struct {
-	Kind  EventKind
+	Kind EventKind
+	// Token is the token of the ownership that the event is about; 0 for none.
 	Token Token
 	// Holder is the known owner; empty for none.
 	Holder Record
-	At     kv.Position
+	// At is the position of the record or of its removal.
+	At kv.Position
+	// Reason says why the duty was lost.
 	Reason string
-	Err    error
+	// Err is the error of the failed call of the store, if any.
+	Err error
 	// Age is the time since the lease was last extended.
 	Age time.Duration
 }
@@ -162,7 +170,7 @@
 func (o *Owner) Observe(value []byte, at kv.Position) {
 	var record Record
 	if value != nil && json.Unmarshal(value, &record) != nil {
-		record = Record{Holder: "?"} // a record that can't be read still has an owner
+		record = Record{Holder: unreadableHolder}
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -288,8 +296,8 @@
 	return o.lastCallAt + wait
 }
 
-// Due returns the time until the next call of Step is due; ok is false if that is not before
-// there is news.
+// Due returns the time until the next call of Step is due. ok is false if no call is due until
+// Observe reports a change.
 func (o *Owner) Due() (wait time.Duration, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/coord/ledger/collector.go
+++ b/coord/ledger/collector.go
@@ -55,11 +55,10 @@
 // have their own keys. The first collector in an era reads the log of the copy to its end
 // and adds the era with the number of its first segment to the totals, whose revision is
 // the condition of that write. Segments that were written under the key of an earlier era
-// and are not below that number are ignored by all collectors. So are those from the first
-// on that repeats an identity, which happens when several collectors have written under
-// the key of an earlier era after the restore. A line counts as stored
-// only if the era is the same from reading the log to the read of the totals after the
-// write.
+// and are not below that number are ignored by all collectors. After a restore, several
+// collectors may have written under the keys of an earlier era. The first such segment that
+// repeats an identity and all later ones are therefore ignored, too. A line counts as stored
+// only if the era is the same from reading the log to the read of the totals after the write.
 //
 // The first stored line of an identity is kept, even when a line of a lower attempt
 // arrives later. A Collector is safe for concurrent use.
@@ -77,7 +76,7 @@
 	log          *shardLog // nil before the first read and when found to be stale
 	loaded       bool      // log has been read to its end
 	kept         keptSegments
-	lost         keptSegments // kept in an earlier era and not yet compared with the log
+	toRestore    keptSegments // kept in an earlier era and not yet compared with the log
 	era          uint64       // of the latest log
 	availability availability
 }
@@ -247,7 +246,7 @@
 			return err
 		}
 		if b.era != c.log.era {
-			lines, err := c.lost.lines()
+			lines, err := c.toRestore.lines()
 			if err != nil {
 				return err
 			}
@@ -346,7 +345,7 @@
 func (c *Collector) appendSegment(s segment) {
 	now := c.cfg.Clock.Now()
 	c.log.appendSegment(s, now, c.cfg.Checker)
-	if s.writtenMS >= now.Add(-DefaultKeepFor).UnixMilli() {
+	if s.writtenMS >= now.Add(-KeepFor).UnixMilli() {
 		c.kept.add(keptSegment{s.key, s.encoded, now})
 	}
 }
--- a/coord/ledger/collector_test.go
+++ b/coord/ledger/collector_test.go
@@ -96,10 +96,15 @@
 // No line may be billed twice or lost when collectors run concurrently, restart
 // without state and fold, while responses are lost and the store has outages.
 func TestCollectorsBillOnce(t *testing.T) {
+	checkRandomSteps(t, 20, 60, runRandomSteps)
+}
+
+// checkRandomSteps runs a test on a virtual clock with random seeds and numbers of steps.
+func checkRandomSteps(t *testing.T, minSteps, maxSteps int, run func(t *testing.T, seed uint64, steps int)) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
-		steps := rapid.IntRange(20, 60).Draw(rt, "steps")
-		synctest.Test(t, func(t *testing.T) { runRandomSteps(t, seed, steps) })
+		steps := rapid.IntRange(minSteps, maxSteps).Draw(rt, "steps")
+		synctest.Test(t, func(t *testing.T) { run(t, seed, steps) })
 	})
 }
 
--- a/coord/ledger/era.go
+++ b/coord/ledger/era.go
@@ -30,7 +30,7 @@
 
 // mustRestore reports whether lines that the collector has kept may be missing in the store.
 func (c *Collector) mustRestore() bool {
-	return len(c.lost.list) > 0 || len(c.kept.list) > 0 && c.heardEra() > c.era
+	return len(c.toRestore.list) > 0 || len(c.kept.list) > 0 && c.heardEra() > c.era
 }
 
 // keepForRestore is called when a log is started. If the era is a new one, it moves the kept lines
@@ -41,7 +41,7 @@
 	}
 	c.era = era
 	for _, s := range c.kept.list {
-		c.lost.add(s)
+		c.toRestore.add(s)
 	}
 	c.kept = keptSegments{}
 	c.availability.since = c.cfg.Clock.Now()
@@ -49,7 +49,7 @@
 
 // endRestore is called when all lines of the batch are stored or disputed.
 func (c *Collector) endRestore(b *batch) {
-	c.lost = keptSegments{}
+	c.toRestore = keptSegments{}
 	if b.rewritten > 0 && c.cfg.OnRestored != nil {
 		c.cfg.OnRestored(b.era, b.rewritten)
 	}
--- a/coord/ledger/era_test.go
+++ b/coord/ledger/era_test.go
@@ -6,11 +6,8 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"pgregory.net/rapid"
-
 	"cactusknot.example/coord/clock"
 	"cactusknot.example/coord/invariant"
 	"cactusknot.example/coord/kv"
@@ -168,7 +165,7 @@
 // of the era before, and must bound what it keeps.
 func TestQueueKeepsAcknowledgedLines(t *testing.T) {
 	clk := clock.NewManual(time.Unix(1000, 0))
-	q := NewQueue(clk, 2*DefaultMaxKeptLines)
+	q := NewQueue(clk, 2*maxKeptLines)
 	commit := func(i int) []ID {
 		q.Reserve()
 		q.Commit(testLine(i, 0, clk.Now()))
@@ -188,11 +185,11 @@
 	if lines := q.Pending(0, 9); len(lines) != 1 || q.Kept() != 1 {
 		t.Fatal(lines, q.Kept())
 	}
-	clk.Advance(DefaultKeepFor + 1)
-	for i := range DefaultMaxKeptLines + 9 {
+	clk.Advance(KeepFor + 1)
+	for i := range maxKeptLines + 9 {
 		q.Acknowledge(commit(i+3), 2)
 	}
-	if n := q.Kept(); n > DefaultMaxKeptLines || n*keptLineBytes > DefaultMaxKeptBytes || n < 4000 {
+	if n := q.Kept(); n > maxKeptLines || n*keptLineBytes > maxKeptBytes || n < 4000 {
 		t.Fatal(n, "lines kept")
 	}
 	if q.Requeue() == 0 || q.Kept() != 0 {
@@ -204,11 +201,7 @@
 // while collectors are paused around their calls, restart, fold and lose responses, as long as one
 // holder of the line lives.
 func TestRestoresBillOnce(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		seed := rapid.Uint64().Draw(rt, "seed")
-		steps := rapid.IntRange(10, 50).Draw(rt, "steps")
-		synctest.Test(t, func(t *testing.T) { runRestores(t, seed, steps) })
-	})
+	checkRandomSteps(t, 10, 50, runRestores)
 }
 
 func runRestores(t *testing.T, seed uint64, steps int) {
--- a/coord/ledger/fold.go
+++ b/coord/ledger/fold.go
@@ -28,8 +28,8 @@
 	if err := c.deleteFolded(ctx); err != nil || c.eraChanged() {
 		return err
 	}
-	c.kept.prune(c.cfg.Clock.Now())
 	now := c.cfg.Clock.Now()
+	c.kept.prune(now)
 	if now.Sub(c.availability.since) < c.cfg.FoldGrace {
 		return nil
 	}
--- a/coord/ledger/kept.go
+++ b/coord/ledger/kept.go
@@ -6,17 +6,16 @@
 	"time"
 )
 
-// Defaults for lines that are kept after they have been stored, in case the store is restored from
-// an older copy.
+// Limits of the lines that are kept after they have been stored, in case the store is restored
+// from an older copy.
 const (
-	// DefaultKeepFor is longer than the age of the copies, which is a minute, by the time in which
+	// KeepFor is longer than the age of the copies, which is a minute, by the time in which
 	// acknowledgements may still arrive after the store has failed.
-	DefaultKeepFor = 3 * time.Minute
-	// DefaultMaxKeptLines limits the lines kept by a Queue. At 22 requests/s, the lines of
-	// DefaultKeepFor are 4,000.
-	DefaultMaxKeptLines = 20_000
-	// DefaultMaxKeptBytes limits the bytes kept by a Queue or a Collector.
-	DefaultMaxKeptBytes = 2 << 20
+	KeepFor = 3 * time.Minute
+	// maxKeptLines limits the lines kept by a Queue. It covers KeepFor at 100 requests/s.
+	maxKeptLines = 20_000
+	// maxKeptBytes limits the bytes kept by a Queue or a Collector.
+	maxKeptBytes = 2 << 20
 )
 
 // keptSegments are the encoded lines of the segments that a collector has written or read
@@ -40,15 +39,15 @@
 	}
 	k.list = append(k.list, s)
 	k.bytes += len(s.encoded)
-	for k.bytes > DefaultMaxKeptBytes {
+	for k.bytes > maxKeptBytes {
 		k.dropOldest()
 	}
 }
 
-// prune drops what was added more than DefaultKeepFor ago. It must be called only after a response
+// prune drops what was added more than KeepFor ago. It must be called only after a response
 // of the store: during an outage, a restore may still take back what was written before it.
 func (k *keptSegments) prune(now time.Time) {
-	for len(k.list) > 0 && now.Sub(k.list[0].at) > DefaultKeepFor {
+	for len(k.list) > 0 && now.Sub(k.list[0].at) > KeepFor {
 		k.dropOldest()
 	}
 }
--- a/coord/ledger/queue.go
+++ b/coord/ledger/queue.go
@@ -22,7 +22,7 @@
 // requests to be rejected instead of charges to be lost. No method blocks. Queue is
 // safe for concurrent use.
 //
-// Acknowledged lines are kept for DefaultKeepFor, within limits and outside of the
+// Acknowledged lines are kept for KeepFor, within limits and outside of the
 // capacity, because a restore of the store from an older copy may take them back. When
 // the queue learns of a new era of the store, they have to be acknowledged once more.
 // Duplicates are dropped by the collector.
@@ -200,7 +200,7 @@
 	}
 	// Time passes for kept lines only with acknowledgements: without them the store
 	// may be away, and the copy from which it returns is older than the outage.
-	for len(q.kept) > 0 && (now-q.kept[0].at > DefaultKeepFor || len(q.kept) > DefaultMaxKeptLines || q.keptBytes > DefaultMaxKeptBytes) {
+	for len(q.kept) > 0 && (now-q.kept[0].at > KeepFor || len(q.kept) > maxKeptLines || q.keptBytes > maxKeptBytes) {
 		q.keptBytes -= q.kept[0].size()
 		q.kept[0] = keptLine{}
 		q.kept = q.kept[1:]
--- a/daemon/router/bindings.go
+++ b/daemon/router/bindings.go
@@ -58,7 +58,7 @@
 		b.order = append(b.order, keptBinding{id, now})
 	}
 	b.homes[id] = home
-	for len(b.order) > maxKeptBindings || now.Sub(b.order[0].at) > ledger.DefaultKeepFor {
+	for len(b.order) > maxKeptBindings || now.Sub(b.order[0].at) > ledger.KeepFor {
 		delete(b.homes, b.order[0].id)
 		b.order = b.order[1:]
 	}
