--- a/daemon/edge/cloud_api.go
+++ b/daemon/edge/cloud_api.go
@@ -50,8 +50,6 @@
 	// CallsPerSecond is the number of API calls that all routers may make together.
 	CallsPerSecond float64
 	// ReportWindow is the length of a window of the usage report, ReportDelay the time after
-	// its end at which the report is due, ReportTolerance the share by which a count may be
-	// wrong.
+	// its end at which the report is due.
 	ReportWindow, ReportDelay time.Duration
-	ReportTolerance           float64
 }
--- a/daemon/edge/duties_test.go
+++ b/daemon/edge/duties_test.go
@@ -84,7 +84,7 @@
 			VM: fmt.Sprintf("r%d", i), Cores: float64(n - i), CloudAPI: api,
 			Duties: DutySettings{
 				Names: []string{UsageDuty}, LeaseDuration: 600 * time.Millisecond, CallsPerSecond: 50,
-				ReportWindow: time.Second, ReportDelay: 4 * time.Second, ReportTolerance: 0.05,
+				ReportWindow: time.Second, ReportDelay: 4 * time.Second,
 			},
 		})
 		ctx, cancel := context.WithCancel(context.Background())
