edge: split the inputs of the autoscaling into three functions

Cause: one function of 65 lines built the inputs, counted the servers and kept the history of the demand. Change: countServers and updateHistory are functions of their own; a nil topology.Autoscaling is not valid, so callers need no check of their own. Behaviour is unchanged. Measured: tests of autoscale, topology and edge pass.

--- a/daemon/autoscale/autoscale.go
+++ b/daemon/autoscale/autoscale.go
@@ -113,13 +113,13 @@
 // HistoryTime returns the time for which samples are needed.
 func (b Bounds) HistoryTime() time.Duration { return max(b.ShrinkDelay(), maxTrendTime) + levelTime }
 
-// Valid reports whether servers can be ordered within the bounds.
-func (b Bounds) Valid() bool { return b.Min >= 0 && b.Max >= 1 && b.Max >= b.Min }
+// valid reports whether servers can be ordered within the bounds.
+func (b Bounds) valid() bool { return b.Min >= 0 && b.Max >= 1 && b.Max >= b.Min }
 
 // Decide returns the orders that are due, sorted by data centre. The demand is divided evenly
 // between the data centres that are not evacuated. An evacuated one keeps its number.
 func Decide(in Input) []Decision {
-	if !in.Bounds.Valid() || in.Slots <= 0 || len(in.History) == 0 || in.Now.Sub(in.History[len(in.History)-1].At) > maxSampleAge {
+	if !in.Bounds.valid() || in.Slots <= 0 || len(in.History) == 0 || in.Now.Sub(in.History[len(in.History)-1].At) > maxSampleAge {
 		return nil
 	}
 	demand, forecast := in.forecast()
--- a/daemon/edge/autoscale.go
+++ b/daemon/edge/autoscale.go
@@ -57,17 +57,17 @@
 	return r.Token > o.Token || r.Token == o.Token && r.AtMS > o.AtMS
 }
 
-// fleet is the state of all backend servers for the autoscaling.
-type fleet struct {
+// fleetState is the state of all backend servers for the autoscaling.
+type fleetState struct {
 	servers   []*topology.Server
 	evacuated map[string]bool
 	// rollouts holds the services with a rollout that is not final.
 	rollouts map[string]bool
 }
 
-// fleet returns the present state of the backend servers.
-func (c *controller) fleet() *fleet {
-	f := &fleet{evacuated: maps.Clone(c.evacuations), rollouts: make(map[string]bool)}
+// fleetState returns the present state of the backend servers.
+func (c *controller) fleetState() *fleetState {
+	f := &fleetState{evacuated: maps.Clone(c.evacuations), rollouts: make(map[string]bool)}
 	for _, s := range c.servers {
 		f.servers = append(f.servers, s.Server)
 	}
@@ -85,7 +85,7 @@
 	edge      *Edge
 	startedAt time.Time
 	// fleet is set by the control loop.
-	fleet atomic.Pointer[fleet]
+	fleet atomic.Pointer[fleetState]
 	// calling is set while a call of the API is being made. The sampling does not wait for it.
 	calling atomic.Bool
 
@@ -183,19 +183,35 @@
 }
 
 // inputs samples the demand and returns what the orders for each service depend on.
-func (w *autoscaleWork) inputs(now time.Time, config *topology.Config, fleet *fleet) map[string]autoscale.Input {
-	work, known := w.edge.gateway.Chooser.InFlight(now)
+func (w *autoscaleWork) inputs(now time.Time, config *topology.Config, fleet *fleetState) map[string]autoscale.Input {
 	inputs := make(map[string]autoscale.Input)
 	for name, service := range config.Services {
-		if a := service.Autoscaling; a != nil && a.Valid() {
-			bounds := autoscale.Bounds{Min: a.MinReplicas, Max: a.MaxReplicas, BootTime: a.BootTime}
+		if a := service.Autoscaling; a.Valid() {
 			inputs[name] = autoscale.Input{
-				Now: now, Bounds: bounds, DataCentres: make(map[string]autoscale.DataCentre), RolloutInProgress: fleet.rollouts[name],
-				Last: make(map[string]autoscale.Order),
+				Now: now, Bounds: autoscale.Bounds{Min: a.MinReplicas, Max: a.MaxReplicas, BootTime: a.BootTime},
+				DataCentres: make(map[string]autoscale.DataCentre), Last: make(map[string]autoscale.Order),
+				RolloutInProgress: fleet.rollouts[name],
 			}
 		}
 	}
-	sums := make(map[string]autoscale.Sample)
+	samples := w.countServers(now, config, fleet, inputs)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.updateHistory(now, samples, inputs)
+	for subject, record := range w.last {
+		seen := latest(w.seenAt[subject], w.startedAt)
+		if in, ok := inputs[subject.service]; ok && now.Sub(seen) < dataCentreMemory {
+			in.Last[subject.dataCentre] = autoscale.Order{Count: record.Count, At: time.UnixMilli(record.AtMS)}
+		}
+	}
+	return inputs
+}
+
+// countServers sets the servers of each input by data centre and the slots of a server. It returns
+// a sample for each service with servers, or none while the work in progress is not known.
+func (w *autoscaleWork) countServers(now time.Time, config *topology.Config, fleet *fleetState, inputs map[string]autoscale.Input) map[string]autoscale.Sample {
+	work, known := w.edge.gateway.Chooser.InFlight(now)
+	samples := make(map[string]autoscale.Sample)
 	slots, servers := make(map[string]int), make(map[string]int)
 	for _, s := range fleet.servers {
 		in, ok := inputs[s.Service]
@@ -215,38 +231,43 @@
 		}
 		in.DataCentres[s.DataCentre] = d
 		w.seenAt[scaleSubject{s.Service, s.DataCentre}] = now
-		if sums[s.Service].Work == nil {
-			sums[s.Service] = autoscale.Sample{At: now, Work: make(map[string]float64), Running: make(map[string]int)}
+		if samples[s.Service].Work == nil {
+			samples[s.Service] = autoscale.Sample{At: now, Work: make(map[string]float64), Running: make(map[string]int)}
 		}
-		sums[s.Service].Work[s.DataCentre] += float64(work[s.ID])
-		sums[s.Service].Running[s.DataCentre] = d.Usable + d.Cold
+		samples[s.Service].Work[s.DataCentre] += float64(work[s.ID])
+		samples[s.Service].Running[s.DataCentre] = d.Usable + d.Cold
 		if s.Slots > 0 {
 			slots[s.Service] += s.Slots
 			servers[s.Service]++
 		}
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	maps.DeleteFunc(w.history, func(name string, _ []autoscale.Sample) bool { _, ok := inputs[name]; return !ok })
-	for name, in := range inputs {
-		if n := servers[name]; n > 0 {
-			w.slots[name] = float64(slots[name]) / float64(n)
-		}
-		if sample, ok := sums[name]; ok && known {
-			w.history[name] = append(w.history[name], sample)
-		}
-		oldest := now.Add(-in.Bounds.HistoryTime())
-		w.history[name] = slices.DeleteFunc(slices.Clone(w.history[name]), func(s autoscale.Sample) bool { return s.At.Before(oldest) })
-		in.Slots, in.History = w.slots[name], w.history[name]
-		inputs[name] = in
+	for service, n := range servers {
+		w.slots[service] = float64(slots[service]) / float64(n)
 	}
-	for subject, record := range w.last {
-		seen := latest(w.seenAt[subject], w.startedAt)
-		if in, ok := inputs[subject.service]; ok && now.Sub(seen) < dataCentreMemory {
-			in.Last[subject.dataCentre] = autoscale.Order{Count: record.Count, At: time.UnixMilli(record.AtMS)}
+	for service, in := range inputs {
+		in.Slots = w.slots[service]
+		inputs[service] = in
+	}
+	if !known {
+		return nil
+	}
+	return samples
+}
+
+// updateHistory adds the samples to the history of each service, drops those that are too old and
+// sets the history of each input. w.mu is held.
+func (w *autoscaleWork) updateHistory(now time.Time, samples map[string]autoscale.Sample, inputs map[string]autoscale.Input) {
+	maps.DeleteFunc(w.history, func(service string, _ []autoscale.Sample) bool { _, ok := inputs[service]; return !ok })
+	for service, in := range inputs {
+		oldest := now.Add(-in.Bounds.HistoryTime())
+		// The orders in progress read the earlier slice.
+		history := slices.DeleteFunc(slices.Clone(w.history[service]), func(s autoscale.Sample) bool { return s.At.Before(oldest) })
+		if sample, ok := samples[service]; ok {
+			history = append(history, sample)
 		}
+		w.history[service], in.History = history, history
+		inputs[service] = in
 	}
-	return inputs
 }
 
 // order makes the orders for a service that are due.
@@ -413,7 +434,7 @@
 		return false
 	}
 	for _, service := range view.Config.Services {
-		if a := service.Autoscaling; a != nil && a.Valid() {
+		if service.Autoscaling.Valid() {
 			return true
 		}
 	}
--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -538,7 +538,7 @@
 	view.Splits = c.rollouts.splits(view.Servers)
 	c.edge.duties.membership.Store(c.routers.membership())
 	if a := c.edge.duties.autoscale; a != nil {
-		a.fleet.Store(c.fleet())
+		a.fleet.Store(c.fleetState())
 	}
 	if c.edge.view.Swap(view) == nil {
 		close(c.firstView)
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -97,9 +97,9 @@
 	BootTime time.Duration
 }
 
-// Valid reports whether servers can be ordered within the bounds.
+// Valid reports whether servers can be ordered within the bounds. It is false for nil.
 func (a *Autoscaling) Valid() bool {
-	return a.MinReplicas >= 0 && a.MaxReplicas >= max(a.MinReplicas, 1) && a.BootTime >= 0
+	return a != nil && a.MinReplicas >= 0 && a.MaxReplicas >= max(a.MinReplicas, 1) && a.BootTime >= 0
 }
 
 // Workspace is a customer with API keys.
