gateway: log and count what backend servers announce about themselves

No log line and no metric shows that a server announced anything, so the hypotheses of the incident can't be told apart.

The platform's codec reads Server-Leaving from every response of the server itself, and Retry-After from its responses with status 503. The gateway logs and counts them (cactusknot_announcements_total), and what can't be used (cactusknot_announcements_not_used_total). Nothing acts on them yet.

--- a/daemon/gateway/codec.go
+++ b/daemon/gateway/codec.go
@@ -72,6 +72,14 @@
 	// RateLimit is the number of requests per second that the backend server takes from
 	// all routers together, or 0 if it names none.
 	RateLimit float64
+	// Leaving: the backend server states that it is about to leave.
+	Leaving bool
+	// Pause is how long the backend server wants no request from this router, from the
+	// arrival of the response; 0 if it names no time.
+	Pause time.Duration
+	// InvalidAnnouncement is the name of a header with an announcement of the server that can't
+	// be used; empty if there is none.
+	InvalidAnnouncement string
 	// Confidence is the model's confidence in its answer, from 0 to 100, or -1 if not
 	// stated.
 	Confidence int
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -166,6 +166,7 @@
 	a.reply = g.Codec.ParseResponse(response.Status, response.Header)
 	g.recordLoad(a)
 	g.observeRateLimit(a)
+	g.observeAnnouncements(a)
 	if a.reply.NotRun {
 		a.outcome = selection.Refused
 		response.Abort()
