edge, gateway: a server that announces that it leaves gets no requests

Cause: the product went by the entry in the store alone. What the server said in its answers was dropped by the codec.

Change: the gateway records the announcement; the chooser, and requests that still wait for a connection, heed it at once. The control loop publishes a view without the server, and the exchange of facts tells the other routers. It outlives the entry, a restore of the store and a restart of other routers, and ends with the incarnation of the server.

--- a/daemon/edge/autoscale.go
+++ b/daemon/edge/autoscale.go
@@ -69,7 +69,9 @@
 func (c *controller) fleetState() *fleetState {
 	f := &fleetState{evacuated: maps.Clone(c.evacuations), rollouts: make(map[string]bool)}
 	for _, s := range c.servers {
-		f.servers = append(f.servers, s.Server)
+		server := *s.Server
+		server.Draining = c.leaving(s)
+		f.servers = append(f.servers, &server)
 	}
 	for service, s := range c.rollouts.byService {
 		if s.order != nil && !(s.current() && s.state.Final()) {
--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -50,6 +50,9 @@
 	edge    *Edge
 	batches chan changeBatch
 	queries chan stateQuery
+	// departures receives a value for the control loop after a backend server has announced that
+	// it leaves, and departureNews one for the exchange with the other routers.
+	departures, departureNews chan struct{}
 
 	config *topology.Config
 	// configRevision is the store revision of the configuration, 0 for one that came from a
@@ -108,7 +111,8 @@
 
 func newController(e *Edge) *controller {
 	c := &controller{
-		edge: e, batches: make(chan changeBatch, changeQueueSize), queries: make(chan stateQuery), servers: make(map[string]*serverState),
+		edge: e, batches: make(chan changeBatch, changeQueueSize), queries: make(chan stateQuery),
+		departures: make(chan struct{}, 1), departureNews: make(chan struct{}, 1), servers: make(map[string]*serverState),
 		evacuations: make(map[string]bool), firstView: make(chan struct{}), eraNews: make(chan struct{}),
 	}
 	c.contact.bound, c.contact.respondedAt = e.settings.contactBound(), time.Now()
@@ -265,6 +269,8 @@
 			c.mergeBatch(b)
 		case reply := <-c.queries:
 			reply <- c.state(time.Now())
+		case <-c.departures:
+			c.dirty = true
 		case now := <-ticker.C:
 			c.tick(ctx, now)
 		case now := <-due.C:
@@ -345,9 +351,21 @@
 	}
 	c.edge.gateway.Pool.Prune(now, inUse)
 	c.edge.gateway.Chooser.Retain(func(id string) bool { return c.servers[id] != nil })
+	c.edge.gateway.Chooser.Announcements.Prune(now)
 	c.restored.prune(now)
 }
 
+// noteDeparture makes the control loop publish a view without the servers that have announced
+// that they leave, and the exchange tell the other routers.
+func (c *controller) noteDeparture() {
+	for _, listener := range []chan struct{}{c.departures, c.departureNews} {
+		select {
+		case listener <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // merge applies one change to the controller's state.
 func (c *controller) merge(change mirror.Change, b changeBatch) {
 	decoder := c.edge.settings.Decoder
@@ -500,7 +518,7 @@
 		return
 	}
 	until := c.contact.hold()
-	if b.receivedAt.Before(until) && !s.Draining {
+	if b.receivedAt.Before(until) && !c.leaving(s) {
 		s.removeAfter = until
 		c.edge.storeMetrics.GetOrCreateCounter("cactusknot_servers_held_total").Inc()
 		c.edge.log.Info().Str("server", id).Dur("hold_ms", until.Sub(b.receivedAt)).Uint64("revision", uint64(change.Revision)).
@@ -531,7 +549,7 @@
 		Routers: c.routers.names(now),
 	}
 	for _, s := range c.servers {
-		if !s.Draining && !c.evacuations[s.DataCentre] {
+		if !c.leaving(s) && !c.evacuations[s.DataCentre] {
 			view.Servers[s.Service] = append(view.Servers[s.Service], s.Server)
 		}
 	}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -238,9 +238,11 @@
 		LimitBacklog: settings.LimitBacklog,
 		Count:        e.duties.usage.count, Log: e.log,
 	})
+	e.gateway.Chooser.Announcements.DeparturesChanged = e.controller.noteDeparture
 	e.config.edge = e
 	e.exchanged = []exchanged{
 		loadExchange{e}, e.controller.quarantines, &limitExchange{edge: e}, &e.config, e.duties.usage, newPaceExchange(e.gateway.Chooser),
+		&departureExchange{edge: e},
 	}
 	return e
 }
--- a/daemon/edge/exchange.go
+++ b/daemon/edge/exchange.go
@@ -69,22 +69,24 @@
 	var schedule loadSchedule
 	failures := make(aggregatorFailures)
 	for ctx.Err() == nil {
-		newEra := e.waitForExchange(ctx)
+		news := e.waitForExchange(ctx)
 		now := time.Now()
-		if schedule.due(now, newEra || e.gateway.Chooser.Busy() || e.gateway.HasWaiting()) {
+		if schedule.due(now, news || e.gateway.Chooser.Busy() || e.gateway.HasWaiting()) {
 			e.exchangeOnce(ctx, e.report(now), failures)
 		}
 	}
 }
 
-// waitForExchange waits for the next exchange. It ends early when the store has a new era, which
-// the other routers are to hear of at once, and reports whether that is so.
-func (e *Edge) waitForExchange(ctx context.Context) (newEra bool) {
+// waitForExchange waits for the next exchange. It ends early, and reports so, when the store has a
+// new era or a backend server leaves, which the other routers are to hear of at once.
+func (e *Edge) waitForExchange(ctx context.Context) (news bool) {
 	timer := time.NewTimer(loadInterval)
 	defer timer.Stop()
 	select {
 	case <-e.controller.newerEra():
 		return true
+	case <-e.controller.departureNews:
+		return true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -200,6 +200,7 @@
 	return &upstream.Request{
 		ID: a.call.ID, Method: a.call.Method, Target: a.call.Target, Host: a.call.Host,
 		Header: g.Codec.Encode(a.call, options), Body: a.call.Body, FreshConnection: !a.route.MayRepeat(),
+		MaySend: func() bool { return a.choice.MaySend(time.Now()) },
 	}
 }
 
@@ -260,6 +261,10 @@
 			a.outcome = selection.Cancelled
 			return result.CallerGone.With("")
 		}
+		if errors.Is(err, upstream.ErrWithheld) {
+			a.outcome = selection.Cancelled
+			return result.BackendDown.With("server leaves or pauses since it was chosen")
+		}
 		a.connectionLost = true
 		return result.BackendDown.With("%v", err)
 	}
--- a/daemon/upstream/exchange.go
+++ b/daemon/upstream/exchange.go
@@ -16,6 +16,9 @@
 var (
 	// ErrNotSent means that no byte of the request was sent.
 	ErrNotSent = errors.New("upstream: request not sent")
+	// ErrWithheld means that no byte was sent because Request.MaySend returned false. It is
+	// joined with ErrNotSent.
+	ErrWithheld = errors.New("upstream: request withheld")
 	// ErrBroken means that the request may have run and that its response is lost.
 	ErrBroken = errors.New("upstream: connection broken")
 )
@@ -32,6 +35,9 @@
 	Body   []byte
 	// FreshConnection demands a connection that has not carried a request before.
 	FreshConnection bool
+	// MaySend is asked once there is a connection, which can take as long as dialTimeout. If it
+	// returns false, the request is not sent. Nil means that it may be sent.
+	MaySend func() bool
 }
 
 // Exchange is a request that was sent and whose response is being read.
@@ -68,6 +74,10 @@
 		e.Abort()
 		return nil, notSent(ctx.Err())
 	}
+	if in.MaySend != nil && !in.MaySend() {
+		e.Abort()
+		return nil, notSent(ErrWithheld)
+	}
 	e.write(in)
 	if err := e.readHead(in.Method, owner); err != nil {
 		e.Abort()
