gateway: a server that asks for a pause gets no requests in it

A refusal only made the server more expensive for 0.4 to 5 s.

Change: the pause is recorded for this router and server, the later of two ends holds. If all servers pause, callers are refused at once with a Retry-After that follows from the first end. The state shows leaving and paused servers with since when, until when and which answer said so.

--- a/daemon/edge/departures_test.go
+++ b/daemon/edge/departures_test.go
@@ -101,3 +101,24 @@
 	store.put("servers/a", testServer{Service: "svc", Started: started})
 	never(t, 600*time.Millisecond, "a is used again", func() bool { return edges[0].usableServers() != "b" })
 }
+
+// Guards against a pause that shows neither its beginning, its end nor its cause to operators.
+func TestStateOfAnnouncements(t *testing.T) {
+	_, edges := startLeavingFleet(t)
+	server := edges[0].view.Load().Servers["svc"][0]
+	edges[0].gateway.Chooser.Announcements.ObservePause(time.Now(), server, time.Minute, "q7")
+	reply := make(stateQuery, 1)
+	edges[0].controller.queries <- reply
+	for _, s := range (<-reply).Servers {
+		want := ServerCold
+		if s.ID == server.ID {
+			want = ServerPaused
+		}
+		if s.State != want && s.State != ServerUsable {
+			t.Errorf("%s is %s, want %s", s.ID, s.State, want)
+		}
+		if s.ID == server.ID && (s.Announced == nil || s.Announced.PauseSource != "q7" || s.Announced.PauseLeftMS < 59_000) {
+			t.Errorf("announced: %+v", s.Announced)
+		}
+	}
+}
--- a/daemon/edge/state.go
+++ b/daemon/edge/state.go
@@ -56,9 +56,13 @@
 
 // Values of ServerState.State.
 const (
-	ServerUsable    = "usable"
-	ServerCold      = "cold"
-	ServerDraining  = "draining"
+	ServerUsable   = "usable"
+	ServerCold     = "cold"
+	ServerDraining = "draining"
+	// ServerLeaving is a server whose entry says that it is available, but which has announced
+	// that it leaves. ServerPaused has asked this router for no requests for a time.
+	ServerLeaving   = "leaving"
+	ServerPaused    = "paused"
 	ServerEvacuated = "evacuated"
 	// ServerMissing is a server whose entry expired during a store outage. It is still
 	// used.
@@ -84,6 +88,21 @@
 	// time since.
 	Violation      string `json:"violation,omitempty"`
 	ViolationAgeMS int64  `json:"violation_age_ms,omitempty"`
+	// Announced is what the server has announced and what still holds; nil for nothing.
+	Announced *AnnouncedState `json:"announced,omitempty"`
+}
+
+// AnnouncedState is what a backend server has announced about itself.
+type AnnouncedState struct {
+	// LeavingSinceMS is the time since the server announced that it leaves, LeavingSource the ID
+	// of the request whose answer did so, or "peer".
+	LeavingSinceMS int64  `json:"leaving_since_ms,omitempty"`
+	LeavingSource  string `json:"leaving_source,omitempty"`
+	// PausedSinceMS is the time since the server asked for a pause, PauseLeftMS the time to its
+	// end, and PauseSource the ID of the request whose answer asked for it.
+	PausedSinceMS int64  `json:"paused_since_ms,omitempty"`
+	PauseLeftMS   int64  `json:"pause_left_ms,omitempty"`
+	PauseSource   string `json:"pause_source,omitempty"`
 }
 
 // WaitingState describes the requests of a priority class that wait for room at the servers of
@@ -181,13 +200,18 @@
 // serverState returns the state of one backend server at now.
 func (c *controller) serverState(now time.Time, s *serverState) ServerState {
 	state := ServerUsable
+	announced := c.announcedState(now, s)
 	switch {
 	case s.Draining:
 		state = ServerDraining
+	case announced != nil && announced.LeavingSource != "":
+		state = ServerLeaving
 	case c.evacuations[s.DataCentre]:
 		state = ServerEvacuated
 	case !s.removeAfter.IsZero():
 		state = ServerMissing
+	case announced != nil && announced.PauseLeftMS > 0:
+		state = ServerPaused
 	case now.Before(s.ColdUntil):
 		state = ServerCold
 	}
@@ -197,7 +221,25 @@
 		AgeMS: now.Sub(s.changedAt).Milliseconds(), InFlight: observed.InFlight, Failures: observed.Failures,
 		AvoidedMS: observed.AvoidedFor.Milliseconds(),
 		Violation: observed.Violation, ViolationAgeMS: observed.ViolationAge.Milliseconds(),
+		Announced: announced,
+	}
+}
+
+// announcedState returns what a server has announced and what still holds, or nil.
+func (c *controller) announcedState(now time.Time, s *serverState) *AnnouncedState {
+	announced := c.edge.gateway.Chooser.Announcements.Of(s.ID)
+	state := &AnnouncedState{}
+	if announced.Leaving(s.Server) {
+		state.LeavingSinceMS, state.LeavingSource = now.Sub(announced.Departure.FirstAt).Milliseconds(), announced.Departure.Source
+	}
+	if left := announced.PausedFor(now, s.Server); left > 0 {
+		since, source := announced.PauseSince()
+		state.PausedSinceMS, state.PauseLeftMS, state.PauseSource = now.Sub(since).Milliseconds(), left.Milliseconds(), source
+	}
+	if *state == (AnnouncedState{}) {
+		return nil
 	}
+	return state
 }
 
 // states returns the states of the rollouts, sorted by service.
--- a/daemon/gateway/admission.go
+++ b/daemon/gateway/admission.go
@@ -46,6 +46,8 @@
 	endNoProgress = "no_progress"
 	// endHeldEnough: the request was held as long as it may be.
 	endHeldEnough = "held_enough"
+	// endPaused: all servers have asked for no requests.
+	endPaused = "paused"
 	// endAbandoned: the caller left, or its deadline passed.
 	endAbandoned = "abandoned"
 )
@@ -169,6 +171,9 @@
 			return choice, nil
 		}
 	}
+	if err := g.refuseInPause(now, x, request); err != nil {
+		return nil, err
+	}
 	if allTried(x.candidates, x.excluded) {
 		return nil, result.NoBackend.With("no backend server may take the request")
 	}
@@ -362,7 +367,13 @@
 			q.send(now, entry, choice, endRoom)
 			continue
 		}
-		q.closed = q.closed || room == selection.RoomClosed
+		if room == selection.RoomClosed {
+			if err := g.refuseInPause(now, w.x, w.request); err != nil {
+				w.done <- grant{err: err, end: endPaused}
+				continue
+			}
+			q.closed = true
+		}
 		if room == selection.RoomFull && len(w.request.Excluded) == 0 {
 			full, fullLimit = w.x.candidates, own
 		}
--- a/daemon/gateway/announcements.go
+++ b/daemon/gateway/announcements.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
+	"cactusknot.example/daemon/result"
+	"cactusknot.example/daemon/selection"
 	"cactusknot.example/daemon/upstream"
 )
 
@@ -13,6 +16,15 @@
 	announcedPause   = "pause"
 )
 
+const (
+	// maxPauseWait is the rest of a pause for which a request waits at the router. A caller that
+	// is told to come back loses one of its few retries.
+	maxPauseWait = 250 * time.Millisecond
+	// pauseReturnSpread is the largest random extension of the Retry-After of a caller that is
+	// refused because of a pause, as a share of it.
+	pauseReturnSpread = 0.1
+)
+
 // observeAnnouncements records what a backend server announces about itself in a response. A
 // response that does not name this request may be another server's.
 func (g *Gateway) observeAnnouncements(a *attempt) {
@@ -30,7 +42,8 @@
 		g.recordAnnouncement(a, announcedLeaving, isNew, 0)
 	}
 	if a.reply.Pause > 0 {
-		g.recordAnnouncement(a, announcedPause, true, 0)
+		left := g.Chooser.Announcements.ObservePause(now, a.choice.Server, a.reply.Pause, a.call.ID)
+		g.recordAnnouncement(a, announcedPause, true, left)
 	}
 }
 
@@ -44,3 +57,20 @@
 	g.logEvent(g.Log.Info()).Str("server", a.target.ID).Str("request", a.call.ID).Str("kind", kind).Int("status", a.exchange.Status).
 		Dur("pause_ms", a.reply.Pause).Dur("left_ms", left).Msg("announcement of backend server")
 }
+
+// refuseInPause returns the refusal of a request that no server may take because of pauses, or nil
+// if it may wait. What was begun waits as long as it can still end.
+func (g *Gateway) refuseInPause(now time.Time, x *requestState, request selection.Request) *result.Error {
+	if g.Chooser.Announcements.Empty() {
+		return nil
+	}
+	blockage := g.Chooser.Blockage(now, x.candidates, request)
+	left, ok := blockage.Pause()
+	if !ok || now.Add(left).Before(x.deadline) && (left <= maxPauseWait || x.started) {
+		return nil
+	}
+	if !blockage.OpenToOthers() {
+		x.retryAfter = left + time.Duration(rand.Float64()*pauseReturnSpread*float64(left))
+	}
+	return result.NoBackend.With("%s", blockage)
+}
