gateway: a planned stop answers every caller

Cause: the deadline was compared with the end of the process once, when the head of the request arrived, and only from 3 s after the begin of the stop on. At the end of the grace period the connections were closed under the requests.

Change: the stop is planned at its begin. Requests that may not be repeated are refused from then on if they may outlast the process, others after 3 s, and each is checked again before it is sent. 0.3 s before the connections are closed, unfinished requests get their final answer, which says that the outcome is unknown.

TestLateRequestsAreRefusedBeforeAStop keeps its case and gains the kinds of requests.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -170,10 +170,14 @@
 	// drainDelay is how long connections are still accepted after the process reports
 	// not ready: the load balancer probes once a second and needs two failures.
 	drainDelay = 2500 * time.Millisecond
-	// lateRequestDelay is how long after the begin of a shutdown requests are taken that may
-	// not end before the process does. Clients may hold a connection, or find no other VM.
+	// lateRequestDelay is how long after the begin of a shutdown requests are taken that may be
+	// repeated and may not end before the process does. Clients may hold a connection, or find
+	// no other VM.
 	lateRequestDelay = 3 * time.Second
-	// shutdownMargin is the time left between the end of the last request and SIGKILL, and
+	// answerTime is the time in which the callers whose requests are unfinished at the end get
+	// an error response.
+	answerTime = 300 * time.Millisecond
+	// shutdownMargin is the time left between the end of the last connection and SIGKILL, and
 	// exitMargin that between the end of the calls after it and SIGKILL.
 	shutdownMargin = 400 * time.Millisecond
 	exitMargin     = 150 * time.Millisecond
@@ -241,7 +245,8 @@
 	e.gateway.Chooser.Announcements.DeparturesChanged = e.controller.noteDeparture
 	e.config.edge = e
 	e.exchanged = []exchanged{
-		loadExchange{e}, e.controller.quarantines, &limitExchange{edge: e}, &e.config, e.duties.usage, newPaceExchange(e.gateway.Chooser),
+		loadExchange{e},
+		e.controller.quarantines, &limitExchange{edge: e}, &e.config, e.duties.usage, newPaceExchange(e.gateway.Chooser),
 		&departureExchange{edge: e},
 	}
 	return e
@@ -327,13 +332,12 @@
 	began := time.Now()
 	e.log.Info().Msg("graceful shutdown started; reporting not ready")
 	e.stopping.Store(true)
+	closeAt := began.Add(e.settings.GracePeriod - shutdownMargin)
+	e.gateway.StopAt(closeAt.Add(-answerTime), began.Add(min(lateRequestDelay, e.settings.GracePeriod/2)))
 	go e.duties.release()
 	time.Sleep(min(drainDelay, e.settings.GracePeriod/2))
-	stopAt := began.Add(e.settings.GracePeriod - shutdownMargin)
-	ctx, cancel := context.WithDeadline(context.Background(), stopAt)
+	ctx, cancel := context.WithDeadline(context.Background(), closeAt)
 	defer cancel()
-	late := time.AfterFunc(time.Until(began.Add(min(lateRequestDelay, e.settings.GracePeriod/2))), func() { e.gateway.StopAt(stopAt) })
-	defer late.Stop()
 	if err := frontend.shutdown(ctx); err != nil {
 		e.log.Warn().Err(err).Msg("grace period ended with requests still in progress")
 	}
--- a/daemon/gateway/access_test.go
+++ b/daemon/gateway/access_test.go
@@ -244,17 +244,62 @@
 	}
 }
 
-// Guards against a request that a stopping process takes and then cuts off: it is refused
-// as not run if it may last longer than the process.
+// Guards against a request that a stopping process takes and then cuts off: it is refused as not
+// run if it may last longer than the process, and at once if it may not be repeated.
 func TestLateRequestsAreRefusedBeforeAStop(t *testing.T) {
+	for _, c := range []struct {
+		kind            topology.Kind
+		repeatableUntil time.Duration
+		refused         bool
+	}{
+		{topology.NonIdempotent, 0, true},
+		{topology.NonIdempotent, time.Second, true},
+		{topology.Idempotent, 0, true},
+		{topology.Idempotent, time.Second, false},
+	} {
+		a := newServer(t, "a", respond(200, "answer"))
+		r := newHarness(t, topology.Route{Kind: c.kind, MaxAttempts: 1}, a)
+		r.StopAt(time.Now().Add(2*time.Second), time.Now().Add(c.repeatableUntil))
+		got := r.call(http.MethodPost, "/x", "1")
+		refused := got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != "" && len(a.requests()) == 0
+		if refused != c.refused {
+			t.Errorf("%s, allowed 5 s: %d, Retry-After %q, %d requests to the server", c.kind, got.status, got.header.Get("Retry-After"), len(a.requests()))
+		}
+		if got := r.call(http.MethodPost, "/x", "1", "Wait", "1000"); got.status != http.StatusOK {
+			t.Errorf("%s, allowed 1 s: %d", c.kind, got.status)
+		}
+	}
+}
+
+// Guards against callers that learn nothing of their requests when the process ends: a closed
+// connection does not tell whether a request that may not be repeated has run.
+func TestStopAnswersEveryCaller(t *testing.T) {
+	const untilStop = 400 * time.Millisecond
+	for kind, want := range map[topology.Kind]int{
+		topology.NonIdempotent: http.StatusGatewayTimeout, topology.Idempotent: http.StatusBadGateway, topology.Stream: http.StatusGatewayTimeout,
+	} {
+		silent := newServer(t, "a", func(int, receivedRequest, net.Conn) bool {
+			time.Sleep(4 * time.Second)
+			return false
+		})
+		r := newHarness(t, topology.Route{Kind: kind, MaxAttempts: 2}, silent)
+		time.AfterFunc(untilStop/2, func() { r.StopAt(time.Now().Add(untilStop/2), time.Now()) })
+		began := time.Now()
+		got := r.call(http.MethodPost, "/x", "1")
+		if got.err != nil || got.status != want || time.Since(began) > 2*untilStop {
+			t.Errorf("%s: %d %v after %s, want %d", kind, got.status, got.err, time.Since(began), want)
+		}
+	}
+}
+
+// Guards against a request that waits for a server when a stop begins and is sent then, although
+// the process may not live to answer it.
+func TestWaitingRequestIsRefusedAtAStop(t *testing.T) {
 	a := newServer(t, "a", respond(200, "answer"))
 	r := newHarness(t, topology.Route{Kind: topology.NonIdempotent, MaxAttempts: 1}, a)
-	r.StopAt(time.Now().Add(2 * time.Second))
-	got := r.call(http.MethodPost, "/x", "1")
-	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || len(a.requests()) > 0 {
-		t.Errorf("allowed 5 s: %d, Retry-After %q, %d requests to the server", got.status, got.header.Get("Retry-After"), len(a.requests()))
-	}
-	if got := r.call(http.MethodPost, "/x", "1", "Wait", "1000"); got.status != http.StatusOK {
-		t.Errorf("allowed 1 s: %d", got.status)
+	r.Chooser.Announcements.ObservePause(time.Now(), a.Server, 200*time.Millisecond, "q")
+	time.AfterFunc(50*time.Millisecond, func() { r.StopAt(time.Now().Add(2*time.Second), time.Now().Add(time.Second)) })
+	if got := r.call(http.MethodPost, "/x", "1"); got.status != http.StatusServiceUnavailable || len(a.requests()) > 0 {
+		t.Errorf("status %d, %d requests to the server", got.status, len(a.requests()))
 	}
 }
--- a/daemon/gateway/admission.go
+++ b/daemon/gateway/admission.go
@@ -192,6 +192,11 @@
 	if err := g.refreshCandidates(x); err != nil {
 		return err
 	}
+	if len(x.servers) == 0 {
+		if err := g.stop.refuse(time.Now(), x.route, x.deadline); err != nil {
+			return err
+		}
+	}
 	if !x.trial && g.Quarantine.Holds(x.parts) {
 		return result.Quarantined.With("since the request came")
 	}
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -72,6 +72,9 @@
 func (g *Gateway) dispatch(x *requestState) *result.Error {
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
 	defer cancel()
+	ctx, interrupt := context.WithCancelCause(ctx)
+	defer interrupt(nil)
+	defer context.AfterFunc(g.stop.unanswered, func() { interrupt(errStopping) })()
 	x.excluded = make(map[string]bool)
 	g.chooseFirstModel(x)
 	err := dispatch.Run(ctx, &x.dispatch, directSender{gateway: g, requestState: x})
@@ -278,6 +281,9 @@
 	case a.callerGone():
 		a.outcome = selection.Cancelled
 		return result.CallerGone.With("")
+	case errors.Is(context.Cause(ctx), errStopping):
+		a.outcome = selection.Cancelled
+		return interruptedByStop(a.route)
 	case errors.Is(context.Cause(ctx), errSilent):
 		a.outcome = selection.Unreachable
 		return result.StreamBroken.With("silent")
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -96,8 +95,7 @@
 	// kinds and result codes are fixed lists.
 	metrics *metrics.Set
 	filters []filter
-	// stopAt is when the process stops, as Unix time in nanoseconds; 0 while it goes on.
-	stopAt          atomic.Int64
+	stop            *stop
 	logLimit        logLimiter
 	loadProblems    loadProblems
 	pendingFailures pendingFailures
@@ -108,17 +106,13 @@
 	g := &Gateway{
 		Config: cfg, Chooser: selection.New(), Pool: upstream.NewPool(),
 		Crashes: &quarantine.Recorder{}, Quarantine: &quarantine.List{},
-		budgets: make(map[string]*limit.RetryBudget), metrics: metrics.NewSet(),
+		budgets: make(map[string]*limit.RetryBudget), metrics: metrics.NewSet(), stop: newStop(),
 	}
 	g.Chooser.Policy = cfg.ServerPolicy
 	g.filters = []filter{g.match, g.authenticate, g.readBody, g.chooseService, g.checkQuarantine, g.dispatch}
 	return g
 }
 
-// StopAt tells the gateway when the process stops. From now on it refuses requests that
-// may last longer.
-func (g *Gateway) StopAt(at time.Time) { g.stopAt.Store(at.UnixNano()) }
-
 // filter is one step of the request path; an error ends the path.
 type filter func(x *requestState) *result.Error
 
@@ -215,11 +209,8 @@
 		timeout = min(timeout, x.call.Timeout)
 	}
 	x.deadline = x.startedAt.Add(timeout)
-	if at := g.stopAt.Load(); at != 0 && x.deadline.UnixNano() > at {
-		return result.ShuttingDown.With("the request may last longer than this process")
-	}
 	x.urgency = x.route.Urgency
-	return nil
+	return g.stop.refuse(x.startedAt, x.route, x.deadline)
 }
 
 // requestHeadSize returns the size of the request line and the headers as sent over
