edge, platform: odd entries of another writer end no process and hide no server

Cause: entries were decoded without a look at their values. A quarantine record with a negative number of trials is a negative shift, which panics at each start for as long as the record is there. A port out of range, negative slots and a start in the year 292 million were accepted; a cold time of 31 years kept a server cold after its entry was right again, because the latest end counts. An entry that could not be read any more left the one before in use for ever. The tokens of an absurd rate limit were converted to an integer out of range, whose result differs between processors.

--- a/Makefile
+++ b/Makefile
@@ -21,11 +21,15 @@
 # Each fuzz target runs on FUZZ_TIME fresh inputs, or for that time. At the end of a time Go's
 # fuzzing engine now and then fails with "context deadline exceeded", whatever the target is.
 FUZZ_TIME ?= 400000x
-# A check of a configuration takes some hundred times as long as a read of a response.
+# A check of a configuration, or a message to an edge process, takes some hundred times as long
+# as a read of a response.
 CHECK_FUZZ_TIME ?= 20000x
 fuzz:
 	cd daemon && $(GO) test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZ_TIME) ./upstream
 	cd daemon && $(GO) test -run '^$$' -fuzz FuzzEventReader -fuzztime $(FUZZ_TIME) ./gateway
+	cd daemon && $(GO) test -run '^$$' -fuzz FuzzStoreEntries -fuzztime $(CHECK_FUZZ_TIME) ./edge
+	cd daemon && $(GO) test -run '^$$' -fuzz FuzzExchange -fuzztime $(CHECK_FUZZ_TIME) ./edge
+	cd platform && $(GO) test -run '^$$' -fuzz FuzzServerEntry -fuzztime $(FUZZ_TIME) .
 	@# With the default of 60 s for each input, minimization takes most of the time.
 	cd daemon && $(GO) test -run '^$$' -fuzz FuzzCheck -fuzztime $(CHECK_FUZZ_TIME) -fuzzminimizetime 50x ./ctl
 
--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -28,6 +28,10 @@
 	coldMargin = time.Second
 	// defaultColdStart is the cold period of servers whose service is not configured yet.
 	defaultColdStart = 4 * time.Second
+	// maxColdFactor times the cold start time of its service is the longest cold period that a
+	// server may state, and maxUnconfiguredCold the same for a service without one.
+	maxColdFactor       = 2
+	maxUnconfiguredCold = time.Minute
 	// changeQueueSize is the number of batches that may wait for the control loop.
 	changeQueueSize = 256
 )
@@ -446,6 +450,7 @@
 func (c *controller) mergeServer(server *topology.Server, err error, e kv.Entry, restored bool) {
 	if err != nil {
 		c.edge.log.Warn().Err(err).Str("key", e.Key).Msg("failed to decode backend server entry; skipping it")
+		c.doubtServer(e.Key, time.Now())
 		return
 	}
 	old := c.servers[server.ID]
@@ -463,13 +468,22 @@
 	delete(c.restored.removedAt, server.ID)
 }
 
+// doubtServer removes a known server whose entry can't be used any more, unless it writes a usable
+// one as soon as a live server would whose entry has expired.
+func (c *controller) doubtServer(key string, now time.Time) {
+	id, _ := c.edge.settings.Decoder.ServerID(key)
+	if s := c.servers[id]; s != nil && s.removeAfter.IsZero() {
+		s.removeAfter = now.Add(reregistrationGrace)
+	}
+}
+
 // coldUntil returns the end of the cold period of a backend server. The period that
 // the server reports applies, and also the cold start time of its service if this
 // process has seen the server start.
 func (c *controller) coldUntil(server *topology.Server, old *serverState, now time.Time) time.Time {
 	until := time.Time{}
 	if server.ColdFor > 0 {
-		until = now.Add(server.ColdFor + coldMargin)
+		until = now.Add(min(server.ColdFor, c.maxCold(server.Service)) + coldMargin)
 	}
 	started := old == nil && c.initialized || old != nil && old.StartedMS != server.StartedMS
 	if started {
@@ -481,6 +495,15 @@
 	return until
 }
 
+// maxCold returns the longest cold period that a server of a service may state. An absurd one must
+// not keep the server cold after its entry is right again.
+func (c *controller) maxCold(service string) time.Duration {
+	if c.config == nil || c.config.Services[service] == nil || c.config.Services[service].ColdStart <= 0 {
+		return maxUnconfiguredCold
+	}
+	return maxColdFactor * c.config.Services[service].ColdStart
+}
+
 // coldStart returns the cold start time of a service plus a margin.
 func (c *controller) coldStart(service string) time.Duration {
 	if c.config == nil || c.config.Services[service] == nil {
--- a/daemon/edge/rollouts.go
+++ b/daemon/edge/rollouts.go
@@ -187,7 +187,11 @@
 	s.stateRevision = 0
 	if !change.Deleted {
 		s.stateRevision = change.Revision
-		if err := json.Unmarshal(change.Value, &state); err != nil {
+		err := json.Unmarshal(change.Value, &state)
+		if err == nil && !state.Phase.Known() {
+			err = fmt.Errorf("phase %q is not known", state.Phase)
+		}
+		if err != nil {
 			r.edge.log.Error().Err(err).Str("key", change.Key).Msg("failed to decode rollout state")
 			return
 		}
--- a/daemon/edge/routers.go
+++ b/daemon/edge/routers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sort"
 	"strings"
@@ -114,8 +115,13 @@
 		}
 		delete(r.registered, name)
 	} else {
+		member, ok := decodeMember(name, change.Value)
+		if !ok {
+			r.edge.log.Error().Str("key", change.Key).Msg("failed to decode router entry; skipping it")
+			return true
+		}
 		delete(r.expired, name)
-		r.registered[name] = decodeMember(name, change.Value)
+		r.registered[name] = member
 	}
 	r.edge.log.Info().Str("router", name).Bool("present", !change.Deleted).Int("known", len(r.registered)).Msg("router membership changed")
 	return true
@@ -282,12 +288,13 @@
 
 // decodeMember decodes a router's entry. Older releases write the address alone; such a
 // router counts for the limits and is no reader, because its data centre is unknown.
-func decodeMember(name string, value []byte) relay.Member {
+func decodeMember(name string, value []byte) (member relay.Member, ok bool) {
 	var body memberBody
 	if err := json.Unmarshal(value, &body); err != nil {
-		return relay.Member{Name: name, Address: string(value)}
+		body = memberBody{Address: string(value)}
 	}
-	return relay.Member{Name: name, Address: body.Address, DataCentre: body.DataCentre, Cores: body.Cores}
+	_, _, err := net.SplitHostPort(body.Address)
+	return relay.Member{Name: name, Address: body.Address, DataCentre: body.DataCentre, Cores: body.Cores}, err == nil
 }
 
 // storeRestored tells that the store has come back from a copy that may lack this router's
--- a/daemon/quarantine/list.go
+++ b/daemon/quarantine/list.go
@@ -32,7 +32,10 @@
 }
 
 // Hold returns the time from the writing of the record to the next trial.
-func (r Record) Hold() time.Duration { return min(maxHold, firstHold<<min(r.Trials, 8)) }
+func (r Record) Hold() time.Duration {
+	const maxDoublings = 8
+	return min(maxHold, firstHold<<max(0, min(r.Trials, maxDoublings)))
+}
 
 // Verdict is what may be done with a request.
 type Verdict uint8
--- a/daemon/rollout/rollout.go
+++ b/daemon/rollout/rollout.go
@@ -118,6 +118,9 @@
 	return s.Phase.rank() < other.Phase.rank()
 }
 
+// Known reports whether the phase is one of this package.
+func (p Phase) Known() bool { return p.rank() > 0 }
+
 // rank orders the phases; the final ones are equal.
 func (p Phase) rank() int {
 	switch p {
--- a/daemon/serverlimit/bank.go
+++ b/daemon/serverlimit/bank.go
@@ -87,7 +87,7 @@
 		s.observed = c.Observed
 	}
 	s.fill(now, share, c.Returned)
-	n := min(c.Wanted, int(s.tokens))
+	n := int(min(float64(c.Wanted), s.tokens))
 	s.tokens -= float64(n)
 	return n
 }
