edge: a wrong announcement does not end the use of a server

Cause: a server that announces that it leaves, and goes on, gets no requests for 10 min; if all servers of a service do so by mistake, the service ends.

Change: two routers ask a server for its health once its departure is 10 s old while its entry says that it is available. If it answers that it is well, without the announcement, the departure is withdrawn, and the exchange tells the other routers.

Evidence: TestWrongDepartureIsWithdrawn: a server that stays is used again by both routers within 5 s of the time at which the check is due, one that goes on announcing is not. No check is made while no server announces anything.

--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -71,6 +71,8 @@
 	routers     *routers
 	quarantines *quarantines
 	lastPrune   time.Time
+	// departureChecks are the health checks of servers that have announced that they leave.
+	departureChecks departureChecks
 	// mergedEra is the store's era of the merged changes. All revisions that the control loop
 	// keeps are of this era, because the first changes of an era cover all keys.
 	mergedEra uint64
@@ -314,6 +316,7 @@
 	if now.Sub(c.lastPrune) > pruneInterval {
 		c.lastPrune = now
 		c.prune(now)
+		c.checkDepartures(ctx, now)
 	}
 }
 
--- a/daemon/edge/departures_test.go
+++ b/daemon/edge/departures_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -122,3 +124,27 @@
 		}
 	}
 }
+
+// Guards against a service that ends because its servers announce wrongly that they leave, and
+// against a server that is used again although it goes on saying so.
+func TestWrongDepartureIsWithdrawn(t *testing.T) {
+	store := newMemoryStore()
+	store.put("config", testConfig{1})
+	var leaving sync.Map
+	fleet := &engines{t: t, store: store, handler: func(id string, w http.ResponseWriter, r *http.Request) {
+		if _, ok := leaving.Load(id); ok {
+			w.Header().Set("Leaving", "1")
+		}
+	}}
+	fleet.start()
+	fleet.start()
+	edges := []*testEdge{startEngineEdge(t, store, "r1"), startEngineEdge(t, store, "r2")}
+	usable(t, edges, waitTimeout, "e1 e2")
+	leaving.Store("e2", true)
+	for _, server := range edges[0].view.Load().Servers["svc"] {
+		edges[0].gateway.Chooser.Announcements.ObserveDeparture(time.Now().Add(-departureDoubt), server, "q1")
+	}
+	usable(t, edges[:1], 2*time.Second, "")
+	usable(t, edges, 2*pruneInterval+time.Second, "e1")
+	never(t, pruneInterval, "e2 is used", func() bool { return edges[0].usableServers() != "e1" })
+}
--- a/daemon/edge/engines_test.go
+++ b/daemon/edge/engines_test.go
@@ -46,6 +46,10 @@
 	return gateway.ResponseInfo{Sealed: true, Confidence: -1, EventStream: h.Get("Content-Type") == "text/event-stream", RateLimit: limit}
 }
 
+func (engineCodec) Stays(_ string, status int, h http.Header) bool {
+	return status == http.StatusOK && h.Get("Leaving") == ""
+}
+
 func (engineCodec) ResponseHeader(_ *gateway.Call, h http.Header) http.Header { return h.Clone() }
 
 func (engineCodec) ErrorHeader(_ *gateway.Call, retryAfter time.Duration) http.Header {
@@ -66,7 +70,7 @@
 		}
 	}
 	routes := []*topology.Route{route("/", topology.Stream), route("/book/", topology.NonIdempotent), route("/check/", topology.Idempotent)}
-	return topology.NewConfig(1, routes, []*topology.Service{{Name: "svc"}}, nil, topology.Limits{}), true, nil
+	return topology.NewConfig(1, routes, []*topology.Service{{Name: "svc", HealthPath: "/healthz"}}, nil, topology.Limits{}), true, nil
 }
 
 func (engineDecoder) Server(e kv.Entry) (*topology.Server, bool, error) {
--- a/daemon/gateway/codec.go
+++ b/daemon/gateway/codec.go
@@ -117,6 +117,9 @@
 	Owner(call *Call, header http.Header) upstream.Owner
 	// ParseResponse reads the status and headers of a response.
 	ParseResponse(status int, header http.Header) ResponseInfo
+	// Stays reports whether the response to a health check states that the backend server with
+	// the ID answered it, is healthy and does not leave.
+	Stays(serverID string, status int, header http.Header) bool
 	// ResponseHeader returns the headers that a backend server's response has towards
 	// the caller.
 	ResponseHeader(call *Call, header http.Header) http.Header
--- a/daemon/gateway/harness_test.go
+++ b/daemon/gateway/harness_test.go
@@ -65,6 +65,8 @@
 	}
 }
 
+func (testCodec) Stays(string, int, http.Header) bool { return false }
+
 func (testCodec) ResponseHeader(_ *Call, h http.Header) http.Header {
 	out := http.Header{"Mark": h["Mark"]}
 	out.Set("Content-Type", h.Get("Content-Type"))
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -84,6 +84,8 @@
 	ColdRateLimit float64 `json:"ColdPerSecond"`
 	// ColdStart is how long a backend server is cold after its start.
 	ColdStart time.Duration
+	// HealthPath is the path of the servers' health check; empty if there is none.
+	HealthPath string `json:",omitempty"`
 	// EventTokens is the number of tokens in an event of a stream; 0 when unknown.
 	EventTokens int
 	// Autoscaling is nil for a service whose number of servers is not changed.
