--- a/daemon/edge/departures.go
+++ b/daemon/edge/departures.go
@@ -98,10 +98,3 @@
 	}
 	return list
 }
-
-// leaving reports whether a server takes no further requests, by its entry or by what it has
-// announced.
-func (c *controller) leaving(s *serverState) bool {
-	announced := c.edge.gateway.Chooser.Announcements.Of(s.ID)
-	return s.Draining || announced.Leaving(s.Server)
-}
--- a/daemon/edge/odd_entries_test.go
+++ b/daemon/edge/odd_entries_test.go
@@ -66,8 +66,10 @@
 		e := New(&Settings{VM: "r1", PeerAddress: "127.0.0.1:1", Store: &storeClient{store: store}, Decoder: testDecoder{}, ExposureShare: 0.15}, Reload{}, zerolog.Nop())
 		now := time.Now()
 		for revision, entry := range []kv.Entry{
-			{Key: "config", Value: []byte(`{"Version":1}`)}, {Key: "servers/a", Value: []byte(`{"Service":"svc"}`)},
-			{Key: "order/svc", Value: []byte(`{"Target":"v2","Duration":9000000000}`)}, {Key: keys[int(key)%len(keys)], Value: value},
+			{Key: "config", Value: []byte(`{"Version":1}`)},
+			{Key: "servers/a", Value: []byte(`{"Service":"svc"}`)},
+			{Key: "order/svc", Value: []byte(`{"Target":"v2","Duration":9000000000}`)},
+			{Key: keys[int(key)%len(keys)], Value: value},
 		} {
 			entry.Revision = kv.Revision(revision + 1)
 			e.controller.mergeBatch(changeBatch{changes: []mirror.Change{{Entry: entry}}, receivedAt: now})
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -93,8 +93,8 @@
 	budgets map[string]*limit.RetryBudget
 	// metrics counts requests by kind and outcome. The number of series is bounded:
 	// kinds and result codes are fixed lists.
-	metrics *metrics.Set
-	filters []filter
+	metrics         *metrics.Set
+	filters         []filter
 	stop            *stop
 	logLimit        logLimiter
 	loadProblems    loadProblems
--- a/daemon/gateway/quarantine.go
+++ b/daemon/gateway/quarantine.go
@@ -55,6 +55,9 @@
 // wholeRequest returns the part that stands for the request as a whole.
 func (x *requestState) wholeRequest() quarantine.Part { return x.parts[len(x.parts)-1] }
 
+// wholeRequestOnly returns the list of that part alone.
+func (x *requestState) wholeRequestOnly() []quarantine.Part { return x.parts[len(x.parts)-1:] }
+
 // observeCrash records the end of an attempt as evidence on the parts of its prompt.
 func (g *Gateway) observeCrash(a *attempt) {
 	now := time.Now()
@@ -76,7 +79,7 @@
 		g.observeSound(a)
 	}
 	g.Crashes.RecordAnswered(time.Now(), a.wholeRequest())
-	g.Quarantine.RecordSound(a.parts[len(a.parts)-1:])
+	g.Quarantine.RecordSound(a.wholeRequestOnly())
 }
 
 // accused returns the parts that may have crashed the attempt's server: always the request as a
@@ -85,7 +88,7 @@
 	if !a.sound && !a.begunAt.IsZero() && now.Sub(a.begunAt) <= quarantine.GuiltWindow {
 		return a.parts
 	}
-	return a.parts[len(a.parts)-1:]
+	return a.wholeRequestOnly()
 }
 
 // partNames returns the parts as log lines name them.
--- a/daemon/selection/peers.go
+++ b/daemon/selection/peers.go
@@ -125,8 +125,8 @@
 }
 
 // Backlog returns the mean time per server to process the prompts that all routers
-// have sent and whose first byte has not arrived. Servers whose rate limit allows no
-// request are no capacity and left out.
+// have sent and whose first byte has not arrived. Servers that pause, or whose rate limit allows no
+// request, are no capacity and left out.
 func (c *Chooser) Backlog(now time.Time, servers []*topology.Server, routers int) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -134,7 +134,7 @@
 	var sum time.Duration
 	open := 0
 	for _, server := range servers {
-		if c.Limits.State(now, server.ID) == serverlimit.Closed {
+		if c.Limits.State(now, server.ID) == serverlimit.Closed || c.Announcements.Of(server.ID).PausedFor(now, server) > 0 {
 			continue
 		}
 		open++
