availability, selection: reasons counted in an array; one age of departures

Cause: reading the diff: an iterator and a map for seven fixed reasons, the same ten minutes as two constants, and a state that was taken for "not leaving" if the request that heard the announcement had no ID. Change: an array by reason, DepartureTTL for memory and exchange, a field leaving in the state.

--- a/daemon/availability/announcements.go
+++ b/daemon/availability/announcements.go
@@ -19,10 +19,10 @@
 	// maxPauseJitter the same as a time. The routers must not all come back at once.
 	pauseJitter    = 0.1
 	maxPauseJitter = time.Second
-	// departureTTL is how long a departure is remembered that no answer and no router confirms.
+	// DepartureTTL is how long a departure is remembered that no answer and no router confirms.
 	// It exceeds the time for which a server goes on after its announcement, and the age of the
 	// copies from which a store is restored.
-	departureTTL = 10 * time.Minute
+	DepartureTTL = 10 * time.Minute
 	// refreshInterval is the time between updates of the same announcement.
 	refreshInterval = time.Second
 	// maxAnnouncements bounds the servers whose announcements are remembered.
@@ -245,7 +245,7 @@
 	forgotten := false
 	for id, old := range next {
 		a := *old
-		if a.Departure.Server != "" && now.Sub(a.Departure.HeardAt) > departureTTL {
+		if a.Departure.Server != "" && now.Sub(a.Departure.HeardAt) > DepartureTTL {
 			a.Departure, forgotten = Departure{}, true
 		}
 		if now.Sub(a.Pause.until) > rampTime {
--- a/daemon/availability/availability.go
+++ b/daemon/availability/availability.go
@@ -5,7 +5,6 @@
 package availability
 
 import (
-	"iter"
 	"time"
 
 	"cactusknot.example/coord/limit"
@@ -56,25 +55,15 @@
 	// Avoided: the server has failed. It may get the request if there is no better one.
 	Avoided
 
-	reasonCount
+	// ReasonCount is the number of reasons.
+	ReasonCount
 )
 
-var reasonNames = [reasonCount]string{"available", "leaving", "paused", "resuming", "cold", "limited", "avoided"}
+var reasonNames = [ReasonCount]string{"available", "leaving", "paused", "resuming", "cold", "limited", "avoided"}
 
 // String returns the name that log lines, metrics and the state use.
 func (r Reason) String() string { return reasonNames[r] }
 
-// Reasons yields all reasons in the order in which they are checked.
-func Reasons() iter.Seq[Reason] {
-	return func(yield func(Reason) bool) {
-		for r := range reasonCount {
-			if !yield(r) {
-				return
-			}
-		}
-	}
-}
-
 // Blocks reports whether a server may not get a request for this reason.
 func (r Reason) Blocks() bool { return r != Available && r != Avoided }
 
--- a/daemon/availability/availability_test.go
+++ b/daemon/availability/availability_test.go
@@ -113,7 +113,7 @@
 				m.restart()
 			case "prune":
 				m.announcements.Prune(m.now)
-				if m.now.Sub(m.leavingSince) > departureTTL {
+				if m.now.Sub(m.leavingSince) > DepartureTTL {
 					m.leavingSince = time.Time{}
 				}
 			}
--- a/daemon/edge/departures.go
+++ b/daemon/edge/departures.go
@@ -15,8 +15,6 @@
 	// recentDeparture is the age up to which a departure is part of each exchange. It exceeds the
 	// time between two exchanges of an idle router.
 	recentDeparture = 1200 * time.Millisecond
-	// departureMemory is the age up to which a departure is exchanged.
-	departureMemory = 10 * time.Minute
 	// maxDepartureReceivers bounds the routers of which an aggregator remembers when it has sent
 	// them all departures.
 	maxDepartureReceivers = 2_000
@@ -87,7 +85,7 @@
 func (d *departureExchange) encode(now time.Time, all bool) []*rpc.ServerDeparture {
 	within := recentDeparture
 	if all {
-		within = departureMemory
+		within = availability.DepartureTTL
 	}
 	var list []*rpc.ServerDeparture
 	for _, departure := range d.announcements().Departures(now, within) {
--- a/daemon/edge/state.go
+++ b/daemon/edge/state.go
@@ -94,8 +94,9 @@
 
 // AnnouncedState is what a backend server has announced about itself.
 type AnnouncedState struct {
-	// LeavingSinceMS is the time since the server announced that it leaves, LeavingSource the ID
-	// of the request whose answer did so, or "peer".
+	// Leaving is set if the server has announced that it leaves. LeavingSinceMS is the time since
+	// then, LeavingSource the ID of the request whose answer did so, or "peer".
+	Leaving        bool   `json:"leaving,omitempty"`
 	LeavingSinceMS int64  `json:"leaving_since_ms,omitempty"`
 	LeavingSource  string `json:"leaving_source,omitempty"`
 	// PausedSinceMS is the time since the server asked for a pause, PauseLeftMS the time to its
@@ -204,7 +205,7 @@
 	switch {
 	case s.Draining:
 		state = ServerDraining
-	case announced != nil && announced.LeavingSource != "":
+	case announced != nil && announced.Leaving:
 		state = ServerLeaving
 	case c.evacuations[s.DataCentre]:
 		state = ServerEvacuated
@@ -230,6 +231,7 @@
 	announced := c.edge.gateway.Chooser.Announcements.Of(s.ID)
 	state := &AnnouncedState{}
 	if announced.Leaving(s.Server) {
+		state.Leaving = true
 		state.LeavingSinceMS, state.LeavingSource = now.Sub(announced.Departure.FirstAt).Milliseconds(), announced.Departure.Source
 	}
 	if left := announced.PausedFor(now, s.Server); left > 0 {
--- a/daemon/selection/blocked.go
+++ b/daemon/selection/blocked.go
@@ -26,7 +26,8 @@
 	// tried counts the servers that the request has been sent to, and open those of them that
 	// other requests may be sent to.
 	tried, open int
-	reasons     map[availability.Reason]int
+	// reasons counts the other servers by the reason.
+	reasons [availability.ReasonCount]int
 	// pausedFor is the time until the first pause of a server ends.
 	pausedFor time.Duration
 }
@@ -35,7 +36,7 @@
 func (c *Chooser) Blockage(now time.Time, candidates []*topology.Server, r Request) Blockage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b := Blockage{reasons: make(map[availability.Reason]int)}
+	var b Blockage
 	query := r.query(now)
 	for _, server := range candidates {
 		query.Server, query.Announced, query.Limit = server, c.Announcements.Of(server.ID), c.Limits.State(now, server.ID)
@@ -75,9 +76,9 @@
 // String lists the reasons with the number of servers.
 func (b Blockage) String() string {
 	var list []string
-	for reason := range availability.Reasons() {
-		if n := b.reasons[reason]; n > 0 {
-			list = append(list, fmt.Sprintf("%d %s", n, reason))
+	for reason, n := range b.reasons {
+		if n > 0 {
+			list = append(list, fmt.Sprintf("%d %s", n, availability.Reason(reason)))
 		}
 	}
 	if b.tried > 0 {
