edge: a peer's hold on vanished servers does not outlast the own outage

Cause, traced with the decisions of a failing run: a router in an outage learns from a peer that the store serves it again, and takes over the peer's hold on vanished entries. If the peer has had a later outage of its own, that hold ends later than this router counts as in touch; a removal that arrives then is held to that end.

Change: the hold taken over from a peer ends at the latest when this router may count as in touch.

The tests of holds, restores and readers pass.

--- a/daemon/edge/recovery.go
+++ b/daemon/edge/recovery.go
@@ -205,8 +205,10 @@
 	if c.servedSince.IsZero() || holdSince.Before(c.servedSince) {
 		c.servedSince = holdSince
 	}
-	// The peer's changes may be removals that it still holds back.
-	c.holdUntil = latest(c.holdUntil, c.servedSince.Add(reregistrationGrace))
+	// The peer's changes may be removals that it still holds back. Its hold may be that of a later
+	// outage of its own, which must not extend this router's beyond the time from which it may
+	// count as in touch.
+	c.holdUntil = latest(c.holdUntil, earliest(c.servedSince.Add(reregistrationGrace), c.inTouchAt()))
 }
 
 // followReader takes over what the reader of a follower knows: when the store responded to it,
