edge: the test of a crashed owner takes any successor too

TestUsageOutlivesTheOwner waited for the second of three routers as the successor, like the test of the planned stop. With the test process stopped for 50 to 350 ms at random it failed in 1 of 400 traced runs: the third router had acquired the duty, and the second one got a conflict in the same millisecond. The test now accepts the reports of any router but the crashed one; the count of requests and the checks of the fake API (one sum for each window, one holder for each token) are unchanged.

--- a/daemon/edge/duties_test.go
+++ b/daemon/edge/duties_test.go
@@ -168,7 +168,7 @@
 	edges[0].frozen.Store(true)
 	store.remove(routerPrefix + "r0")
 	store.remove(dutyPrefix + UsageDuty)
-	eventually(t, 3*waitTimeout, "the requests are reported by another router", func() bool { _, holder := api.windows(); return holder == "r1" && api.sum("creche") == 100 })
+	eventually(t, 3*waitTimeout, "the requests are reported by another router", func() bool { _, holder := api.windows(); return holder != "r0" && api.sum("creche") == 100 })
 }
 
 // Guards against a duty that nobody takes up after a restore of the store, and against windows
