--- a/daemon/availability/announcements.go
+++ b/daemon/availability/announcements.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// maxPause bounds a pause, so that an absurd one does not end the use of a server.
-	maxPause = 10 * time.Minute
+	// MaxPause bounds a pause, so that an absurd one does not end the use of a server.
+	MaxPause = 10 * time.Minute
 	// pauseJitter is the largest random extension of a pause as a share of it, and
 	// maxPauseJitter the same as a time. The routers must not all come back at once.
 	pauseJitter    = 0.1
@@ -205,7 +205,7 @@
 // ObservePause records that an answer of the server has asked for no requests for a time. Of two
 // pauses the one that ends later holds. It returns the time for which this router sends none.
 func (t *Announcements) ObservePause(now time.Time, server *topology.Server, pause time.Duration, source string) time.Duration {
-	pause = min(pause, maxPause)
+	pause = min(pause, MaxPause)
 	pause += time.Duration(rand.Float64() * float64(min(time.Duration(pauseJitter*float64(pause)), maxPauseJitter)))
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/daemon/availability/availability_test.go
+++ b/daemon/availability/availability_test.go
@@ -57,7 +57,7 @@
 
 func (m *fleetModel) pause(pause time.Duration) {
 	m.announcements.ObservePause(m.now, m.server, pause, "q")
-	pause = min(pause, maxPause)
+	pause = min(pause, MaxPause)
 	if end := m.now.Add(pause); end.After(m.pausedUntil) {
 		m.pausedUntil = end
 	}
@@ -95,7 +95,7 @@
 					m.answered++
 				}
 			case "pause":
-				m.pause(time.Duration(rapid.Int64Range(1, int64(2*maxPause)).Draw(t, "pause")))
+				m.pause(time.Duration(rapid.Int64Range(1, int64(2*MaxPause)).Draw(t, "pause")))
 			case "depart":
 				m.announcements.ObserveDeparture(m.now, m.server, "q")
 				m.leavingSince = m.now
