agent, router: servers that announce that they leave or pause (agent path)

The agent hears both in all answers of its backend server. Leaving ends admission and the choice by routers until another start of the server, or until 10 s of answers without the header. A pause ends admission until its end and starts the ramp of a cold start anew; routers are told its rest with the agent's state and skip the agent. If all agents of a target pause, callers are refused at once with a Retry-After from the first end. The emulators announce, and the soak has the option -announcements with a check.

--- a/coord/limit/admission.go
+++ b/coord/limit/admission.go
@@ -21,7 +21,7 @@
 	// tokens than its limits.
 	InvariantLimitExceeded invariant.Name = "limit_exceeded"
 	// InvariantLeavingAdmitted: no request is admitted to a backend server that is
-	// leaving or down.
+	// leaving, paused or down.
 	InvariantLeavingAdmitted invariant.Name = "leaving_admitted"
 )
 
@@ -89,6 +89,8 @@
 	Phase Phase
 	// Reason is the reason of the latest cold start.
 	Reason ColdReason
+	// Paused is set in a pause; Limit and Free are those of the ramp after it.
+	Paused bool
 	// Limit is the present request limit: MaxRequests when warm, the ramp limit
 	// when cold, 0 when leaving or down.
 	Limit int
@@ -117,6 +119,7 @@
 	mu         sync.Mutex
 	cfg        AdmissionConfig
 	leaving    bool
+	paused     bool
 	down       bool
 	cold       bool
 	reason     ColdReason
@@ -184,6 +187,8 @@
 		return RefusedDown
 	case a.leaving:
 		return RefusedLeaving
+	case a.paused:
+		return RefusedPaused
 	case a.cold && a.running >= a.rampLimit():
 		return RefusedCold
 	case a.running >= a.cfg.MaxRequests:
@@ -206,8 +211,8 @@
 		a.check.Assert(false, InvariantColdOverload, "%d requests in cold start after %d completions, initial limit %d",
 			a.running, a.rampCompletions, a.cfg.ColdLimit)
 	}
-	if a.leaving || a.down {
-		a.check.Assert(false, InvariantLeavingAdmitted, "leaving=%t down=%t", a.leaving, a.down)
+	if a.leaving || a.paused || a.down {
+		a.check.Assert(false, InvariantLeavingAdmitted, "leaving=%t paused=%t down=%t", a.leaving, a.paused, a.down)
 	}
 }
 
@@ -327,6 +332,18 @@
 	a.leaving = leaving
 }
 
+// SetPaused starts or ends a pause that the backend server has asked for. It starts the ramp
+// anew at both times: the server was short of resources, and the requests that end in the pause do
+// not show that it takes new ones.
+func (a *Admission) SetPaused(paused bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.paused != paused {
+		a.enterCold(ColdPaused)
+	}
+	a.paused = paused
+}
+
 // SetDown records whether the backend server is down. One that comes up again starts
 // cold.
 func (a *Admission) SetDown(down bool) {
@@ -373,6 +390,7 @@
 	s := AdmissionState{
 		Phase:         a.phase(),
 		Reason:        a.reason,
+		Paused:        a.paused,
 		Running:       a.running,
 		Tokens:        a.tokens,
 		FirstToken:    time.Duration(a.detector.firstToken),
--- a/coord/limit/admission_test.go
+++ b/coord/limit/admission_test.go
@@ -195,6 +195,7 @@
 				held = held[1:]
 			},
 			"leave": func(t *rapid.T) { a.SetLeaving(rapid.Bool().Draw(t, "leaving")) },
+			"pause": func(t *rapid.T) { a.SetPaused(rapid.Bool().Draw(t, "paused")) },
 			"down":  func(t *rapid.T) { a.SetDown(rapid.Bool().Draw(t, "down")) },
 			"cold":  func(*rapid.T) { a.ReportColdStart(ColdRestarted) },
 			"limits": func(t *rapid.T) {
@@ -227,6 +228,7 @@
 		{InvariantColdOverload, func(a *Admission) { a.ramp = 16 }, DefaultColdLimit + 1},
 		{InvariantLimitExceeded, func(a *Admission) { a.cold = false; a.refusalFunc = always }, testLimits.MaxRequests + 1},
 		{InvariantLeavingAdmitted, func(a *Admission) { a.leaving = true; a.refusalFunc = always }, 1},
+		{InvariantLeavingAdmitted, func(a *Admission) { a.paused = true; a.refusalFunc = always }, 1},
 	} {
 		a, check := newTestAdmission(t, testLimits)
 		tc.inject(a)
--- a/coord/limit/phase.go
+++ b/coord/limit/phase.go
@@ -46,6 +46,8 @@
 	RefusedCold
 	// RefusedLeaving: the backend server is leaving.
 	RefusedLeaving
+	// RefusedPaused: the backend server has asked for no requests for a time.
+	RefusedPaused
 	// RefusedDown: the backend server is down.
 	RefusedDown
 )
@@ -63,6 +65,8 @@
 		return "cold"
 	case RefusedLeaving:
 		return "leaving"
+	case RefusedPaused:
+		return "paused"
 	case RefusedDown:
 		return "down"
 	}
@@ -78,6 +82,8 @@
 	ColdStarted ColdReason = "started"
 	// ColdReturned: the backend server returned after leaving or being down.
 	ColdReturned ColdReason = "returned"
+	// ColdPaused: the backend server has asked for a pause.
+	ColdPaused ColdReason = "paused"
 	// ColdFirstToken: the time to first token rose far above its baseline.
 	ColdFirstToken ColdReason = "first_token"
 	// ColdCacheLost: prefixes expected in the cache were missing, or the cache events
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -33,6 +33,7 @@
 	admission       *limit.Admission
 	records         *idempotency.Records
 	charges         *ledger.Queue
+	announced       announcements
 	view            atomic.Pointer[view]
 	sequence        atomic.Uint64
 	publishRequests chan struct{}
@@ -51,10 +52,10 @@
 	a := &Agent{
 		Node:            common,
 		settings:        settings,
-		backend:         newBackend(settings.Backend),
 		incarnation:     idempotency.NewIncarnation(settings.VM, node.NewRand()),
 		publishRequests: make(chan struct{}, 1),
 	}
+	a.backend = newBackend(settings.Backend, a.observeResponse)
 	a.admission, err = limit.NewAdmission(limit.AdmissionConfig{
 		MaxRequests: settings.Backend.MaxConcurrent,
 		MaxTokens:   settings.Backend.MaxQueuedTokens,
@@ -179,6 +180,9 @@
 	if a.stopping.Load() {
 		return "the agent is stopping"
 	}
+	if a.announcedLeaving() {
+		return "the backend server has announced that it leaves"
+	}
 	if p := a.Directory.Processes().Find(a.settings.VM); p != nil && p.Leaving {
 		return "the VM is leaving by the VM list"
 	}
@@ -191,6 +195,7 @@
 // state returns the state of the backend server that routers use for balancing.
 func (a *Agent) state() *rpc.AgentState {
 	v := a.view.Load()
+	pausedFor := a.pausedFor()
 	now := a.admission.State()
 	return &rpc.AgentState{
 		Vm:              a.settings.VM,
@@ -206,9 +211,15 @@
 		TokenIntervalUs: uint32(now.TokenInterval / time.Microsecond),
 		Loaded:          v.loadedNames,
 		Service:         a.settings.Backend.Service,
+		PausedMs:        milliseconds(pausedFor),
 	}
 }
 
+// milliseconds returns a time that is not negative in milliseconds, rounded up.
+func milliseconds(d time.Duration) uint32 {
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
+}
+
 func phase(p limit.Phase) rpc.Phase {
 	switch p {
 	case limit.Cold:
@@ -227,6 +238,7 @@
 	a.Metrics.NewGauge("cactusknot_bundle_version", func() float64 { return float64(a.view.Load().version()) })
 	a.Metrics.NewGauge("cactusknot_agent_running_requests", func() float64 { return float64(a.admission.State().Running) })
 	a.Metrics.NewGauge("cactusknot_agent_permit_limit", func() float64 { return float64(a.admission.State().Limit) })
+	a.Metrics.NewGauge("cactusknot_agent_paused_seconds", func() float64 { return a.pausedFor().Seconds() })
 	a.Metrics.NewGauge("cactusknot_agent_cold_starts", func() float64 { return float64(a.admission.State().ColdStarts) })
 	a.Metrics.NewGauge("cactusknot_agent_idempotency_records", func() float64 { return float64(a.records.Stats().Entries) })
 }
--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -72,20 +72,29 @@
 	stallTimeout = 5 * time.Second
 )
 
-func newBackend(settings config.Backend) backend {
+// responseObserver is told the status and the headers of each response of the backend server.
+type responseObserver func(status int, header http.Header)
+
+func newBackend(settings config.Backend, observe responseObserver) backend {
 	if settings.Kind == config.BackendService {
-		return newService(settings)
+		return newService(settings, observe)
 	}
-	return newEngine(settings)
+	return newEngine(settings, observe)
+}
+
+// backendClient sends requests to the backend server.
+type backendClient struct {
+	http    *http.Client
+	observe responseObserver
 }
 
 // newBackendClient returns a client that follows no redirects and uses a connection for
 // one request only. So the transport never retries a request on its own, and bytes that a
 // backend server sends late are not taken for the next response. A backend server is on the
 // agent's own VM, where a connection costs little.
-func newBackendClient() *http.Client {
+func newBackendClient(observe responseObserver) *backendClient {
 	dialer := &net.Dialer{Timeout: backendDialTimeout}
-	return &http.Client{
+	return &backendClient{observe: observe, http: &http.Client{
 		Transport: &http.Transport{
 			DialContext:            dialer.DialContext,
 			DisableKeepAlives:      true,
@@ -93,12 +102,12 @@
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	}}
 }
 
 // call sends one HTTP request. The error of a failed call says whether any byte
 // of the request can have reached the backend server.
-func call(ctx context.Context, client *http.Client, method, url, contentType string, body []byte) (*http.Response, *result.Error) {
+func (c *backendClient) call(ctx context.Context, method, url, contentType string, body []byte) (*http.Response, *result.Error) {
 	var connected atomic.Bool
 	tracing := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -111,8 +120,9 @@
 	if contentType != "" {
 		request.Header.Set("Content-Type", contentType)
 	}
-	response, err := client.Do(request)
+	response, err := c.http.Do(request)
 	if err == nil {
+		c.observe(response.StatusCode, response.Header)
 		return response, nil
 	}
 	if !connected.Load() {
--- a/daemon/agent/background.go
+++ b/daemon/agent/background.go
@@ -59,6 +59,7 @@
 	if last.epoch != 0 && report.epoch != last.epoch {
 		a.Log.Info().Uint64("epoch", report.epoch).Msg("backend server restarted")
 		a.backend.clearPrefixes()
+		a.forgetAnnouncements()
 		a.admission.ReportColdStart(limit.ColdRestarted)
 	}
 	if len(report.loaded) != len(last.loaded) || !sameNames(report.loaded, last.loaded) {
--- a/daemon/agent/dispatch_test.go
+++ b/daemon/agent/dispatch_test.go
@@ -144,7 +144,7 @@
 		maxExtra bool
 	}{
 		{"as built", func(*plainService) {}, 3, false},
-		{"defect: connections are kept", func(s *plainService) { s.client.Transport.(*http.Transport).DisableKeepAlives = false }, 3, true},
+		{"defect: connections are kept", func(s *plainService) { s.client.http.Transport.(*http.Transport).DisableKeepAlives = false }, 3, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			server := newFaultyServer(t, resetSecond)
--- a/daemon/agent/engine.go
+++ b/daemon/agent/engine.go
@@ -35,15 +35,15 @@
 // engine is the backend for a model engine.
 type engine struct {
 	settings config.Backend
-	client   *http.Client
+	client   *backendClient
 	versions atomic.Pointer[[]string]
 	cached   prefixCache
 	// now returns the current time.
 	now func() time.Time
 }
 
-func newEngine(settings config.Backend) *engine {
-	return &engine{settings: settings, client: newBackendClient(), now: time.Now}
+func newEngine(settings config.Backend, observe responseObserver) *engine {
+	return &engine{settings: settings, client: newBackendClient(observe), now: time.Now}
 }
 
 func (g *engine) loaded() []string {
@@ -64,7 +64,7 @@
 }
 
 func (g *engine) probe(ctx context.Context) (probeReport, error) {
-	response, refusal := call(ctx, g.client, http.MethodGet, g.settings.URL+"/load", "", nil)
+	response, refusal := g.client.call(ctx, http.MethodGet, g.settings.URL+"/load", "", nil)
 	if refusal != nil {
 		return probeReport{}, refusal
 	}
@@ -83,7 +83,7 @@
 	if err != nil {
 		return reply{err: result.BadRequest.With("%v", err)}
 	}
-	response, refusal := call(ctx, g.client, http.MethodPost, g.settings.URL+"/v1/chat/completions", "application/json", body)
+	response, refusal := g.client.call(ctx, http.MethodPost, g.settings.URL+"/v1/chat/completions", "application/json", body)
 	if refusal != nil {
 		return reply{err: refusal}
 	}
@@ -241,7 +241,7 @@
 	if err != nil {
 		return err
 	}
-	response, refusal := call(ctx, g.client, http.MethodPost, g.settings.URL+"/orders", "application/json", body)
+	response, refusal := g.client.call(ctx, http.MethodPost, g.settings.URL+"/orders", "application/json", body)
 	if refusal != nil {
 		return refusal
 	}
--- a/daemon/agent/engine_test.go
+++ b/daemon/agent/engine_test.go
@@ -25,7 +25,7 @@
 	} {
 		f.Add(body)
 	}
-	g := newEngine(config.Backend{})
+	g := newEngine(config.Backend{}, nil)
 	f.Fuzz(func(t *testing.T, body string) {
 		chunks, firsts := 0, 0
 		r := g.relayStream(t.Context(), &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body))}, sink{
--- a/daemon/agent/execute.go
+++ b/daemon/agent/execute.go
@@ -115,10 +115,13 @@
 	if !e.agent.charges.Reserve() {
 		return result.LedgerFull.With("")
 	}
+	pausedFor := e.agent.pausedFor() // ends a pause whose time has come
 	permit, refusal := e.agent.admission.Admit(int(e.in.GetPromptTokens()) + int(e.in.GetMaxTokens()))
 	if refusal != limit.NotRefused {
 		e.agent.charges.Release()
-		return refusalCode(refusal).With("%s", refusal)
+		err := refusalCode(refusal).With("%s", refusal)
+		err.RetryAfter = pausedFor
+		return err
 	}
 	e.permit = permit
 	return nil
@@ -130,6 +133,8 @@
 		return result.AgentCold
 	case limit.RefusedLeaving:
 		return result.AgentLeaving
+	case limit.RefusedPaused:
+		return result.AgentPaused
 	case limit.RefusedDown:
 		return result.BackendDown
 	default:
@@ -335,9 +340,10 @@
 func (e *execution) refuse(err *result.Error) {
 	e.agent.logRefusal(e, err)
 	e.out.send(&rpc.ExecuteEvent{Event: &rpc.ExecuteEvent_Refused{Refused: &rpc.Refused{
-		Code:   uint32(err.Code.Number),
-		Reason: err.Detail,
-		State:  e.agent.state(),
+		Code:         uint32(err.Code.Number),
+		Reason:       err.Detail,
+		State:        e.agent.state(),
+		RetryAfterMs: milliseconds(err.RetryAfter),
 	}}})
 }
 
--- a/daemon/agent/idempotency_test.go
+++ b/daemon/agent/idempotency_test.go
@@ -205,7 +205,7 @@
 	random := rand.New(rand.NewPCG(seed, 1))
 	server := newHealthyServer(t)
 	r := newHarness(t, config.BackendService, server.url, func(s *config.Agent) { s.LedgerLines = 3 * requests })
-	working, dead := r.backend, newService(config.Backend{URL: closedAddress(t)})
+	working, dead := r.backend, newService(config.Backend{URL: closedAddress(t)}, r.observeResponse)
 	want := make(map[ledger.ID]bool)
 	for n := range requests {
 		r.backend = working
--- a/daemon/agent/placement.go
+++ b/daemon/agent/placement.go
@@ -46,7 +46,7 @@
 	random := node.NewRand()
 	for a.Clock.Sleep(ctx, node.Jitter(random, placeInterval)) == nil {
 		v := a.view.Load()
-		if v.current == nil || v.leaving != "" || v.loadedNames == nil {
+		if v.current == nil || v.leaving != "" || v.loadedNames == nil || a.pausedFor() > 0 {
 			continue
 		}
 		plan := placement.Decide(v.current.Bundle, a.placementEngine(), a.engines(), a.settings.Backend.Models, v.loadedNames)
--- a/daemon/agent/service.go
+++ b/daemon/agent/service.go
@@ -19,11 +19,11 @@
 // plainService is the backend for a plain HTTP service.
 type plainService struct {
 	settings config.Backend
-	client   *http.Client
+	client   *backendClient
 }
 
-func newService(settings config.Backend) *plainService {
-	return &plainService{settings: settings, client: newBackendClient()}
+func newService(settings config.Backend, observe responseObserver) *plainService {
+	return &plainService{settings: settings, client: newBackendClient(observe)}
 }
 
 func (s *plainService) loaded() []string { return nil }
@@ -34,7 +34,7 @@
 
 // probe checks that the service accepts connections.
 func (s *plainService) probe(ctx context.Context) (probeReport, error) {
-	response, refusal := call(ctx, s.client, http.MethodGet, s.settings.URL+"/", "", nil)
+	response, refusal := s.client.call(ctx, http.MethodGet, s.settings.URL+"/", "", nil)
 	if refusal != nil {
 		return probeReport{}, refusal
 	}
@@ -46,7 +46,7 @@
 	if err != nil {
 		return reply{err: result.BadRequest.With("%v", err)}
 	}
-	response, refusal := call(ctx, s.client, in.GetMethod(), address, in.GetContentType(), in.GetBody())
+	response, refusal := s.client.call(ctx, in.GetMethod(), address, in.GetContentType(), in.GetBody())
 	if refusal != nil {
 		return reply{err: refusal}
 	}
--- a/daemon/balance/agent.go
+++ b/daemon/balance/agent.go
@@ -68,6 +68,8 @@
 	// Suspicion is the level of failuredetector.Detector.SuspicionLevel; from 1 on the
 	// agent is a last resort.
 	Suspicion float64
+	// PausedUntil is the end of a pause that the backend server has asked for.
+	PausedUntil time.Time
 	// InFlight may be nil. InFlightAtReport is its count when the report arrived.
 	InFlight         *InFlightCounter
 	InFlightAtReport int
@@ -86,3 +88,6 @@
 
 // acceptsWork tells whether an agent in the phase may get new requests.
 func acceptsWork(p limit.Phase) bool { return p == limit.Cold || p == limit.Warm }
+
+// paused tells whether the agent's backend server wants no requests now.
+func (a *Agent) paused(now time.Time) bool { return now.Before(a.PausedUntil) }
--- a/daemon/balance/balance_test.go
+++ b/daemon/balance/balance_test.go
@@ -41,14 +41,14 @@
 	return out
 }
 
-// Excluded, leaving and down agents must not get new requests, whatever else is known
+// Excluded, leaving, paused and down agents must not get new requests, whatever else is known
 // of them, and an agent must be returned while one in service remains.
 func TestNeverChoosesOutOfService(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		check := &invariant.Checker{}
 		agents := testAgents(rapid.IntRange(1, 8).Draw(t, "n"))
 		e := Exclusion{VMs: map[string]bool{}, DataCentres: map[string]bool{"dc-1": rapid.Bool().Draw(t, "dc")}}
-		serving := 0
+		serving, paused := 0, 0
 		for i := range agents {
 			a := &agents[i]
 			a.Phase = limit.Phase(rapid.IntRange(0, 4).Draw(t, "phase"))
@@ -58,7 +58,12 @@
 			a.Suspicion = rapid.Float64Range(0, 3).Draw(t, "suspicion")
 			a.Prefixes = []uint64{7}
 			e.VMs[a.VM] = rapid.Bool().Draw(t, "excluded")
-			if acceptsWork(a.Phase) && !e.excludes(a) {
+			a.PausedUntil = testNow.Add(time.Duration(rapid.IntRange(-1, 2).Draw(t, "pause")) * time.Second)
+			switch {
+			case !acceptsWork(a.Phase) || e.excludes(a):
+			case a.paused(testNow):
+				paused++
+			default:
 				serving++
 			}
 		}
@@ -68,9 +73,12 @@
 		if ok != (serving > 0) || check.Total() != 0 {
 			t.Fatalf("chosen %v with %d in service, violations %v", ok, serving, check.Counts())
 		}
-		if ok && (!acceptsWork(a.Phase) || e.excludes(a)) {
+		if ok && (!acceptsWork(a.Phase) || e.excludes(a) || a.paused(testNow)) {
 			t.Fatalf("chose %+v", a)
 		}
+		if left := s.PausedFor(testNow, r.Target); (left > 0) != (serving == 0 && paused > 0) {
+			t.Fatalf("pause of %s with %d in service and %d paused", left, serving, paused)
+		}
 		if got := len(s.Explain(testNow, r)); got != len(agents) {
 			t.Fatalf("%d of %d agents explained", got, len(agents))
 		}
--- a/daemon/balance/choose.go
+++ b/daemon/balance/choose.go
@@ -83,6 +83,28 @@
 	return a, true
 }
 
+// PausedFor returns the time until the first pause among the agents of a target ends. It is 0
+// unless all of them pause.
+func (s *Snapshot) PausedFor(now time.Time, target string) time.Duration {
+	p := s.pools[target]
+	if p == nil {
+		return 0
+	}
+	var first time.Duration
+	for _, from := range [2][]int32{p.near, p.far} {
+		for _, i := range from {
+			left := s.agents[i].PausedUntil.Sub(now)
+			if left <= 0 {
+				return 0
+			}
+			if first == 0 || left < first {
+				first = left
+			}
+		}
+	}
+	return first
+}
+
 // sample returns the cheapest of cfg.Choices random candidates and its cost, or -1 if
 // there is none that was not tried.
 func (s *Snapshot) sample(random *rand.Rand, now time.Time, p *pool, from []int32, r Request) (int32, float64) {
@@ -98,7 +120,7 @@
 			at = (first + 1 + random.IntN(len(from)-1)) % len(from)
 		}
 		i := from[at]
-		if slices.Contains(r.Tried, s.agents[i].VM) {
+		if slices.Contains(r.Tried, s.agents[i].VM) || s.agents[i].paused(now) {
 			continue
 		}
 		if c := s.cost(&s.agents[i], now, p, r); c < cost {
@@ -117,7 +139,7 @@
 		for _, from := range [2][]int32{p.near, p.far} {
 			for _, i := range from {
 				tried := slices.Contains(r.Tried, s.agents[i].VM)
-				if tried != (pass == 1) {
+				if tried != (pass == 1) || s.agents[i].paused(now) {
 					continue
 				}
 				if c := s.cost(&s.agents[i], now, p, r); c < cost {
@@ -147,7 +169,7 @@
 	for n := range min(len(p.near), maxProbes) {
 		i := p.near[(start+n)%len(p.near)]
 		a := &s.agents[i]
-		if _, cached := slices.BinarySearch(a.Prefixes, r.Prefix); !cached {
+		if _, cached := slices.BinarySearch(a.Prefixes, r.Prefix); !cached || a.paused(now) {
 			continue
 		}
 		if c := s.cachedCost(a, now, p, r); c < cost {
--- a/daemon/balance/explain.go
+++ b/daemon/balance/explain.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"cactusknot.example/coord/limit"
 )
 
 // Candidate describes one agent in the decision log.
@@ -10,7 +12,7 @@
 	VM         string
 	DataCentre string
 	// Reason is "candidate", or why the agent can't be chosen or is a last resort:
-	// "excluded", "phase", "not_loaded", "suspected", "tried", "full".
+	// "excluded", "leaving", "phase", "not_loaded", "paused", "suspected", "tried", "full".
 	Reason string
 	// Load is the estimated load with one more request; 1 is full.
 	Load float64
@@ -49,10 +51,14 @@
 	switch {
 	case s.exclusion.excludes(a):
 		return "excluded"
+	case a.Phase == limit.Leaving:
+		return "leaving"
 	case !acceptsWork(a.Phase):
 		return "phase"
 	case !slices.Contains(a.Targets, r.Target):
 		return "not_loaded"
+	case a.paused(now):
+		return "paused"
 	case a.Suspicion >= 1:
 		return "suspected"
 	case slices.Contains(r.Tried, a.VM):
--- a/daemon/ctl/soak.go
+++ b/daemon/ctl/soak.go
@@ -21,6 +21,7 @@
 	duration := fs.Duration("duration", 30*time.Second, "time during which faults are injected")
 	asJSON := fs.Bool("json", false, "print the report as JSON")
 	keep := fs.Bool("keep", false, "keep settings and logs")
+	announcements := fs.Bool("announcements", false, "also let engines announce that they leave or pause")
 	restore := fs.Bool("store-restore", false, "also restore the store from an older copy")
 	schedule := fs.Bool("schedule", false, "print the schedule of the seed and exit")
 	if err := fs.Parse(args); err != nil {
@@ -30,7 +31,7 @@
 		fmt.Fprintf(env.Stderr, "cactusctl soak: operands are not allowed, and -duration must be at least %s\n", soak.MinDuration)
 		return ExitUsage
 	}
-	options := soak.Options{Seed: *seed, Duration: *duration, StoreRestore: *restore, Progress: env.Stderr}
+	options := soak.Options{Seed: *seed, Duration: *duration, StoreRestore: *restore, Announcements: *announcements, Progress: env.Stderr}
 	if *schedule {
 		options.WriteSchedule(env.Stdout)
 		return ExitOK
--- a/daemon/emulate/engine.go
+++ b/daemon/emulate/engine.go
@@ -13,6 +13,7 @@
 
 // Engine is an emulated model engine: an HTTP server with continuous batching.
 type Engine struct {
+	announcements
 	cfg    EngineConfig
 	log    zerolog.Logger
 	server *FaultServer
@@ -134,6 +135,7 @@
 // resetLocked puts the engine into the state of a newly started process.
 func (e *Engine) resetLocked() {
 	e.epoch++
+	e.announcements.reset()
 	e.started = time.Now()
 	e.crashed = false
 	e.fencingToken = 0
--- a/daemon/emulate/engine_faults.go
+++ b/daemon/emulate/engine_faults.go
@@ -9,6 +9,7 @@
 // EngineFaults is the body of POST /faults of an engine. An absent field leaves
 // its fault unchanged.
 type EngineFaults struct {
+	AnnouncementFaults
 	// FreezeMs pauses the batch, input and output; 0 ends the pause.
 	FreezeMs *int `json:"freeze_ms,omitempty"`
 	// StopReadingMs pauses input only; 0 ends the pause.
@@ -65,6 +66,7 @@
 			return err
 		}
 	}
+	e.announcements.set(f.AnnouncementFaults)
 	e.setEngineFaults(f)
 	if f.FreezeMs != nil {
 		e.server.Freeze(milliseconds(*f.FreezeMs))
--- a/daemon/emulate/engine_http.go
+++ b/daemon/emulate/engine_http.go
@@ -123,12 +123,13 @@
 
 func (e *Engine) handler() http.Handler {
 	r := newEcho(e.log)
-	r.POST("/v1/chat/completions", e.serveChat)
+	r.Use(e.announceLeaving)
+	r.POST("/v1/chat/completions", e.serveChat, e.turnAway)
 	r.GET("/v1/models", e.serveModels)
 	r.GET("/load", e.serveLoad)
 	r.GET("/cache_events", e.serveCacheEvents)
 	r.POST("/orders", e.serveOrder)
-	r.GET("/starts", e.requests.serve)
+	r.GET("/starts", e.requests.serve(&e.announcements))
 	r.GET("/stats", func(c echo.Context) error { return c.JSON(http.StatusOK, e.Totals()) })
 	addFaultsRoute(r, e.SetFaults)
 	return r
--- a/daemon/emulate/request_log.go
+++ b/daemon/emulate/request_log.go
@@ -36,6 +36,8 @@
 type RequestLog struct {
 	Starts    []RequestStart `json:"starts"`
 	Overloads []Overload     `json:"overloads"`
+	// Unheeded lists the requests that arrived in spite of announcements.
+	Unheeded []Unheeded `json:"unheeded"`
 	// Dropped is the number of starts that are no longer in the log.
 	Dropped int `json:"dropped"`
 }
@@ -63,13 +65,22 @@
 	l.entries.Overloads = append(l.entries.Overloads, Overload{UnixMs: time.Now().UnixMilli(), Held: held, Limit: limit})
 }
 
-func (l *requestLog) serve(c echo.Context) error {
+// serve returns the handler of GET /starts.
+func (l *requestLog) serve(announced *announcements) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		out := l.copy()
+		out.Unheeded = announced.unheededRequests()
+		return c.JSON(http.StatusOK, out)
+	}
+}
+
+// copy returns a copy of the entries.
+func (l *requestLog) copy() RequestLog {
 	l.mu.Lock()
-	out := RequestLog{
+	defer l.mu.Unlock()
+	return RequestLog{
 		Starts:    append([]RequestStart{}, l.entries.Starts...),
 		Overloads: append([]Overload{}, l.entries.Overloads...),
 		Dropped:   l.entries.Dropped,
 	}
-	l.mu.Unlock()
-	return c.JSON(http.StatusOK, out)
 }
--- a/daemon/emulate/service.go
+++ b/daemon/emulate/service.go
@@ -40,6 +40,7 @@
 // ServiceFaults is the body of POST /faults of the plain service.
 type ServiceFaults struct {
 	CommonFaults
+	AnnouncementFaults
 	// ResetBefore is the number of upcoming bookings whose connection is reset
 	// before the effect; ResetAfter is the same for resets after the effect.
 	ResetBefore *int `json:"reset_before,omitempty"`
@@ -76,6 +77,7 @@
 // Service is an emulated plain service for bookings and medicine entries.
 type Service struct {
 	commonEmulator
+	announcements
 	cfg     ServiceConfig
 	started time.Time
 	slots   chan struct{}
@@ -118,12 +120,13 @@
 func (s *Service) handler() http.Handler {
 	r := newEcho(s.log)
 	r.Use(s.injectFaults)
-	r.POST("/bookings", s.limitCalls(s.serveBooking))
-	r.POST("/medicine", s.limitCalls(s.serveBooking))
-	r.GET("/bookings/:id", s.limitCalls(s.serveGet))
-	r.GET("/medicine/:id", s.limitCalls(s.serveGet))
+	r.Use(s.announceLeaving)
+	r.POST("/bookings", s.limitCalls(s.serveBooking), s.turnAway)
+	r.POST("/medicine", s.limitCalls(s.serveBooking), s.turnAway)
+	r.GET("/bookings/:id", s.limitCalls(s.serveGet), s.turnAway)
+	r.GET("/medicine/:id", s.limitCalls(s.serveGet), s.turnAway)
 	r.GET("/load", s.serveLoad)
-	r.GET("/starts", s.requests.serve)
+	r.GET("/starts", s.requests.serve(&s.announcements))
 	r.GET("/effects", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Effects()) })
 	addFaultsRoute(r, s.SetFaults)
 	return r
@@ -136,6 +139,7 @@
 	setIfPresent(&s.resetAfter, f.ResetAfter)
 	setIfPresent(&s.errorNext, f.ErrorNext)
 	s.mu.Unlock()
+	s.announcements.set(f.AnnouncementFaults)
 	return s.setCommonFaults(f.CommonFaults)
 }
 
@@ -159,6 +163,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.epoch++
+	s.announcements.reset()
 	s.started = time.Now()
 	s.crashing = false
 }
--- a/daemon/result/result.go
+++ b/daemon/result/result.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 )
 
 // Run states whether a refused or failed request was run.
@@ -40,6 +41,9 @@
 type Error struct {
 	Code   Code
 	Detail string
+	// RetryAfter is how long the caller should wait before it sends the request again; 0 if that is
+	// not known.
+	RetryAfter time.Duration
 }
 
 // Error returns the code's number and name and the detail.
@@ -95,6 +99,7 @@
 	WrongHome    = add(3006, "wrong_home", http.StatusConflict, NotRun, false, "The idempotency key names another agent incarnation.")
 	BackendDown  = add(3007, "backend_down", http.StatusServiceUnavailable, NotRun, true, "The backend server refused the connection.")
 	RecordsFull  = add(3008, "records_full", http.StatusServiceUnavailable, NotRun, true, "The agent has no room for another at-most-once record.")
+	AgentPaused  = add(3009, "agent_paused", http.StatusServiceUnavailable, NotRun, true, "The backend server has asked for no requests for a time.")
 )
 
 // Codes 4xxx: failures after dispatch. 5xxx: internal errors.
--- a/daemon/router/answer.go
+++ b/daemon/router/answer.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -218,12 +221,18 @@
 		header.Set(headerRequestID, uuid.UUID(c.id).String())
 	}
 	if err.Code.Retry && err.Code.Run == result.NotRun {
-		header.Set("Retry-After", "1")
+		header.Set("Retry-After", strconv.Itoa(retryAfterSeconds(err.RetryAfter)))
 	}
 	c.writer.WriteHeader(err.Code.Status)
 	_, _ = c.writer.Write(body)
 }
 
+// retryAfterSeconds returns the value of Retry-After, which has whole seconds (RFC 9110). Callers
+// are not told a time before the one that is known.
+func retryAfterSeconds(wait time.Duration) int {
+	return max(1, int(math.Ceil(wait.Seconds())))
+}
+
 // errorType maps a code to one of the error types that client libraries expect.
 func errorType(code result.Code) string {
 	const invalidRequestCodes = 2000
--- a/daemon/router/control.go
+++ b/daemon/router/control.go
@@ -417,6 +417,7 @@
 		Suspicion:        suspicion,
 		InFlight:         record.inFlight,
 		InFlightAtReport: record.inFlightAtReport,
+		PausedUntil:      record.reportedAt.Add(time.Duration(s.GetPausedMs()) * time.Millisecond),
 	}
 }
 
--- a/daemon/router/dispatch.go
+++ b/daemon/router/dispatch.go
@@ -29,6 +29,9 @@
 	// it doubles up to capacityPollMax.
 	capacityPoll    = 5 * time.Millisecond
 	capacityPollMax = 200 * time.Millisecond
+	// maxPauseWait is the rest of a pause of all agents for which a request waits. For longer
+	// ones the caller is refused at once and told when to return.
+	maxPauseWait = 250 * time.Millisecond
 	// priorityUnit is the time to the deadline that corresponds to one priority
 	// level. Engines serve the lowest number first, hence the earliest deadline.
 	priorityUnit = 100 * time.Millisecond
@@ -132,6 +135,9 @@
 		if err == nil && spare > 0 {
 			return to, nil
 		}
+		if err != nil && err.RetryAfter > maxPauseWait {
+			return peer{}, err
+		}
 		if !r.Clock.Now().Add(pause).Before(j.waitUntil) {
 			if err == nil {
 				err = capacityError(ctx, j.target)
@@ -213,7 +219,11 @@
 	}
 	agent, ok := v.servers.Choose(random, r.Clock.Now(), j.balanceRequest())
 	if !ok {
-		return peer{}, 0, result.NoBackend.With("%s", j.target)
+		err := result.NoBackend.With("%s", j.target)
+		if err.RetryAfter = v.servers.PausedFor(r.Clock.Now(), j.target); err.RetryAfter > 0 {
+			err.Detail += ": all backend servers have asked for a pause"
+		}
+		return peer{}, 0, err
 	}
 	to, ok := v.peers[agent.VM]
 	if !ok {
--- a/daemon/router/execute.go
+++ b/daemon/router/execute.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -190,7 +191,9 @@
 	if !s.allowsCode(code) {
 		return s.broken(ctx, errEventOrder)
 	}
-	return attemptResult{err: code.With("%s", refusal.GetReason()), refused: true}
+	err := code.With("%s", refusal.GetReason())
+	err.RetryAfter = time.Duration(refusal.GetRetryAfterMs()) * time.Millisecond
+	return attemptResult{err: err, refused: true}
 }
 
 // allowsCode asserts that an answer that has begun does not end with a "not run"
--- a/daemon/soak/checks.go
+++ b/daemon/soak/checks.go
@@ -38,6 +38,7 @@
 		{"not_run_is_true", 8, checkNotRun},
 		{"booking_at_most_once", 9, checkBookings},
 		{"leaving_no_new_work", 10, checkLeavingVMs},
+		{"announcements_heeded", 10, checkAnnouncements},
 		{"planned_stop_interrupts_nothing", 11, checkPlannedStops},
 		{"configuration_in_force", 12, checkConfigurationInForce},
 		{"configuration_never_reverts", 12, checkConfigurationReverts},
--- a/daemon/soak/faults.go
+++ b/daemon/soak/faults.go
@@ -105,12 +105,19 @@
 		return emulate.EngineFaults{SlowFactor: ptr(slowFactor)}
 	case EngineFreeze:
 		return emulate.EngineFaults{FreezeMs: ptr(duration)}
+	case EngineLeaving:
+		return emulate.EngineFaults{AnnouncementFaults: emulate.AnnouncementFaults{Leaving: ptr(true)}}
+	case EnginePause:
+		return emulate.EngineFaults{AnnouncementFaults: emulate.AnnouncementFaults{RetryAfter: &[]string{a.Arg}}}
 	}
 	return emulate.EngineFaults{ErrorRate: ptr(engineErrorRate)}
 }
 
 func healthyEngine() emulate.EngineFaults {
-	return emulate.EngineFaults{ResetAfterBytes: ptr(-1), SlowFactor: ptr(1.0), ErrorRate: ptr(0.0), FreezeMs: ptr(0)}
+	return emulate.EngineFaults{
+		ResetAfterBytes: ptr(-1), SlowFactor: ptr(1.0), ErrorRate: ptr(0.0), FreezeMs: ptr(0),
+		AnnouncementFaults: emulate.AnnouncementFaults{Leaving: ptr(false), RetryAfter: &[]string{}},
+	}
 }
 
 // clearFaults ends all remaining faults and puts all VMs and data centres back
--- a/daemon/soak/schedule.go
+++ b/daemon/soak/schedule.go
@@ -37,6 +37,9 @@
 	EngineSlow   Kind = "engine_slow"
 	EngineFreeze Kind = "engine_freeze"
 	EngineErrors Kind = "engine_errors"
+	// EngineLeaving and EnginePause: the engine announces it; Arg of a pause is its Retry-After.
+	EngineLeaving Kind = "engine_leaving"
+	EnginePause   Kind = "engine_pause"
 	// BadVersion: Arg is the version of the small model.
 	BadVersion Kind = "bad_version"
 	// Faults of plain services; Target is the VM.
--- a/daemon/soak/soak.go
+++ b/daemon/soak/soak.go
@@ -48,6 +48,8 @@
 	Duration time.Duration
 	// StoreRestore adds a restore of the store from an older copy to the schedule.
 	StoreRestore bool
+	// Announcements adds engines that announce that they leave or pause.
+	Announcements bool
 	// Progress receives a line for each action and unexpected event; nil means
 	// none.
 	Progress io.Writer
@@ -78,8 +80,11 @@
 // schedule returns the actions of the run.
 func (o Options) schedule() []Action {
 	actions := Schedule(o.Seed, o.Duration)
+	if o.Announcements {
+		actions = WithAnnouncements(actions, o.Seed, o.Duration)
+	}
 	if o.StoreRestore {
-		return WithStoreRestore(actions, o.Seed, o.Duration)
+		actions = WithStoreRestore(actions, o.Seed, o.Duration)
 	}
 	return actions
 }
--- a/daemon/soak/soak_test.go
+++ b/daemon/soak/soak_test.go
@@ -181,6 +181,12 @@
 			accept(h, func(b *bundle.Bundle) { b.VMs = []bundle.VM{{Name: "engine-a1", OutOfService: true}} })
 		},
 	},
+	"announcements_heeded": {func(h *History) {
+		h.Faults = append(h.Faults, Interval{Kind: KillProcess, Target: "engine-a1", From: at(5), To: at(8)})
+		log := h.Starts["engine-a1"]
+		log.Unheeded = []emulate.Unheeded{{UnixMs: unixMs(10.1), Kind: emulate.AnnouncedPause, AfterMs: 700}}
+		h.Starts["engine-a1"] = log
+	}},
 	"planned_stop_interrupts_nothing": {
 		func(h *History) {
 			h.Calls[0].Outcome = OutcomeTransportError
