--- a/daemon/bench/queueing/model_test.go
+++ b/daemon/bench/queueing/model_test.go
@@ -68,3 +68,21 @@
 		t.Errorf("overload crashes %d, failed requests %d, up %v", crashes, failed, e.up)
 	}
 }
+
+// Guards against a router that sends requests to servers which have announced to it that they
+// leave or pause, and against a scenario in which none could be sent.
+func TestAnnouncementsAreHeeded(t *testing.T) {
+	s := NewAnnouncementScenario(12)
+	s.Measured = 6 * time.Second
+	results, err := s.Run(t.Context(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	heeded, dropped := results[0], results[1]
+	if heeded.SentToLeaving+heeded.SentToPaused > 0 || dropped.SentToLeaving == 0 || dropped.SentToPaused == 0 {
+		t.Errorf("heeded: %+v, dropped: %+v", heeded, dropped)
+	}
+	if heeded.Counts.Requests == 0 || heeded.Counts.Broken > 0 {
+		t.Errorf("%d of %d requests were cut off", heeded.Counts.Broken, heeded.Counts.Requests)
+	}
+}
--- a/daemon/bench/scenario.go
+++ b/daemon/bench/scenario.go
@@ -35,6 +35,7 @@
 		{Name: "latency", Summary: "latency against other choices of backend servers", Run: RunLatency},
 		{Name: "datacentre", Summary: "service while a data centre leaves and returns", Run: RunDataCentre},
 		{Name: "recovery", Summary: "recovery from crashes with and without retries", Run: RunRecovery},
+		{Name: "announcements", Summary: "requests to servers that announce that they leave or pause", Run: RunAnnouncements},
 		{Name: "path", Summary: "added time, processor time and allocations of the request path", Run: RunPath},
 		{Name: "readers", Summary: "memory for slow readers of streamed answers", Run: RunReaders},
 		{Name: "capacity", Summary: "slopes of processor time, memory and messages by size", Run: RunCapacity},
