--- a/daemon/edge/delayed_store_test.go
+++ b/daemon/edge/delayed_store_test.go
@@ -73,19 +73,19 @@
 // Guards against two trials of a quarantined part, or a part that is released and
 // quarantined again, by writes that the store executes later.
 func TestDelayedWritesGrantNoTrialTwice(t *testing.T) {
-	const part quarantine.Part = 7
+	const part quarantine.Key = 7
 	store := newMemoryStore()
 	store.put("config", testConfig{1})
 	edges := []*testEdge{startEdge(t, store, "r1"), startEdge(t, store, "r2"), startEdge(t, store, "r3")}
 	eventually(t, waitTimeout, "all routers are known", func() bool { return len(edges[0].controller.peers()) == 2 })
 	for _, e := range edges {
 		e.client.delayCommits.Store(true)
-		e.controller.quarantines.judge(time.Now(), []quarantine.Part{part}, true)
+		e.controller.quarantines.judge(time.Now(), []quarantine.Key{part}, true)
 	}
 	records := func() []quarantine.Record { return history[quarantine.Record](t, store, quarantinePrefix) }
 	eventually(t, waitTimeout, "the quarantine is stored", func() bool { return len(records()) > 0 })
 	for _, e := range edges {
-		e.gateway.Quarantine.RecordSound([]quarantine.Part{part})
+		e.gateway.Quarantine.RecordSound([]quarantine.Key{part})
 	}
 	eventually(t, waitTimeout, "all routers release the part", func() bool {
 		return !slices.ContainsFunc(edges, func(e *testEdge) bool { return e.gateway.Quarantine.Size() > 0 })
--- a/daemon/edge/quarantine.go
+++ b/daemon/edge/quarantine.go
@@ -30,15 +30,15 @@
 
 	mu sync.Mutex
 	// suspects are the parts that the aggregator asks about.
-	suspects []quarantine.Part
+	suspects []quarantine.Key
 	// judging is set once this router has found parts guilty itself. It then writes records.
 	judging bool
 	// committing holds the parts whose records are being written.
-	committing map[quarantine.Part]bool
+	committing map[quarantine.Key]bool
 }
 
 func newQuarantines(e *Edge) *quarantines {
-	return &quarantines{edge: e, committing: make(map[quarantine.Part]bool)}
+	return &quarantines{edge: e, committing: make(map[quarantine.Key]bool)}
 }
 
 func (q *quarantines) report(now time.Time, out *rpc.LoadReport) {
@@ -51,15 +51,15 @@
 func (q *quarantines) aggregate(now time.Time, in *rpc.LoadReport, out *rpc.LoadReply) {
 	q.pool.Merge(now, in.GetRouter(), decodeCrashEvidence(now, in))
 	guilty, suspects := q.pool.Verdict(now)
-	out.GuiltyParts, out.SuspectParts = encodeParts(guilty), encodeParts(suspects)
+	out.GuiltyParts, out.SuspectParts = encodeKeys(guilty), encodeKeys(suspects)
 	q.judge(now, guilty, true)
 }
 
 func (q *quarantines) apply(now time.Time, in *rpc.LoadReply) {
 	q.mu.Lock()
-	q.suspects = decodeParts(in.GetSuspectParts())
+	q.suspects = decodeKeys(in.GetSuspectParts())
 	q.mu.Unlock()
-	q.judge(now, decodeParts(in.GetGuiltyParts()), false)
+	q.judge(now, decodeKeys(in.GetGuiltyParts()), false)
 }
 
 // evaluateAlone judges by this router's own evidence.
@@ -71,7 +71,7 @@
 
 // judge holds the guilty parts. own is set if this router has found them guilty and so
 // writes their records.
-func (q *quarantines) judge(now time.Time, guilty []quarantine.Part, own bool) {
+func (q *quarantines) judge(now time.Time, guilty []quarantine.Key, own bool) {
 	if len(guilty) == 0 {
 		return
 	}
@@ -81,7 +81,7 @@
 		q.mu.Unlock()
 	}
 	for _, part := range q.edge.gateway.Quarantine.Add(now, guilty) {
-		q.edge.log.Warn().Str("part", partName(part)).Bool("own_verdict", own).Msg("quarantined: such requests crash backend servers")
+		q.edge.log.Warn().Str("part", keyName(part)).Bool("own_verdict", own).Msg("quarantined: such requests crash backend servers")
 	}
 }
 
@@ -97,7 +97,7 @@
 		q.edge.log.Error().Err(err).Str("key", change.Key).Msg("failed to decode quarantine; skipping it")
 		return true
 	}
-	part := quarantine.Part(number)
+	part := quarantine.Key(number)
 	if change.Deleted {
 		q.edge.gateway.Quarantine.Forget(part)
 		q.edge.log.Info().Str("part", name).Uint64("revision", uint64(change.Revision)).Msg("quarantine record ended")
@@ -126,8 +126,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, change := range q.edge.gateway.Quarantine.Due(now, q.judging) {
-		if !q.committing[change.Part] {
-			q.committing[change.Part] = true
+		if !q.committing[change.Key] {
+			q.committing[change.Key] = true
 			go q.commit(ctx, change, q.edge.controller.mergedEra)
 		}
 	}
@@ -139,16 +139,16 @@
 func (q *quarantines) commit(ctx context.Context, change quarantine.Change, era uint64) {
 	err := q.write(ctx, change, era)
 	q.mu.Lock()
-	delete(q.committing, change.Part)
+	delete(q.committing, change.Key)
 	q.mu.Unlock()
 	if err == nil && change.Trial {
-		q.edge.gateway.Quarantine.Took(time.Now(), change.Part)
+		q.edge.gateway.Quarantine.Took(time.Now(), change.Key)
 	}
 	event := q.edge.log.Info()
 	if err != nil && !errors.Is(err, kv.ErrConflict) {
 		event = q.edge.log.Warn()
 	}
-	event.Err(err).Str("part", partName(change.Part)).Int("trials", change.Record.Trials).Bool("released", change.Record.Released).
+	event.Err(err).Str("part", keyName(change.Key)).Int("trials", change.Record.Trials).Bool("released", change.Record.Released).
 		Msg("quarantine commit finished")
 }
 
@@ -161,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	key := quarantinePrefix + partName(change.Part)
+	key := quarantinePrefix + keyName(change.Key)
 	_, err = q.edge.settings.Store.Commit(ctx, Txn{
 		Era:        era,
 		Conditions: []Condition{{Key: key, Revision: kv.Revision(change.Revision)}},
@@ -173,40 +173,40 @@
 // names returns the quarantined parts in alphabetical order.
 func (q *quarantines) names() []string {
 	var names []string
-	for _, part := range q.edge.gateway.Quarantine.Parts() {
-		names = append(names, partName(part))
+	for _, key := range q.edge.gateway.Quarantine.Keys() {
+		names = append(names, keyName(key))
 	}
 	slices.Sort(names)
 	return names
 }
 
-// partName returns a part as keys and log lines name it.
-func partName(part quarantine.Part) string { return fmt.Sprintf("%016x", uint64(part)) }
+// keyName returns a key as store keys and log lines name it.
+func keyName(key quarantine.Key) string { return fmt.Sprintf("%016x", uint64(key)) }
 
-func encodeParts(parts []quarantine.Part) []uint64 {
-	list := make([]uint64, len(parts))
-	for i, part := range parts {
-		list[i] = uint64(part)
+func encodeKeys(keys []quarantine.Key) []uint64 {
+	list := make([]uint64, len(keys))
+	for i, key := range keys {
+		list[i] = uint64(key)
 	}
 	return list
 }
 
-func decodeParts(list []uint64) []quarantine.Part {
-	parts := make([]quarantine.Part, len(list))
-	for i, part := range list {
-		parts[i] = quarantine.Part(part)
+func decodeKeys(list []uint64) []quarantine.Key {
+	keys := make([]quarantine.Key, len(list))
+	for i, key := range list {
+		keys[i] = quarantine.Key(key)
 	}
-	return parts
+	return keys
 }
 
 // encodeEvidence adds evidence to a report, with ages in place of times, since the clocks
 // of the routers differ.
 func encodeEvidence(now time.Time, e quarantine.Evidence, out *rpc.LoadReport) {
 	for _, c := range e.Crashes {
-		out.Crashes = append(out.Crashes, &rpc.ServerCrash{Server: uint64(c.Server), AgeMs: ageMS(now, c.At), Parts: encodeParts(c.Parts)})
+		out.Crashes = append(out.Crashes, &rpc.ServerCrash{Server: uint64(c.Server), AgeMs: ageMS(now, c.At), Parts: encodeKeys(c.Keys)})
 	}
 	for _, s := range e.Sound {
-		out.SoundParts = append(out.SoundParts, &rpc.SoundPart{Part: uint64(s.Part), AgeMs: ageMS(now, s.At)})
+		out.SoundParts = append(out.SoundParts, &rpc.SoundPart{Part: uint64(s.Key), AgeMs: ageMS(now, s.At)})
 	}
 }
 
@@ -214,11 +214,11 @@
 	var e quarantine.Evidence
 	for _, c := range in.GetCrashes() {
 		e.Crashes = append(e.Crashes, quarantine.Crash{
-			Server: quarantine.Incarnation(c.GetServer()), At: timeAgo(now, c.GetAgeMs()), Parts: decodeParts(c.GetParts()),
+			Server: quarantine.Incarnation(c.GetServer()), At: timeAgo(now, c.GetAgeMs()), Keys: decodeKeys(c.GetParts()),
 		})
 	}
 	for _, s := range in.GetSoundParts() {
-		e.Sound = append(e.Sound, quarantine.Sound{Part: quarantine.Part(s.GetPart()), At: timeAgo(now, s.GetAgeMs())})
+		e.Sound = append(e.Sound, quarantine.Sound{Key: quarantine.Key(s.GetPart()), At: timeAgo(now, s.GetAgeMs())})
 	}
 	return e
 }
--- a/daemon/gateway/admission.go
+++ b/daemon/gateway/admission.go
@@ -197,7 +197,7 @@
 			return err
 		}
 	}
-	if !x.trial && g.Quarantine.Holds(x.parts) {
+	if !x.trial && g.Quarantine.Holds(x.keys) {
 		return result.Quarantined.With("since the request came")
 	}
 	return nil
--- a/daemon/gateway/cascade.go
+++ b/daemon/gateway/cascade.go
@@ -105,7 +105,7 @@
 	if a.reply.Confidence >= 0 {
 		a.confidences = append(a.confidences, a.reply.Confidence)
 	}
-	if !g.canEscalate(a) || g.Quarantine.Holds(a.parts) || g.refreshCandidates(a.requestState) != nil {
+	if !g.canEscalate(a) || g.Quarantine.Holds(a.keys) || g.refreshCandidates(a.requestState) != nil {
 		return nil
 	}
 	now := time.Now()
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -232,7 +232,7 @@
 				if a.slow(now) {
 					g.observe(a, Sample{Slow: true})
 				}
-				if !a.begun.Load() && !a.trial && g.Quarantine.Holds(a.parts) {
+				if !a.begun.Load() && !a.trial && g.Quarantine.Holds(a.keys) {
 					cancel(errQuarantined)
 					return
 				}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -138,9 +138,9 @@
 	service *topology.Service
 	// candidates are the backend servers of the version that the session uses.
 	candidates []*topology.Server
-	// parts are the parts of the prompt that may be quarantined, and as the last one the
-	// request as a whole.
-	parts []quarantine.Part
+	// keys are those of the parts of the prompt that may be quarantined, and as the last one that
+	// of the request as a whole.
+	keys []quarantine.Key
 	// trial is set if the request is the trial of a quarantined part.
 	trial bool
 	// retryAfter is when the caller may try again after a refusal; 0 for a short random
--- a/daemon/gateway/quarantine.go
+++ b/daemon/gateway/quarantine.go
@@ -17,14 +17,14 @@
 // prompt. The trial of such a part gets one attempt.
 func (g *Gateway) checkQuarantine(x *requestState) *result.Error {
 	whole := quarantine.WholeRequest(x.service.Name, x.call.Path, x.workspace, x.call.PartIDs, x.call.Body)
-	x.parts = append(quarantine.Parts(x.service.Name, x.call.PartIDs), whole)
-	switch verdict, wait := g.Quarantine.Check(time.Now(), x.parts); verdict {
+	x.keys = append(quarantine.PromptKeys(x.service.Name, x.call.PartIDs), whole)
+	switch verdict, wait := g.Quarantine.Check(time.Now(), x.keys); verdict {
 	case quarantine.Refuse:
 		x.retryAfter = max(wait, minQuarantineRetryAfter)
 		return result.Quarantined.With("next trial in %s", wait.Round(time.Millisecond))
 	case quarantine.Trial:
 		x.trial, x.dispatch.MaxAttempts = true, 1
-		g.logEvent(g.Log.Info()).Str("request", x.call.ID).Strs("parts", partNames(x.parts)).Msg("trial of a quarantined part")
+		g.logEvent(g.Log.Info()).Str("request", x.call.ID).Strs("parts", keyNames(x.keys)).Msg("trial of a quarantined part")
 	}
 	return nil
 }
@@ -44,19 +44,19 @@
 
 func (g *Gateway) observeSound(a *attempt) {
 	a.sound = true
-	parts := a.promptParts()
-	g.Crashes.RecordSound(time.Now(), parts)
-	g.Quarantine.RecordSound(parts)
+	keys := a.promptKeys()
+	g.Crashes.RecordSound(time.Now(), keys)
+	g.Quarantine.RecordSound(keys)
 }
 
-// promptParts returns the parts of the prompt, without the request as a whole.
-func (x *requestState) promptParts() []quarantine.Part { return x.parts[:len(x.parts)-1] }
+// promptKeys returns the keys of the parts of the prompt, without that of the request as a whole.
+func (x *requestState) promptKeys() []quarantine.Key { return x.keys[:len(x.keys)-1] }
 
-// wholeRequest returns the part that stands for the request as a whole.
-func (x *requestState) wholeRequest() quarantine.Part { return x.parts[len(x.parts)-1] }
+// wholeRequest returns the key of the request as a whole.
+func (x *requestState) wholeRequest() quarantine.Key { return x.keys[len(x.keys)-1] }
 
-// wholeRequestOnly returns the list of that part alone.
-func (x *requestState) wholeRequestOnly() []quarantine.Part { return x.parts[len(x.parts)-1:] }
+// wholeRequestOnly returns the list of that key alone.
+func (x *requestState) wholeRequestOnly() []quarantine.Key { return x.keys[len(x.keys)-1:] }
 
 // observeCrash records the end of an attempt as evidence on the parts of its prompt.
 func (g *Gateway) observeCrash(a *attempt) {
@@ -68,7 +68,7 @@
 		accused := a.accused(now)
 		g.Crashes.RecordCrash(now, a.incarnation(), accused)
 		g.metrics.GetOrCreateCounter("cactusknot_crashes_under_requests_total").Inc()
-		g.logEvent(g.Log.Warn()).Str("request", a.call.ID).Str("server", a.target.ID).Strs("parts", partNames(accused)).
+		g.logEvent(g.Log.Warn()).Str("request", a.call.ID).Str("server", a.target.ID).Strs("parts", keyNames(accused)).
 			Dur("since_begun_ms", a.sinceBegun(now)).Msg("backend server lost under the request; it and parts of its prompt are suspected")
 	}
 }
@@ -82,20 +82,20 @@
 	g.Quarantine.RecordSound(a.wholeRequestOnly())
 }
 
-// accused returns the parts that may have crashed the attempt's server: always the request as a
+// accused returns the keys of what may have crashed the attempt's server: always the request as a
 // whole, and the parts of its prompt if the answer had just begun.
-func (a *attempt) accused(now time.Time) []quarantine.Part {
+func (a *attempt) accused(now time.Time) []quarantine.Key {
 	if !a.sound && !a.begunAt.IsZero() && now.Sub(a.begunAt) <= quarantine.GuiltWindow {
-		return a.parts
+		return a.keys
 	}
 	return a.wholeRequestOnly()
 }
 
-// partNames returns the parts as log lines name them.
-func partNames(parts []quarantine.Part) []string {
-	names := make([]string, len(parts))
-	for i, part := range parts {
-		names[i] = fmt.Sprintf("%016x", uint64(part))
+// keyNames returns the keys as log lines name them.
+func keyNames(keys []quarantine.Key) []string {
+	names := make([]string, len(keys))
+	for i, key := range keys {
+		names[i] = fmt.Sprintf("%016x", uint64(key))
 	}
 	return names
 }
--- a/daemon/quarantine/fleet_test.go
+++ b/daemon/quarantine/fleet_test.go
@@ -14,7 +14,7 @@
 	now       time.Time
 	recorders []Recorder
 	lists     []List
-	suspects  [][]Part
+	suspects  [][]Key
 	pool      Pool
 	engines   []engineModel
 	started   Incarnation
@@ -34,20 +34,20 @@
 type runModel struct {
 	router     int
 	begin, end time.Time
-	parts      []Part
+	keys       []Key
 	sound      bool
 }
 
 const (
-	deadlyPart  Part = 999
-	firstPart   Part = 1
-	secondParts      = 300
+	deadlyPart  Key = 999
+	firstPart   Key = 1
+	secondParts     = 300
 )
 
 func newFleetModel(seed uint64, routers, engines int) *fleetModel {
 	m := &fleetModel{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0), recorders: make([]Recorder, routers),
-		lists: make([]List, routers), suspects: make([][]Part, routers), engines: make([]engineModel, engines),
+		lists: make([]List, routers), suspects: make([][]Key, routers), engines: make([]engineModel, engines),
 	}
 	for i := range m.engines {
 		m.restart(&m.engines[i], 0)
@@ -64,23 +64,23 @@
 func (m *fleetModel) crash(e *engineModel) {
 	for _, r := range e.running {
 		if since := m.now.Sub(r.begin); since >= 0 && since <= GuiltWindow {
-			m.recorders[r.router].RecordCrash(m.now, e.incarnation, r.parts)
+			m.recorders[r.router].RecordCrash(m.now, e.incarnation, r.keys)
 		}
 	}
 	m.restart(e, 3*time.Second)
 }
 
 // send sends a request from a router to a random engine that is up.
-func (m *fleetModel) send(router int, parts []Part) {
+func (m *fleetModel) send(router int, keys []Key) {
 	e := &m.engines[m.random.IntN(len(m.engines))]
 	if m.now.Before(e.downUntil) {
 		return
 	}
-	if parts[1] == deadlyPart && len(m.crashes) >= 5 && m.now.Sub(m.crashes[4]) > 3*time.Second {
+	if keys[1] == deadlyPart && len(m.crashes) >= 5 && m.now.Sub(m.crashes[4]) > 3*time.Second {
 		m.late++
 	}
 	begin := m.now.Add(time.Duration(m.random.IntN(1500)) * time.Millisecond)
-	e.running = append(e.running, runModel{router: router, begin: begin, end: begin.Add(3 * time.Second), parts: parts})
+	e.running = append(e.running, runModel{router: router, begin: begin, end: begin.Add(3 * time.Second), keys: keys})
 }
 
 // work advances the requests of an engine.
@@ -88,14 +88,14 @@
 	kept := e.running[:0]
 	for _, r := range e.running {
 		since := m.now.Sub(r.begin)
-		if r.parts[1] == deadlyPart && since >= 50*time.Millisecond {
+		if r.keys[1] == deadlyPart && since >= 50*time.Millisecond {
 			m.crashes = append(m.crashes, m.now)
 			m.crash(e)
 			return
 		}
 		if !r.sound && since > GuiltWindow {
 			r.sound = true
-			m.recorders[r.router].RecordSound(m.now, r.parts)
+			m.recorders[r.router].RecordSound(m.now, r.keys)
 		}
 		if m.now.Before(r.end) {
 			kept = append(kept, r)
@@ -121,12 +121,12 @@
 	for ; m.now.Sub(from) < during; m.now = m.now.Add(step) {
 		for count := perSecond * step.Seconds(); count > 0 && m.random.Float64() < count; count-- {
 			router := m.random.IntN(len(m.lists))
-			parts := []Part{firstPart, Part(10 + m.random.IntN(secondParts))}
+			keys := []Key{firstPart, Key(10 + m.random.IntN(secondParts))}
 			if m.now.Sub(from) > 2*time.Second && m.random.IntN(20) == 0 {
-				parts[1] = deadlyPart
+				keys[1] = deadlyPart
 			}
-			if verdict, _ := m.lists[router].Check(m.now, parts); verdict == Send {
-				m.send(router, parts)
+			if verdict, _ := m.lists[router].Check(m.now, keys); verdict == Send {
+				m.send(router, keys)
 			}
 		}
 		if m.random.Float64() < otherCrashes*step.Seconds() {
@@ -154,10 +154,10 @@
 		for seed := range uint64(8) {
 			m := newFleetModel(seed, size.routers, size.engines)
 			m.play(25*time.Second, size.perSecond, 0.01*float64(size.engines))
-			held := make(map[Part]bool)
+			held := make(map[Key]bool)
 			for i := range m.lists {
-				for _, part := range m.lists[i].Parts() {
-					held[part] = true
+				for _, key := range m.lists[i].Keys() {
+					held[key] = true
 				}
 			}
 			if m.late > 3 {
@@ -182,8 +182,8 @@
 			}
 		}
 		for i := range m.lists {
-			if parts := m.lists[i].Parts(); len(parts) > 0 {
-				t.Fatalf("seed %d: held %v", seed, parts)
+			if keys := m.lists[i].Keys(); len(keys) > 0 {
+				t.Fatalf("seed %d: held %v", seed, keys)
 			}
 		}
 	}
--- a/daemon/quarantine/list.go
+++ b/daemon/quarantine/list.go
@@ -11,15 +11,15 @@
 	// doubles with each trial that fails, up to maxHold.
 	firstHold = 30 * time.Second
 	maxHold   = 8 * time.Minute
-	// RecordMargin is how long the stored record of a quarantine outlives its hold. A part
+	// RecordMargin is how long the stored record of a quarantine outlives its hold. A key
 	// for which nobody asks in this time is forgotten.
 	RecordMargin = time.Minute
 	// trialTTL is how long a router that may make a trial waits for a request for it.
 	trialTTL = 10 * time.Second
-	// peerNoticeTTL is how long a part that the pool has found guilty is held while its
+	// peerNoticeTTL is how long a key that the pool has found guilty is held while its
 	// record is not in the store.
 	peerNoticeTTL = 30 * time.Second
-	// maxQuarantined bounds the parts that a router holds.
+	// maxQuarantined bounds the keys that a router holds.
 	maxQuarantined = 1024
 )
 
@@ -42,22 +42,22 @@
 
 // Verdicts.
 const (
-	// Send: no part of the prompt is quarantined.
+	// Send: no key is quarantined.
 	Send Verdict = iota
-	// Trial: the request may make one attempt, which decides on its part.
+	// Trial: the request may make one attempt, which decides on its key.
 	Trial
 	// Refuse: the request must not be sent.
 	Refuse
 )
 
-// List holds the quarantined parts. The zero value is an empty list.
+// List holds the quarantined keys. The zero value is an empty list.
 type List struct {
 	// size is the number of entries. It spares requests the lock of an empty list.
 	size    atomic.Int64
 	mu      sync.Mutex
-	entries map[Part]*entry
-	// released holds the revisions of the stored records of parts that were released.
-	released map[Part]uint64
+	entries map[Key]*entry
+	// released holds the revisions of the stored records of keys that were released.
+	released map[Key]uint64
 }
 
 type entry struct {
@@ -67,27 +67,27 @@
 	// heldUntil is the time of the next trial, or for an entry without a record that of
 	// its end.
 	heldUntil time.Time
-	// wanted is set when a request with the part came after heldUntil.
+	// wanted is set when a request with the key came after heldUntil.
 	wanted bool
 	// trialUntil is until when this router may use the trial that it has taken.
 	trialUntil time.Time
-	// sound is set when an answer with the part went on.
+	// sound is set when an answer with the key went on.
 	sound bool
 	// lost is set while the store holds an older record.
 	lost bool
 }
 
-// Check tells what may be done with a request whose prompt has these parts. For a refused
+// Check tells what may be done with a request with these keys. For a refused
 // request, wait is the time to the next trial. A Trial is given out once.
-func (l *List) Check(now time.Time, parts []Part) (verdict Verdict, wait time.Duration) {
+func (l *List) Check(now time.Time, keys []Key) (verdict Verdict, wait time.Duration) {
 	if l.size.Load() == 0 {
 		return Send, 0
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var trial *entry
-	for _, part := range parts {
-		e := l.entries[part]
+	for _, key := range keys {
+		e := l.entries[key]
 		switch {
 		case e == nil || e.sound:
 		case now.Before(e.trialUntil):
@@ -104,47 +104,47 @@
 	return Trial, 0
 }
 
-// Holds reports whether one of the parts is quarantined.
-func (l *List) Holds(parts []Part) bool {
+// Holds reports whether one of the keys is quarantined.
+func (l *List) Holds(keys []Key) bool {
 	if l.size.Load() == 0 {
 		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, part := range parts {
-		if l.entries[part] != nil {
+	for _, key := range keys {
+		if l.entries[key] != nil {
 			return true
 		}
 	}
 	return false
 }
 
-// RecordSound records that an answer to a prompt with these parts goes on.
-func (l *List) RecordSound(parts []Part) {
+// RecordSound records that an answer to a request with these keys goes on.
+func (l *List) RecordSound(keys []Key) {
 	if l.size.Load() == 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, part := range parts {
-		if e := l.entries[part]; e != nil {
+	for _, key := range keys {
+		if e := l.entries[key]; e != nil {
 			e.sound = true
 		}
 	}
 }
 
-// Add holds parts that the pool has found guilty. It returns those that were not held.
-func (l *List) Add(now time.Time, parts []Part) []Part {
+// Add holds keys that the pool has found guilty. It returns those that were not held.
+func (l *List) Add(now time.Time, keys []Key) []Key {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var added []Part
-	for _, part := range parts {
-		e := l.entries[part]
+	var added []Key
+	for _, key := range keys {
+		e := l.entries[key]
 		if e == nil {
-			if e = l.insert(part); e == nil {
+			if e = l.insert(key); e == nil {
 				continue
 			}
-			added = append(added, part)
+			added = append(added, key)
 		}
 		if e.revision == 0 {
 			e.heldUntil = now.Add(peerNoticeTTL)
@@ -154,46 +154,46 @@
 }
 
 // insert adds an entry, or returns nil if the list is full.
-func (l *List) insert(part Part) *entry {
+func (l *List) insert(key Key) *entry {
 	if len(l.entries) >= maxQuarantined {
 		return nil
 	}
 	if l.entries == nil {
-		l.entries = make(map[Part]*entry)
+		l.entries = make(map[Key]*entry)
 	}
 	e := &entry{}
-	l.entries[part] = e
+	l.entries[key] = e
 	l.size.Store(int64(len(l.entries)))
 	return e
 }
 
-func (l *List) remove(part Part) {
-	delete(l.entries, part)
+func (l *List) remove(key Key) {
+	delete(l.entries, key)
 	l.size.Store(int64(len(l.entries)))
 }
 
 // Apply takes over a record from the store. Its hold counts from now, which is never
 // earlier than its writing.
-func (l *List) Apply(now time.Time, part Part, record Record, revision uint64) {
+func (l *List) Apply(now time.Time, key Key, record Record, revision uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.apply(now, part, record, revision)
+	l.apply(now, key, record, revision)
 }
 
 // apply is Apply for a caller that holds the lock.
-func (l *List) apply(now time.Time, part Part, record Record, revision uint64) {
+func (l *List) apply(now time.Time, key Key, record Record, revision uint64) {
 	if record.Released {
-		l.remove(part)
+		l.remove(key)
 		if l.released == nil {
-			l.released = make(map[Part]uint64)
+			l.released = make(map[Key]uint64)
 		}
-		l.released[part] = revision
+		l.released[key] = revision
 		return
 	}
-	delete(l.released, part)
-	e := l.entries[part]
+	delete(l.released, key)
+	e := l.entries[key]
 	if e == nil {
-		if e = l.insert(part); e == nil {
+		if e = l.insert(key); e == nil {
 			return
 		}
 	}
@@ -203,37 +203,37 @@
 
 // ApplyRestored takes over a record from a store that was restored from an older copy. A
 // release and trials that this router knows of are kept and written again.
-func (l *List) ApplyRestored(now time.Time, part Part, record Record, revision uint64) {
+func (l *List) ApplyRestored(now time.Time, key Key, record Record, revision uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.entries[part]
-	_, released := l.released[part]
+	e := l.entries[key]
+	_, released := l.released[key]
 	switch {
 	case released && !record.Released:
-		if e = l.insert(part); e != nil {
+		if e = l.insert(key); e != nil {
 			e.record, e.revision, e.sound = record, revision, true
 		}
 	case e != nil && e.record.Trials > record.Trials && !record.Released:
 		e.revision, e.lost = revision, true
 	default:
-		l.apply(now, part, record, revision)
+		l.apply(now, key, record, revision)
 	}
 }
 
-// Forget takes over the end of a record. The part stays held for the rest of its time,
+// Forget takes over the end of a record. The key stays held for the rest of its time,
 // because records may end early while the store is unavailable.
-func (l *List) Forget(part Part) {
+func (l *List) Forget(key Key) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.released, part)
-	if e := l.entries[part]; e != nil {
+	delete(l.released, key)
+	if e := l.entries[key]; e != nil {
 		e.revision = 0
 	}
 }
 
 // Change is a record that a router is to write to the store.
 type Change struct {
-	Part   Part
+	Key    Key
 	Record Record
 	// Revision is the revision that the stored record must have; 0 if there must be none.
 	Revision uint64
@@ -242,50 +242,50 @@
 }
 
 // Due returns the changes of records that this router is to write, and drops the entries
-// whose time is over. judging is set if this router writes the records of parts that the
+// whose time is over. judging is set if this router writes the records of keys that the
 // pool has found guilty.
 func (l *List) Due(now time.Time, judging bool) []Change {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var changes []Change
-	for part, e := range l.entries {
+	for key, e := range l.entries {
 		switch {
 		case e.sound && e.revision != 0:
-			changes = append(changes, Change{Part: part, Record: Record{Released: true}, Revision: e.revision})
+			changes = append(changes, Change{Key: key, Record: Record{Released: true}, Revision: e.revision})
 		case e.sound, e.revision == 0 && !now.Before(e.heldUntil):
-			l.remove(part)
+			l.remove(key)
 		case e.revision == 0 && judging:
-			changes = append(changes, Change{Part: part, Record: e.record, Revision: l.released[part]})
+			changes = append(changes, Change{Key: key, Record: e.record, Revision: l.released[key]})
 		case e.lost:
-			changes = append(changes, Change{Part: part, Record: e.record, Revision: e.revision})
+			changes = append(changes, Change{Key: key, Record: e.record, Revision: e.revision})
 		case e.revision != 0 && e.wanted:
-			changes = append(changes, Change{Part: part, Record: Record{Trials: e.record.Trials + 1}, Revision: e.revision, Trial: true})
+			changes = append(changes, Change{Key: key, Record: Record{Trials: e.record.Trials + 1}, Revision: e.revision, Trial: true})
 		case e.revision != 0 && now.Sub(e.heldUntil) > RecordMargin:
-			l.remove(part)
+			l.remove(key)
 		}
 	}
 	return changes
 }
 
 // Took records that this router has written the record of a trial and may use it.
-func (l *List) Took(now time.Time, part Part) {
+func (l *List) Took(now time.Time, key Key) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := l.entries[part]; e != nil {
+	if e := l.entries[key]; e != nil {
 		e.trialUntil = now.Add(trialTTL)
 	}
 }
 
-// Size returns the number of quarantined parts.
+// Size returns the number of quarantined keys.
 func (l *List) Size() int { return int(l.size.Load()) }
 
-// Parts returns the quarantined parts.
-func (l *List) Parts() []Part {
+// Keys returns the quarantined keys.
+func (l *List) Keys() []Key {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	parts := make([]Part, 0, len(l.entries))
-	for part := range l.entries {
-		parts = append(parts, part)
+	keys := make([]Key, 0, len(l.entries))
+	for key := range l.entries {
+		keys = append(keys, key)
 	}
-	return parts
+	return keys
 }
--- a/daemon/quarantine/list_test.go
+++ b/daemon/quarantine/list_test.go
@@ -22,30 +22,30 @@
 // Guards against more than one trial of a quarantined part over all routers in a hold, and
 // against a hold that does not grow with failed trials.
 func TestOneTrialOverAllRouters(t *testing.T) {
-	const part Part = 7
+	const key Key = 7
 	now := time.Unix(1_700_000_000, 0)
 	lists := make([]List, 20)
 	var store recordStore
 	for i := range lists {
-		lists[i].Add(now, []Part{part})
+		lists[i].Add(now, []Key{key})
 	}
 	var trials []time.Time
 	for end := now.Add(10 * time.Minute); now.Before(end); now = now.Add(250 * time.Millisecond) {
 		for i := range lists {
-			if verdict, _ := lists[i].Check(now, []Part{part}); verdict == Trial {
+			if verdict, _ := lists[i].Check(now, []Key{key}); verdict == Trial {
 				trials = append(trials, now)
 			} else if verdict == Send {
 				t.Fatalf("sent at %s", now)
 			}
 			for _, change := range lists[i].Due(now, i == 0) {
 				if store.commit(change) && change.Trial {
-					lists[i].Took(now, part)
+					lists[i].Took(now, key)
 				}
 			}
 		}
 		for i := range lists {
-			if lists[i].entries[part].revision != store.revision {
-				lists[i].Apply(now, part, store.record, store.revision)
+			if lists[i].entries[key].revision != store.revision {
+				lists[i].Apply(now, key, store.record, store.revision)
 			}
 		}
 	}
@@ -62,30 +62,30 @@
 // Guards against a part that stays quarantined although an answer with it went on, and
 // against a quarantine that ends with its record while the store loses leases.
 func TestQuarantineEnds(t *testing.T) {
-	const part Part = 7
+	const key Key = 7
 	now := time.Unix(1_700_000_000, 0)
 	var l List
-	l.Apply(now, part, Record{}, 5)
-	l.Forget(part)
-	if verdict, wait := l.Check(now.Add(firstHold/2), []Part{1, part}); verdict != Refuse || wait != firstHold/2 {
+	l.Apply(now, key, Record{}, 5)
+	l.Forget(key)
+	if verdict, wait := l.Check(now.Add(firstHold/2), []Key{1, key}); verdict != Refuse || wait != firstHold/2 {
 		t.Errorf("after the early end of the record: %d, %s", verdict, wait)
 	}
 	l.Due(now.Add(firstHold), false)
 	if l.Size() != 0 {
 		t.Error("held after the end of the record and of the hold")
 	}
-	l.Apply(now, part, Record{}, 6)
-	l.RecordSound([]Part{part})
+	l.Apply(now, key, Record{}, 6)
+	l.RecordSound([]Key{key})
 	if changes := l.Due(now, false); len(changes) != 1 || !changes[0].Record.Released || changes[0].Revision != 6 {
 		t.Errorf("changes %v after a sound answer", changes)
 	}
-	l.Apply(now, part, Record{Released: true}, 7)
-	if verdict, _ := l.Check(now, []Part{part}); verdict != Send {
+	l.Apply(now, key, Record{Released: true}, 7)
+	if verdict, _ := l.Check(now, []Key{key}); verdict != Send {
 		t.Error("held after the release")
 	}
 	// The record of the release is still stored when the part crashes servers again.
-	l.Add(now, []Part{part})
-	if changes := l.Due(now, true); len(changes) != 1 || changes[0] != (Change{Part: part, Revision: 7}) {
+	l.Add(now, []Key{key})
+	if changes := l.Due(now, true); len(changes) != 1 || changes[0] != (Change{Key: key, Revision: 7}) {
 		t.Errorf("changes %v after another verdict", changes)
 	}
 }
@@ -93,27 +93,27 @@
 // Guards against a part that is held again after its release, or that gets another trial too
 // early, because a restored store holds an older record.
 func TestRestoredRecordsDoNotGoBack(t *testing.T) {
-	const part Part = 7
+	const key Key = 7
 	now := time.Unix(1_700_000_000, 0)
 	var released, tried List
-	released.Apply(now, part, Record{Released: true}, 9)
-	released.ApplyRestored(now, part, Record{}, 5)
-	if verdict, _ := released.Check(now, []Part{part}); verdict != Send {
+	released.Apply(now, key, Record{Released: true}, 9)
+	released.ApplyRestored(now, key, Record{}, 5)
+	if verdict, _ := released.Check(now, []Key{key}); verdict != Send {
 		t.Error("held again after the release")
 	}
-	if changes := released.Due(now, false); len(changes) != 1 || changes[0] != (Change{Part: part, Record: Record{Released: true}, Revision: 5}) {
+	if changes := released.Due(now, false); len(changes) != 1 || changes[0] != (Change{Key: key, Record: Record{Released: true}, Revision: 5}) {
 		t.Errorf("changes %v after a lost release", changes)
 	}
-	tried.Apply(now, part, Record{Trials: 2}, 9)
-	tried.ApplyRestored(now.Add(time.Second), part, Record{Trials: 1}, 5)
-	if _, wait := tried.Check(now, []Part{part}); wait != (Record{Trials: 2}).Hold() {
+	tried.Apply(now, key, Record{Trials: 2}, 9)
+	tried.ApplyRestored(now.Add(time.Second), key, Record{Trials: 1}, 5)
+	if _, wait := tried.Check(now, []Key{key}); wait != (Record{Trials: 2}).Hold() {
 		t.Errorf("next trial in %s", wait)
 	}
-	if changes := tried.Due(now, false); len(changes) != 1 || changes[0] != (Change{Part: part, Record: Record{Trials: 2}, Revision: 5}) {
+	if changes := tried.Due(now, false); len(changes) != 1 || changes[0] != (Change{Key: key, Record: Record{Trials: 2}, Revision: 5}) {
 		t.Errorf("changes %v after a lost trial", changes)
 	}
-	tried.Forget(part)
-	if changes := tried.Due(now, true); len(changes) != 1 || changes[0] != (Change{Part: part, Record: Record{Trials: 2}}) {
+	tried.Forget(key)
+	if changes := tried.Due(now, true); len(changes) != 1 || changes[0] != (Change{Key: key, Record: Record{Trials: 2}}) {
 		t.Errorf("changes %v after a lost record", changes)
 	}
 }
--- a/daemon/quarantine/pool.go
+++ b/daemon/quarantine/pool.go
@@ -21,10 +21,10 @@
 	reports map[string]report
 	// cases are the crashes of all reports at summedAt, and sound their sound answers.
 	cases    map[Incarnation]*crashCase
-	sound    map[Part]time.Time
+	sound    map[Key]time.Time
 	summedAt time.Time
 	// suspects and guilty are the results for cases and sound.
-	suspects, guilty []Part
+	suspects, guilty []Key
 }
 
 // report is the latest evidence of a router.
@@ -38,8 +38,8 @@
 	at time.Time
 	// knownAt is when the pool first heard of it.
 	knownAt time.Time
-	// parts holds the position of each part in its prompt.
-	parts map[Part]int
+	// keys holds the position of each key in its prompt.
+	keys map[Key]int
 }
 
 // Merge replaces the evidence of a router. Its times are those of the caller's clock.
@@ -56,9 +56,9 @@
 	p.reports[router] = report{at: now, evidence: evidence}
 }
 
-// Verdict returns the parts that are to be quarantined, and the most accused parts, about
+// Verdict returns the keys that are to be quarantined, and the most accused keys, about
 // which the pool asks all routers.
-func (p *Pool) Verdict(now time.Time) (guilty, suspects []Part) {
+func (p *Pool) Verdict(now time.Time) (guilty, suspects []Key) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if now.Sub(p.summedAt) >= poolInterval {
@@ -73,7 +73,7 @@
 // sum adds up the reports and drops the outdated ones.
 func (p *Pool) sum(now time.Time) {
 	before := p.cases
-	p.cases, p.sound = make(map[Incarnation]*crashCase), make(map[Part]time.Time)
+	p.cases, p.sound = make(map[Incarnation]*crashCase), make(map[Key]time.Time)
 	for router, r := range p.reports {
 		if now.Sub(r.at) > reportTTL {
 			delete(p.reports, router)
@@ -83,8 +83,8 @@
 			p.addCrash(now, c, before[c.Server])
 		}
 		for _, s := range r.evidence.Sound {
-			if s.At.After(p.sound[s.Part]) {
-				p.sound[s.Part] = s.At
+			if s.At.After(p.sound[s.Key]) {
+				p.sound[s.Key] = s.At
 			}
 		}
 	}
@@ -95,7 +95,7 @@
 func (p *Pool) addCrash(now time.Time, c Crash, before *crashCase) {
 	sum := p.cases[c.Server]
 	if sum == nil {
-		sum = &crashCase{at: c.At, knownAt: now, parts: make(map[Part]int)}
+		sum = &crashCase{at: c.At, knownAt: now, keys: make(map[Key]int)}
 		if before != nil {
 			sum.knownAt = before.knownAt
 		}
@@ -104,20 +104,20 @@
 	if c.At.Before(sum.at) {
 		sum.at = c.At
 	}
-	for position, part := range c.Parts {
-		sum.parts[part] = position
+	for position, key := range c.Keys {
+		sum.keys[key] = position
 	}
 }
 
-// mostAccused returns the parts in the crashes, the most frequent first.
-func mostAccused(cases map[Incarnation]*crashCase) []Part {
-	counts := make(map[Part]int)
+// mostAccused returns the keys in the crashes, the most frequent first.
+func mostAccused(cases map[Incarnation]*crashCase) []Key {
+	counts := make(map[Key]int)
 	for _, c := range cases {
-		for part := range c.parts {
-			counts[part]++
+		for key := range c.keys {
+			counts[key]++
 		}
 	}
-	list := slices.SortedFunc(maps.Keys(counts), func(a, b Part) int {
+	list := slices.SortedFunc(maps.Keys(counts), func(a, b Key) int {
 		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
 	})
 	return list[:min(len(list), maxSuspects)]
--- a/daemon/quarantine/quarantine.go
+++ b/daemon/quarantine/quarantine.go
@@ -17,33 +17,33 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Part identifies what may crash the servers of a service: a part of prompts, or a whole
+// Key identifies what may crash the servers of a service: a part of prompts, or a whole
 // request with all its repetitions.
-type Part uint64
+type Key uint64
 
-// Parts returns the parts that may be quarantined, given the IDs of the parts of a
-// prompt: all but the last, which only this request or its session has.
-func Parts(service string, ids []string) []Part {
+// PromptKeys returns the keys of the parts of a prompt, given their IDs: of all but the last,
+// which only this request or its session has.
+func PromptKeys(service string, ids []string) []Key {
 	if len(ids) < 2 {
 		return nil
 	}
-	parts := make([]Part, 0, len(ids)-1)
+	keys := make([]Key, 0, len(ids)-1)
 	for _, id := range ids[:len(ids)-1] {
-		parts = append(parts, Part(xxhash.Sum64String(service+"/"+id)))
+		keys = append(keys, Key(xxhash.Sum64String(service+"/"+id)))
 	}
-	return parts
+	return keys
 }
 
-// WholeRequest returns the part that stands for a request and its repetitions: requests to
+// WholeRequest returns the key of a request and its repetitions: requests to
 // the same service and path, of the same caller, with the same prompt and body.
-func WholeRequest(service, path, caller string, promptParts []string, body []byte) Part {
+func WholeRequest(service, path, caller string, promptParts []string, body []byte) Key {
 	digest := xxhash.New()
 	for _, field := range append([]string{service, path, caller}, promptParts...) {
 		_, _ = digest.WriteString(field)
 		_, _ = digest.Write([]byte{0})
 	}
 	_, _ = digest.Write(body)
-	return Part(digest.Sum64())
+	return Key(digest.Sum64())
 }
 
 // Incarnation identifies one life of a backend server, so that the reports of several
@@ -81,14 +81,14 @@
 type Crash struct {
 	Server Incarnation
 	At     time.Time
-	// Parts are the accused parts in the order of the prompt; the whole request is the last.
-	Parts []Part
+	// Keys are those of the accused parts in the order of the prompt; the whole request is the last.
+	Keys []Key
 }
 
-// Sound is the latest answer to a prompt with the part that went on.
+// Sound is the latest answer that went on to a request with the key.
 type Sound struct {
-	Part Part
-	At   time.Time
+	Key Key
+	At  time.Time
 }
 
 // Evidence is what one router has seen.
--- a/daemon/quarantine/verdict.go
+++ b/daemon/quarantine/verdict.go
@@ -7,56 +7,56 @@
 	"time"
 )
 
-// findGuilty returns the parts that explain the crashes, given in the order of time. A
-// request that crashes its server also accuses the other parts of its prompt and the
-// requests that had just begun beside it. So parts are convicted one after the other, and
-// the crashes that one explains no longer count against others. Parts that no router has
+// findGuilty returns the keys that explain the crashes, given in the order of time. A
+// request that crashes its server also accuses the other keys of its prompt and the
+// requests that had just begun beside it. So keys are convicted one after the other, and
+// the crashes that one explains no longer count against others. Keys that no router has
 // seen in a sound answer come first, and among equals those that stand later in their
 // prompts, because fewer other prompts have them.
-func findGuilty(cases []*crashCase, sound map[Part]time.Time) []Part {
-	var guilty []Part
+func findGuilty(cases []*crashCase, sound map[Key]time.Time) []Key {
+	var guilty []Key
 	for {
-		part, ok := mostBlamed(cases, sound, true)
+		key, ok := mostBlamed(cases, sound, true)
 		if !ok {
-			part, ok = mostBlamed(cases, sound, false)
+			key, ok = mostBlamed(cases, sound, false)
 		}
 		if !ok {
 			slices.Sort(guilty)
 			return guilty
 		}
-		guilty = append(guilty, part)
+		guilty = append(guilty, key)
 		cases = slices.DeleteFunc(slices.Clone(cases), func(c *crashCase) bool {
-			_, explained := c.parts[part]
+			_, explained := c.keys[key]
 			return explained
 		})
 	}
 }
 
-// mostBlamed returns the part with the most crashes since its latest sound answer, or false
-// if there is none with enough crashes to convict. With neverSound, parts that were in a
+// mostBlamed returns the key with the most crashes since its latest sound answer, or false
+// if there is none with enough crashes to convict. With neverSound, keys that were in a
 // sound answer are left out.
-func mostBlamed(cases []*crashCase, sound map[Part]time.Time, neverSound bool) (Part, bool) {
-	tallies := make(map[Part]tally)
+func mostBlamed(cases []*crashCase, sound map[Key]time.Time, neverSound bool) (Key, bool) {
+	tallies := make(map[Key]tally)
 	for _, c := range cases {
-		for part, position := range c.parts {
-			at := sound[part]
+		for key, position := range c.keys {
+			at := sound[key]
 			if neverSound && !at.IsZero() || !c.at.After(at) {
 				continue
 			}
-			tallies[part] = tallies[part].add(c.at, position)
+			tallies[key] = tallies[key].add(c.at, position)
 		}
 	}
 	if len(tallies) == 0 {
 		return 0, false
 	}
-	most := slices.MinFunc(slices.Collect(maps.Keys(tallies)), func(a, b Part) int {
+	most := slices.MinFunc(slices.Collect(maps.Keys(tallies)), func(a, b Key) int {
 		x, y := tallies[a], tallies[b]
 		return cmp.Or(cmp.Compare(y.crashes, x.crashes), sound[a].Compare(sound[b]), cmp.Compare(y.position, x.position), cmp.Compare(a, b))
 	})
 	return most, tallies[most].crashes >= crashesToConvict
 }
 
-// tally counts the crashes of a part that are far enough apart.
+// tally counts the crashes of a key that are far enough apart.
 type tally struct {
 	crashes  int
 	last     time.Time
--- a/daemon/quarantine/verdict_test.go
+++ b/daemon/quarantine/verdict_test.go
@@ -10,29 +10,29 @@
 // on the engine, and against the acquittal of a part that has turned deadly.
 func TestFindGuilty(t *testing.T) {
 	at := func(seconds float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(seconds * 1e9)) }
-	const first, deadly, beside Part = 1, 2, 3
-	crash := func(seconds float64, parts ...Part) *crashCase {
-		c := &crashCase{at: at(seconds), parts: make(map[Part]int)}
-		for i, part := range parts {
-			c.parts[part] = i
+	const first, deadly, beside Key = 1, 2, 3
+	crash := func(seconds float64, keys ...Key) *crashCase {
+		c := &crashCase{at: at(seconds), keys: make(map[Key]int)}
+		for i, key := range keys {
+			c.keys[key] = i
 		}
 		return c
 	}
 	together := []*crashCase{crash(1, first, deadly), crash(2, first, deadly), crash(3, first, deadly)}
 	for name, c := range map[string]struct {
 		cases []*crashCase
-		sound map[Part]time.Time
-		want  []Part
+		sound map[Key]time.Time
+		want  []Key
 	}{
-		"the first part was sound before":    {together, map[Part]time.Time{first: at(0.5)}, []Part{deadly}},
-		"the second part was sound before":   {together, map[Part]time.Time{deadly: at(0.5)}, []Part{first}},
-		"nothing was sound":                  {together, nil, []Part{deadly}},
-		"the first part is in other crashes": {append(slices.Clone(together), crash(4, first), crash(5, first)), map[Part]time.Time{first: at(0.5)}, []Part{deadly}},
-		"a part beside it in some crashes":   {append(slices.Clone(together), crash(4, deadly, beside), crash(5, deadly, beside), crash(6, deadly, beside)), map[Part]time.Time{first: at(0.5)}, []Part{deadly}},
-		"sound since the last crash":         {together, map[Part]time.Time{first: at(4), deadly: at(4)}, nil},
-		"sound between the crashes":          {together, map[Part]time.Time{first: at(4), deadly: at(1.5)}, nil},
-		"a part that has turned deadly":      {together, map[Part]time.Time{first: at(4), deadly: at(0.5)}, []Part{deadly}},
-		"two deadly parts":                   {append(slices.Clone(together), crash(4, 7), crash(5, 7), crash(6, 7)), nil, []Part{deadly, 7}},
+		"the first part was sound before":    {together, map[Key]time.Time{first: at(0.5)}, []Key{deadly}},
+		"the second part was sound before":   {together, map[Key]time.Time{deadly: at(0.5)}, []Key{first}},
+		"nothing was sound":                  {together, nil, []Key{deadly}},
+		"the first part is in other crashes": {append(slices.Clone(together), crash(4, first), crash(5, first)), map[Key]time.Time{first: at(0.5)}, []Key{deadly}},
+		"a part beside it in some crashes":   {append(slices.Clone(together), crash(4, deadly, beside), crash(5, deadly, beside), crash(6, deadly, beside)), map[Key]time.Time{first: at(0.5)}, []Key{deadly}},
+		"sound since the last crash":         {together, map[Key]time.Time{first: at(4), deadly: at(4)}, nil},
+		"sound between the crashes":          {together, map[Key]time.Time{first: at(4), deadly: at(1.5)}, nil},
+		"a part that has turned deadly":      {together, map[Key]time.Time{first: at(4), deadly: at(0.5)}, []Key{deadly}},
+		"two deadly parts":                   {append(slices.Clone(together), crash(4, 7), crash(5, 7), crash(6, 7)), nil, []Key{deadly, 7}},
 		"crashes at the same moment":         {[]*crashCase{crash(1, 7), crash(1.01, 7), crash(1.02, 7)}, nil, nil},
 		"two crashes":                        {together[:2], nil, nil},
 	} {
@@ -48,14 +48,14 @@
 	now := time.Unix(1000, 0)
 	var crashes []Crash
 	for i := range 3 {
-		crashes = append(crashes, Crash{Server: Incarnation(i), At: now.Add(time.Duration(i-3) * 100 * time.Millisecond), Parts: []Part{1, 2}})
+		crashes = append(crashes, Crash{Server: Incarnation(i), At: now.Add(time.Duration(i-3) * 100 * time.Millisecond), Keys: []Key{1, 2}})
 	}
 	p.Merge(now, "a", Evidence{Crashes: crashes})
 	if guilty, suspects := p.Verdict(now); len(guilty) > 0 || len(suspects) != 2 {
 		t.Errorf("at once: guilty %v, suspects %v", guilty, suspects)
 	}
-	p.Merge(now, "b", Evidence{Sound: []Sound{{Part: 1, At: now}}})
-	if guilty, _ := p.Verdict(now.Add(settleTime)); !slices.Equal(guilty, []Part{2}) {
+	p.Merge(now, "b", Evidence{Sound: []Sound{{Key: 1, At: now}}})
+	if guilty, _ := p.Verdict(now.Add(settleTime)); !slices.Equal(guilty, []Key{2}) {
 		t.Errorf("after the reports: guilty %v", guilty)
 	}
 	if guilty, _ := p.Verdict(now.Add(reportTTL + poolInterval)); len(guilty) > 0 {
@@ -69,9 +69,9 @@
 	var r Recorder
 	now := time.Unix(1000, 0)
 	for i := range 50_000 {
-		r.RecordSound(now, []Part{Part(i)})
-		r.RecordAnswered(now, Part(i))
-		r.RecordCrash(now, Incarnation(i), []Part{Part(i)})
+		r.RecordSound(now, []Key{Key(i)})
+		r.RecordAnswered(now, Key(i))
+		r.RecordCrash(now, Incarnation(i), []Key{Key(i)})
 	}
 	for _, g := range []generations{r.sound, r.answered} {
 		if n := len(g.latest) + len(g.older); n > 2*soundGeneration+2 {
