edge: a stopping process looks at its backlog before it closes the listener

Callers saw connections reset by a planned stop on a machine short of processor time. The listener took the absence of accepted connections for 100 ms as the absence of established ones, but a listener whose deadline has passed does not look at its backlog. A process that did not run in that time and went on within 5 ms after it closed the listener with connections in the backlog, which the kernel resets.

TestBacklogIsAcceptedBeforeTheListenerCloses fails without it.

--- a/daemon/edge/drain.go
+++ b/daemon/edge/drain.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"cactusknot.example/daemon/topology"
 )
 
@@ -126,11 +128,25 @@
 	return now.Sub(l.quietUntil) <= maxQuietLateness
 }
 
+// pending reports whether a connection has been established that was not accepted. The deadline
+// of the listener does not tell: once it has passed, the backlog is not looked at.
+func (l *drainListener) pending() bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := 0
+	err = raw.Control(func(fd uintptr) {
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && ready > 0
+}
+
 // Accept implements net.Listener.
 func (l *drainListener) Accept() (net.Conn, error) {
 	conn, err := l.AcceptTCP()
 	for err != nil && l.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-		if l.wasQuiet(time.Now()) {
+		if l.wasQuiet(time.Now()) && !l.pending() {
 			l.closed.Store(true)
 			return nil, errors.Join(net.ErrClosed, l.TCPListener.Close())
 		}
--- a/daemon/edge/drain_test.go
+++ b/daemon/edge/drain_test.go
@@ -139,6 +139,32 @@
 	}
 }
 
+// Guards against the reset of connections that were established before the listener is closed,
+// and that a process short of processor time has not looked at.
+func TestBacklogIsAcceptedBeforeTheListenerCloses(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	var draining atomic.Bool
+	draining.Store(true)
+	l := &drainListener{TCPListener: raw.(*net.TCPListener), draining: &draining, open: make(map[*drainConn]bool)}
+	client := dialAndSend(t, raw.Addr().String(), "GET / HTTP/1.1\r\n")
+	defer client.Close()
+	// The quiet time ends at this moment, and nothing was accepted in it.
+	l.quietUntil = time.Now()
+	if err := l.SetDeadline(l.quietUntil); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := l.Accept(); err != nil {
+		t.Fatalf("the connection was not accepted: %v", err)
+	}
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the listener goes on without connections: %v", err)
+	}
+}
+
 // A running response is finished, and the head that has arrived in part gets an answer that
 // says that the connection ends.
 func TestPlannedStopFinishesRequests(t *testing.T) {
