Read-through: dead state and branches, one name of a quarantine key, one measure of processor time

limit.AdmissionState.Paused was read by nobody. The model of servers that announce had a branch that could not be reached. Two packages formatted quarantine.Key; it has a String method. Two tests took the difference of two readings of the processor time; cputime.Of does it. No behavior changes.

--- a/coord/limit/admission.go
+++ b/coord/limit/admission.go
@@ -89,10 +89,8 @@
 	Phase Phase
 	// Reason is the reason of the latest cold start.
 	Reason ColdReason
-	// Paused is set in a pause; Limit and Free are those of the ramp after it.
-	Paused bool
 	// Limit is the present request limit: MaxRequests when warm, the ramp limit
-	// when cold, 0 when leaving or down.
+	// when cold, 0 when leaving or down. In a pause it is that of the ramp after it.
 	Limit int
 	// Free is the estimated number of further requests that would be admitted now,
 	// each of the average size of the admitted ones.
@@ -390,7 +388,6 @@
 	s := AdmissionState{
 		Phase:         a.phase(),
 		Reason:        a.reason,
-		Paused:        a.paused,
 		Running:       a.running,
 		Tokens:        a.tokens,
 		FirstToken:    time.Duration(a.detector.firstToken),
--- a/daemon/agent/announcements.go
+++ b/daemon/agent/announcements.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// headerLeaving is the header by which a backend server announces that it leaves.
+	// headerLeaving announces that the backend server leaves, and headerRetryAfter, with status
+	// 503, that it wants no requests for a time.
 	headerLeaving    = "Server-Leaving"
 	headerRetryAfter = "Retry-After"
 	// departureDoubt is how long after its last announcement a server that answers without one
@@ -95,6 +96,7 @@
 	if isNew {
 		s.pausedUntil = until
 	}
+	// Under the lock, so that pausedFor does not end a pause that has just been extended.
 	a.admission.SetPaused(true)
 	s.mu.Unlock()
 	if isNew {
--- a/daemon/bench/queueing/announcements.go
+++ b/daemon/bench/queueing/announcements.go
@@ -259,7 +259,6 @@
 // receive takes over an answer.
 func (r *announcementRouter) receive(q *announcementRequest, a announcementAnswer) {
 	m, now, choice := r.model, r.model.loop.currentTime(), q.choice
-	id := choice.Server.ID
 	r.observe(q, a)
 	switch a.outcome {
 	case outcomeDone:
@@ -271,13 +270,10 @@
 		choice.RecordLoad(now, a.load)
 		choice.End(now, selection.Refused)
 		r.retry(q)
-	default:
+	case outcomeBroken:
+		// There was no connection, so the request was not sent.
 		choice.End(now, selection.Unreachable)
-		if m.servers[id].ended && !a.leaving {
-			r.retry(q) // no connection, so that the request was not sent
-			return
-		}
-		m.finish(q, outcomeBroken)
+		r.retry(q)
 	}
 }
 
--- a/daemon/cputime/cputime.go
+++ b/daemon/cputime/cputime.go
@@ -1,5 +1,5 @@
-// Package cputime tells how much processor time this process has used. Unlike the time that has
-// passed, it does not depend on other processes.
+// Package cputime measures processor time. Unlike the time that passes, it does not depend on
+// other processes.
 package cputime
 
 import (
@@ -7,8 +7,19 @@
 	"time"
 )
 
-// Used returns the processor time that all threads of this process have used so far.
-func Used() (time.Duration, error) {
+// Of returns the processor time that all threads of this process use while run lasts.
+func Of(run func()) (time.Duration, error) {
+	start, err := used()
+	if err != nil {
+		return 0, err
+	}
+	run()
+	end, err := used()
+	return end - start, err
+}
+
+// used returns the processor time that all threads of this process have used so far.
+func used() (time.Duration, error) {
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
 		return 0, err
--- a/daemon/ctl/check_test.go
+++ b/daemon/ctl/check_test.go
@@ -199,14 +199,14 @@
 			t.Fatal(err)
 		}
 	}
-	start, err := cputime.Used()
-	if err != nil {
-		t.Fatal(err)
-	}
-	code, out, errs := runCommand(runCheck, "-strict", "-against", filepath.Join(dir, "1"), "-config", filepath.Join(dir, "2"))
+	var code int
+	var out, errs string
+	took, err := cputime.Of(func() {
+		code, out, errs = runCommand(runCheck, "-strict", "-against", filepath.Join(dir, "1"), "-config", filepath.Join(dir, "2"))
+	})
 	// On an idle machine the time that passes is no more, as the check waits for nothing.
-	if now, err := cputime.Used(); err != nil || now-start > time.Second {
-		t.Errorf("took %s, %v", now-start, err)
+	if err != nil || took > time.Second {
+		t.Errorf("took %s, %v", took, err)
 	}
 	if n := strings.Count(out, "timeout: 100ms -> 200ms"); code != ExitOK || n != 10_000 {
 		t.Errorf("code %d, %d differences: %s", code, n, errs)
--- a/daemon/edge/quarantine.go
+++ b/daemon/edge/quarantine.go
@@ -80,8 +80,8 @@
 		q.judging = true
 		q.mu.Unlock()
 	}
-	for _, part := range q.edge.gateway.Quarantine.Add(now, guilty) {
-		q.edge.log.Warn().Str("part", keyName(part)).Bool("own_verdict", own).Msg("quarantined: such requests crash backend servers")
+	for _, key := range q.edge.gateway.Quarantine.Add(now, guilty) {
+		q.edge.log.Warn().Stringer("part", key).Bool("own_verdict", own).Msg("quarantined: such requests crash backend servers")
 	}
 }
 
@@ -97,9 +97,9 @@
 		q.edge.log.Error().Err(err).Str("key", change.Key).Msg("failed to decode quarantine; skipping it")
 		return true
 	}
-	part := quarantine.Key(number)
+	key := quarantine.Key(number)
 	if change.Deleted {
-		q.edge.gateway.Quarantine.Forget(part)
+		q.edge.gateway.Quarantine.Forget(key)
 		q.edge.log.Info().Str("part", name).Uint64("revision", uint64(change.Revision)).Msg("quarantine record ended")
 		return true
 	}
@@ -112,7 +112,7 @@
 	if restored {
 		apply = q.edge.gateway.Quarantine.ApplyRestored
 	}
-	apply(time.Now(), part, record, uint64(change.Revision))
+	apply(time.Now(), key, record, uint64(change.Revision))
 	q.edge.log.Info().Str("part", name).Int("trials", record.Trials).Bool("released", record.Released).Dur("hold_ms", record.Hold()).
 		Uint64("revision", uint64(change.Revision)).Msg("quarantine changed")
 	return true
@@ -148,7 +148,7 @@
 	if err != nil && !errors.Is(err, kv.ErrConflict) {
 		event = q.edge.log.Warn()
 	}
-	event.Err(err).Str("part", keyName(change.Key)).Int("trials", change.Record.Trials).Bool("released", change.Record.Released).
+	event.Err(err).Stringer("part", change.Key).Int("trials", change.Record.Trials).Bool("released", change.Record.Released).
 		Msg("quarantine commit finished")
 }
 
@@ -161,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	key := quarantinePrefix + keyName(change.Key)
+	key := quarantinePrefix + change.Key.String()
 	_, err = q.edge.settings.Store.Commit(ctx, Txn{
 		Era:        era,
 		Conditions: []Condition{{Key: key, Revision: kv.Revision(change.Revision)}},
@@ -174,15 +174,12 @@
 func (q *quarantines) names() []string {
 	var names []string
 	for _, key := range q.edge.gateway.Quarantine.Keys() {
-		names = append(names, keyName(key))
+		names = append(names, key.String())
 	}
 	slices.Sort(names)
 	return names
 }
 
-// keyName returns a key as store keys and log lines name it.
-func keyName(key quarantine.Key) string { return fmt.Sprintf("%016x", uint64(key)) }
-
 func encodeKeys(keys []quarantine.Key) []uint64 {
 	list := make([]uint64, len(keys))
 	for i, key := range keys {
--- a/daemon/gateway/quarantine.go
+++ b/daemon/gateway/quarantine.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"time"
 
 	"cactusknot.example/daemon/quarantine"
@@ -95,7 +94,7 @@
 func keyNames(keys []quarantine.Key) []string {
 	names := make([]string, len(keys))
 	for i, key := range keys {
-		names[i] = fmt.Sprintf("%016x", uint64(key))
+		names[i] = key.String()
 	}
 	return names
 }
--- a/daemon/quarantine/quarantine.go
+++ b/daemon/quarantine/quarantine.go
@@ -12,6 +12,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +22,9 @@
 // request with all its repetitions.
 type Key uint64
 
+// String returns the key as store keys and log lines name it.
+func (k Key) String() string { return fmt.Sprintf("%016x", uint64(k)) }
+
 // PromptKeys returns the keys of the parts of a prompt, given their IDs: of all but the last,
 // which only this request or its session has.
 func PromptKeys(service string, ids []string) []Key {
--- a/daemon/topology/compare_test.go
+++ b/daemon/topology/compare_test.go
@@ -80,14 +80,12 @@
 		return NewConfig(1, routes, []*Service{{Name: "s"}}, keys, Limits{})
 	}
 	old, next := config(time.Second), config(2*time.Second)
-	start, err := cputime.Used()
-	if err != nil {
-		t.Fatal(err)
-	}
-	findings, differences := next.Findings(), Compare(old, next)
+	var findings []Finding
+	var differences []Difference
+	took, err := cputime.Of(func() { findings, differences = next.Findings(), Compare(old, next) })
 	// On an idle machine the time that passes is no more, as the comparison waits for nothing.
-	if now, err := cputime.Used(); err != nil || now-start > time.Second {
-		t.Errorf("took %s, %v", now-start, err)
+	if err != nil || took > time.Second {
+		t.Errorf("took %s, %v", took, err)
 	}
 	if len(findings) != 0 || len(differences) != 10_000 {
 		t.Errorf("%d findings, %d differences", len(findings), len(differences))
