--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -64,7 +64,10 @@
 	if e.left {
 		return
 	}
-	e.sequence++
+	if e.sequence++; e.sequence > 1 {
+		// The entry changes only when more than sequence does.
+		return
+	}
 	e.store.put("servers/"+e.id, map[string]any{
 		"backend": e.service, "address": e.listener.Addr().String(), "zone": e.zone, "version": "v1", "capacity_slots": 64,
 		"state": "available", "cold_remaining_ms": 0, "sequence": e.sequence, "born": e.born,
--- a/review/rig/model.go
+++ b/review/rig/model.go
@@ -22,8 +22,13 @@
 	// how long the engine is away then.
 	deadlyPart string
 	down       time.Duration
-	// headFirst is set if the head and the first event of such an answer are sent before the crash.
-	headFirst bool
+	// headFirst is set if the head of such an answer is sent before the crash, and an event after
+	// beforeCrash.
+	headFirst   bool
+	beforeCrash time.Duration
+	// events is the number of events of an answer, and eventTime the time between them.
+	events    int
+	eventTime time.Duration
 
 	mu      sync.Mutex
 	crashes []time.Time
@@ -45,10 +50,8 @@
 }
 
 const (
-	prefillTime  = 80 * time.Millisecond
-	eventTime    = 40 * time.Millisecond
-	streamEvents = 13
-	coldTime     = 3 * time.Second
+	prefillTime = 80 * time.Millisecond
+	coldTime    = 3 * time.Second
 )
 
 func (m *modelEngines) start(place int, zone string, cold bool) {
@@ -166,7 +169,10 @@
 	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sX-Server-Seal: %s.%s\r\nX-Confidence: 90\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head, e.id, id); err != nil {
 		return false
 	}
-	for i := first; i <= streamEvents; i++ {
+	if deadly {
+		time.Sleep(e.all.beforeCrash)
+	}
+	for i := first; i <= e.all.events; i++ {
 		event := fmt.Sprintf("id: %d\ndata: %s.%d\n\n", i, id, i)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
 			return false
@@ -176,7 +182,7 @@
 			e.crash(id)
 			return false
 		}
-		time.Sleep(eventTime)
+		time.Sleep(e.all.eventTime)
 	}
 	_, err := fmt.Fprint(c, "0\r\n\r\n")
 	return err == nil
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
@@ -33,8 +34,14 @@
 	changed  chan struct{}
 	leases   map[uint64]*lease
 	lastID   uint64
+	// cutWatches is set while a watch that has waited for a while is cut, as any may be: after
+	// minWatch to maxWatch, at random.
+	cutWatches bool
+	cuts       int
 }
 
+const minWatch, maxWatch = 100 * time.Millisecond, 300 * time.Millisecond
+
 type lease struct {
 	ttl   time.Duration
 	timer *time.Timer
@@ -71,6 +78,13 @@
 	s.write(item{Key: key, Value: raw})
 }
 
+// setCutWatches lets the store cut watches that wait, or no more.
+func (s *store) setCutWatches(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutWatches = cut
+}
+
 // drop removes a key as an engine or the operator does.
 func (s *store) drop(key string) {
 	s.mu.Lock()
@@ -140,6 +154,12 @@
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
 	end := time.After(time.Duration(wait) * time.Millisecond)
+	var cut <-chan time.Time
+	s.mu.Lock()
+	if s.cutWatches && wait > 0 {
+		cut = time.After(minWatch + rand.N(maxWatch-minWatch))
+	}
+	s.mu.Unlock()
 	for done := false; ; {
 		s.mu.Lock()
 		first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
@@ -159,6 +179,11 @@
 		case <-changed:
 		case <-r.Context().Done():
 			return
+		case <-cut:
+			s.mu.Lock()
+			s.cuts++
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
 		case <-end:
 			done = true
 		}
--- a/review/rig/tainted.go
+++ b/review/rig/tainted.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -59,28 +60,75 @@
 	}
 }
 
-// tainted: one part of a prompt crashes each engine that begins to write an answer on it.
+// deployment is the size and the load of a case with deadly requests.
+type deployment struct {
+	machines []machine
+	engines  int
+	// events and eventTime make up an answer.
+	events    int
+	eventTime time.Duration
+	// interval is the time between sound requests, and each deadlyEach-th of them is followed by one
+	// with the deadly part.
+	interval   time.Duration
+	deadlyEach int
+	traffic    time.Duration
+	// headFirst is set if the head of an answer and an event are sent before the crash.
+	headFirst   bool
+	beforeCrash time.Duration
+}
+
+// tainted: one part of a prompt crashes each engine that begins to write an answer on it, before the
+// head of the answer is out.
 func tainted(r *rig) bool {
+	d := deployment{
+		machines: smallMachines, engines: 12, events: 13, eventTime: 40 * time.Millisecond,
+		interval: 50 * time.Millisecond, deadlyEach: 40, traffic: 40 * time.Second,
+	}
+	// HEAD is for a comparison: the head is sent so many ms before the crash.
+	if ms, err := strconv.Atoi(os.Getenv("HEAD")); err == nil {
+		d.headFirst, d.beforeCrash = true, time.Duration(ms)*time.Millisecond
+	}
+	return r.sendDeadly(d)
+}
+
+// loaded: the same with the head before the crash, while one machine is left that has many requests at
+// each engine.
+func loaded(r *rig) bool {
+	d := deployment{
+		machines: smallMachines[:1], engines: 12, events: 43, eventTime: 180 * time.Millisecond,
+		interval: 20 * time.Millisecond, deadlyEach: 100, traffic: 40 * time.Second, headFirst: true,
+	}
+	// INTERVAL is for a comparison: the time in ms between sound requests.
+	if ms, err := strconv.Atoi(os.Getenv("INTERVAL")); err == nil {
+		d.deadlyEach = d.deadlyEach * 20 / ms
+		d.interval = time.Duration(ms) * time.Millisecond
+	}
+	return r.sendDeadly(d)
+}
+
+func (r *rig) sendDeadly(d deployment) bool {
 	const (
 		contact  = 3 * time.Second
 		allowed  = 3
 		deadly   = "dead0bad"
-		traffic  = 40 * time.Second
 		deadline = 15 * time.Second
 	)
 	s := newStore(r.record)
-	engines := &modelEngines{record: r.record, store: s, service: "lm", arrivals: &arrivals{byID: make(map[string][]arrival)}, deadlyPart: deadly, down: 3 * time.Second, headFirst: os.Getenv("HEAD") == "1"}
+	engines := &modelEngines{
+		record: r.record, store: s, service: "lm", arrivals: &arrivals{byID: make(map[string][]arrival)}, deadlyPart: deadly, down: 3 * time.Second,
+		headFirst: d.headFirst, beforeCrash: d.beforeCrash, events: d.events, eventTime: d.eventTime,
+	}
 	s.put("op/config", modelConfig(3))
-	for i := range 12 {
-		time.Sleep(beat / 12)
+	for i := range d.engines {
+		time.Sleep(beat / time.Duration(d.engines))
 		engines.start(i+1, fmt.Sprintf("z%d", i%3+1), false)
 	}
-	r.newEdges(s, smallBounds, smallMachines)
+	r.newEdges(s, smallBounds, d.machines)
 	for _, e := range r.edges {
 		eventually(9*time.Second, e.name+" is ready", e.isReady)
 	}
 	time.Sleep(time.Until(r.record.start.Add(10 * time.Second)))
-	c, end := &clients{}, time.Now().Add(traffic)
+	c, end := &clients{}, time.Now().Add(d.traffic)
 	var requests sync.WaitGroup
 	prompt := func(route string, parts string, tokens int, n int) call {
 		return call{route: route, method: http.MethodPost, deadline: deadline, body: fmt.Sprintf("prompt %d", n), header: map[string]string{
@@ -100,9 +148,9 @@
 			in = prompt("faq", fmt.Sprintf("fa9:350,%x:1110", 0x10000+n), 1460, n)
 		}
 		requests.Go(func() { c.call(clientOf[i], r.edges[i], in) })
-		// Every twentieth request of the route has the deadly part, no two alike.
-		if n%40 == 39 && r.trouble {
-			i := n / 40 % len(r.edges)
+		// No two requests with the deadly part are alike.
+		if n%d.deadlyEach == d.deadlyEach-1 && r.trouble {
+			i := n / d.deadlyEach % len(r.edges)
 			in := prompt("draft", fmt.Sprintf("5ba4ed:13300,%s:500,%x:3220", deadly, 0x90000+n), 17020, 100000+n)
 			requests.Go(func() {
 				one := c.call(clientOf[i], r.edges[i], in)
@@ -111,7 +159,7 @@
 				mu.Unlock()
 			})
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(d.interval)
 	}
 	requests.Wait()
 	engines.mu.Lock()
