--- a/review/4/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 # cut.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/rig ] && [ -x target/cactusknot ] || { echo "build first: the deploy file, then review/build.sh"; exit 2; }
-exec review/bin/rig -case watches -target target/cactusknot -record review/4/record.txt
+exec review/bin/rig -case watches -target target/cactusknot -record review/5/record.txt
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -39,6 +39,8 @@
 	deadline      time.Duration
 	header        map[string]string
 	body          string
+	// path follows the route's prefix; empty for an ordinary one.
+	path string
 }
 
 // load sends requests to an edge at intervals until stop is closed. Each request waits for its answer on
@@ -74,7 +76,11 @@
 	if in.body != "" {
 		body = strings.NewReader(in.body)
 	}
-	request, err := http.NewRequestWithContext(ctx, in.method, "http://"+e.frontend+"/"+in.route+"/1", body)
+	path := in.path
+	if path == "" {
+		path = "1"
+	}
+	request, err := http.NewRequestWithContext(ctx, in.method, "http://"+e.frontend+"/"+in.route+"/"+path, body)
 	check(err)
 	request.Host = "app.example"
 	request.GetBody = nil
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -38,6 +38,11 @@
 	arrivals          *arrivals
 	born              int64
 
+	// deadlyPath crashes the engine when it begins to run a request to that path; empty for none. It is
+	// back after down, as another engine.
+	deadlyPath string
+	crashed    func(e *engine, id string)
+
 	mu       sync.Mutex
 	sequence int
 	left     bool
@@ -48,6 +53,11 @@
 
 func (r *rig) newEngine(id, service, zone string, work time.Duration, s *store, a *arrivals) *engine {
 	e := &engine{id: id, service: service, zone: zone, work: work, listener: listen(), store: s, arrivals: a, born: time.Now().UnixMilli(), conns: make(map[net.Conn]bool)}
+	e.serveAll()
+	return e
+}
+
+func (e *engine) serveAll() {
 	go e.accept()
 	e.beat()
 	go func() {
@@ -55,7 +65,23 @@
 			e.beat()
 		}
 	}()
-	return e
+}
+
+// crash resets all connections. The entry is removed after three intervals of silence.
+func (e *engine) crash(id string) {
+	e.mu.Lock()
+	if e.left {
+		e.mu.Unlock()
+		return
+	}
+	e.left = true
+	e.listener.Close()
+	for c := range e.conns {
+		reset(c.(*net.TCPConn))
+	}
+	e.mu.Unlock()
+	time.AfterFunc(3*beat, func() { e.store.drop("servers/" + e.id) })
+	e.crashed(e, id)
 }
 
 func (e *engine) beat() {
@@ -129,6 +155,10 @@
 			continue
 		}
 		e.arrivals.add(id, arrival{at: time.Now(), engine: e.id, ran: true})
+		if e.deadlyPath != "" && request.URL.Path == e.deadlyPath {
+			e.crash(id)
+			return
+		}
 		time.Sleep(e.work)
 		body := "done " + id
 		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s.%s\r\nX-Instance-Id: %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", id, e.id, id, e.id, len(body), body); err != nil {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,7 +25,7 @@
 	target := flag.String("target", "target/cactusknot", "the program under test")
 	file := flag.String("record", "record.txt", "the file of the record")
 	flag.Parse()
-	run := map[string]func(*rig) bool{"tainted": tainted, "watches": watches, "loaded": loaded}[*name]
+	run := map[string]func(*rig) bool{"tainted": tainted, "watches": watches, "loaded": loaded, "deadly": deadly}[*name]
 	if run == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(exitFailed)
