--- a/review/rig/deadly.go
+++ b/review/rig/deadly.go
@@ -71,7 +71,7 @@
 			bad[one.id] = true
 			r.record.add("deadly request %s at %s: answer %d after %.3f s, error %v", one.id, e.name, one.status, one.ended.Sub(one.at).Seconds(), one.err)
 			if one.status == http.StatusServiceUnavailable {
-				// It says when to come back, which is later than this client asks again.
+				// The answer says when to come back; that is not before this client's next call.
 				break
 			}
 		}
--- a/review/rig/model.go
+++ b/review/rig/model.go
@@ -187,3 +187,9 @@
 	_, err := fmt.Fprint(c, "0\r\n\r\n")
 	return err == nil
 }
+
+// reset ends a connection with a reset.
+func reset(c *net.TCPConn) {
+	c.SetLinger(0)
+	c.Close()
+}
