--- a/review/rig/deadly.go
+++ b/review/rig/deadly.go
@@ -83,9 +83,10 @@
 	mu.Lock()
 	defer mu.Unlock()
 	late, failed, total := 0, 0, 0
+	r.record.add("requests: id route: machine and time, engine and time of arrival, status and time of the end of the answer")
 	for _, one := range c.list {
 		for _, a := range seen.byID[one.id] {
-			r.record.add("request %s (%s, deadly %v) sent to %s at %.3f reaches %s at %.3f; answer %d, error %v", one.id, one.route, bad[one.id], one.edge, r.record.since(one.at), a.engine, r.record.since(a.at), one.status, one.err)
+			r.record.request(one, a, bad[one.id])
 			if bad[one.id] && len(crashes) >= 3 && a.at.Sub(crashes[2]) > contact {
 				late++
 			}
@@ -96,7 +97,7 @@
 			}
 		}
 	}
-	r.keepLogs("quarantine", "suspected")
+	r.keepLogs("quarantine")
 	summary := fmt.Sprintf("%d crashes of engines by one request; it reached engines %d times later than %s after the third crash (%d allowed); %d of %d other requests failed",
 		len(crashes), late, contact, allowed, failed, total)
 	r.record.add("%s", summary)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -118,5 +119,19 @@
 	fmt.Fprintf(r.out, "%9.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// request adds a request that has reached an engine, in a short form.
+func (r *record) request(one sent, a arrival, deadly bool) {
+	mark, failed := "", ""
+	if deadly {
+		mark = " deadly"
+	}
+	if one.err != nil {
+		failed = ", answer not whole"
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.out, "%s %s%s: %s %.3f, %s %.3f, %d %.3f%s\n", strings.TrimLeft(one.id, "0"), one.route, mark, one.edge, r.since(one.at), a.engine, r.since(a.at), one.status, r.since(one.ended), failed)
+}
+
 // since returns a time as the record shows it.
 func (r *record) since(t time.Time) float64 { return t.Sub(r.start).Seconds() }
--- a/review/rig/watches.go
+++ b/review/rig/watches.go
@@ -66,9 +66,10 @@
 	requests.Wait()
 	late, lost, latest := make(map[string]int), 0, time.Duration(0)
 	total := 0
+	r.record.add("requests: id route: machine and time, engine and time of arrival, status and time of the end of the answer")
 	for _, one := range c.list {
 		for _, a := range seen.byID[one.id] {
-			r.record.add("request %s (%s) sent to %s at %.3f reaches %s at %.3f; answer %d, error %v", one.id, one.route, one.edge, r.record.since(one.at), a.engine, r.record.since(a.at), one.status, one.err)
+			r.record.request(one, a, false)
 			if at, ok := left[a.engine]; ok && a.at.Sub(at) > drainTimeout {
 				total++
 				late[a.engine]++
