gateway: a crash accuses prompt parts however much of the answer had come

Cause: a crash accused the parts of a prompt only if the head of the answer had come, at most 500 ms before; otherwise only the request as a whole, and no two of these are alike. An event that came 500 ms after the head acquitted the part, even if it was the first one. Evidence: the lines "backend server lost under the request" named the whole request alone. Ruled out: crashes that are not seen as such.

Change: a crash accuses the parts unless the answer was going on, which counts from its first event.

--- a/daemon/edge/quarantine_test.go
+++ b/daemon/edge/quarantine_test.go
@@ -16,18 +16,21 @@
 	engines
 	// unframed makes their answers end with the connection, without length or chunks.
 	unframed bool
-	mu       sync.Mutex
-	arrivals []time.Time
-	crashes  []time.Time
+	// headless makes them crash before the head of such an answer. Otherwise they crash
+	// afterHead after it, with the first event if withEvent is set.
+	headless  bool
+	afterHead time.Duration
+	withEvent bool
+	mu        sync.Mutex
+	arrivals  []time.Time
+	crashes   []time.Time
 }
 
-func startDeadlyEngines(t *testing.T, store *memoryStore, count int, unframed bool) *deadlyEngines {
-	d := &deadlyEngines{engines: engines{t: t, store: store}, unframed: unframed}
-	d.handler = d.serve
+func (d *deadlyEngines) startAll(t *testing.T, store *memoryStore, count int) {
+	d.engines = engines{t: t, store: store, handler: d.serve}
 	for range count {
 		d.start()
 	}
-	return d
 }
 
 func (d *deadlyEngines) serve(id string, w http.ResponseWriter, r *http.Request) {
@@ -42,10 +45,17 @@
 	d.arrivals = append(d.arrivals, time.Now())
 	d.mu.Unlock()
 	time.Sleep(50 * time.Millisecond)
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
-	w.(http.Flusher).Flush()
-	time.Sleep(20 * time.Millisecond)
+	if !d.headless {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		time.Sleep(d.afterHead)
+	}
+	if d.withEvent {
+		fmt.Fprint(w, "id: 0\ndata: x\n\n")
+		w.(http.Flusher).Flush()
+		time.Sleep(5 * time.Millisecond)
+	}
 	d.mu.Lock()
 	d.crashes = append(d.crashes, time.Now())
 	d.mu.Unlock()
@@ -107,17 +117,26 @@
 
 // Guards against requests with one common prompt part that crash one server after the
 // other: all routers must stop sending them, must go on to serve the requests that share
-// other parts, and a router that has just started must know.
+// other parts, and a router that has just started must know. That holds however much of an
+// answer arrives before the crash.
 func TestPromptPartThatCrashesServersIsQuarantined(t *testing.T) {
-	for name, c := range map[string]struct{ outage, cutOff, unframed bool }{
-		"all connected":                   {},
-		"store outage, unframed answers":  {outage: true, unframed: true},
-		"routers cut off from each other": {cutOff: true},
+	const early = 20 * time.Millisecond
+	for name, c := range map[string]struct {
+		outage, cutOff bool
+		fleet          *deadlyEngines
+	}{
+		"all connected":                   {fleet: &deadlyEngines{afterHead: early}},
+		"store outage, unframed answers":  {outage: true, fleet: &deadlyEngines{afterHead: early, unframed: true}},
+		"routers cut off from each other": {cutOff: true, fleet: &deadlyEngines{afterHead: early}},
+		"before the head":                 {fleet: &deadlyEngines{headless: true}},
+		"long after the head":             {fleet: &deadlyEngines{afterHead: 700 * time.Millisecond}},
+		"first event long after the head": {fleet: &deadlyEngines{afterHead: 700 * time.Millisecond, withEvent: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			store := newMemoryStore()
 			store.put("config", testConfig{1})
-			fleet := startDeadlyEngines(t, store, 8, c.unframed)
+			fleet := c.fleet
+			fleet.startAll(t, store, 8)
 			var edges []*testEdge
 			for i := range 3 {
 				edges = append(edges, startEngineEdge(t, store, fmt.Sprint("r", i)))
--- a/daemon/gateway/quarantine.go
+++ b/daemon/gateway/quarantine.go
@@ -33,10 +33,11 @@
 	return quarantine.IncarnationOf(a.target.ID, a.choice.Server.StartedMS)
 }
 
-// observeProgress records that the answer goes on past the time in which it may crash its
-// server.
-func (g *Gateway) observeProgress(a *attempt) {
-	if !a.sound && time.Since(a.begunAt) > quarantine.GuiltWindow {
+// observeProgress records an event of the answer, which may show that the answer goes on past
+// the time in which its prompt may crash the server. The time counts from the first event: the
+// head may be sent long before the server begins to write.
+func (g *Gateway) observeProgress(a *attempt, firstEvent time.Time) {
+	if !a.sound && time.Since(firstEvent) > quarantine.GuiltWindow {
 		g.observeSound(a)
 	}
 }
@@ -64,7 +65,7 @@
 	case a.outcome == selection.Succeeded && !a.begunAt.IsZero():
 		g.observeAnswered(a)
 	case a.closedByServer:
-		accused := a.accused(now)
+		accused := a.accused()
 		g.Crashes.RecordCrash(now, a.incarnation(), accused)
 		g.metrics.GetOrCreateCounter("cactusknot_crashes_under_requests_total").Inc()
 		g.logEvent(g.Log.Warn()).Str("request", a.call.ID).Str("server", a.target.ID).Strs("parts", keyNames(accused)).
@@ -82,12 +83,12 @@
 }
 
 // accused returns the keys of what may have crashed the attempt's server: always the request as a
-// whole, and the parts of its prompt if the answer had just begun.
-func (a *attempt) accused(now time.Time) []quarantine.Key {
-	if !a.sound && !a.begunAt.IsZero() && now.Sub(a.begunAt) <= quarantine.GuiltWindow {
-		return a.keys
+// whole, and the parts of its prompt unless the answer was going on.
+func (a *attempt) accused() []quarantine.Key {
+	if a.sound {
+		return a.wholeRequestOnly()
 	}
-	return a.wholeRequestOnly()
+	return a.keys
 }
 
 // keyNames returns the keys as log lines name them.
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -160,7 +160,7 @@
 			}
 			a.recordActivity()
 			g.observe(a, Sample{Slow: a.slow(time.Now())})
-			g.observeProgress(a)
+			g.observeProgress(a, firstEvent)
 			if events == paceEvents {
 				g.report(a, Sample{EventInterval: time.Since(firstEvent) / (paceEvents - 1)})
 			}
--- a/daemon/quarantine/fleet_test.go
+++ b/daemon/quarantine/fleet_test.go
@@ -18,7 +18,10 @@
 	pool      Pool
 	engines   []engineModel
 	started   Incarnation
-	crashes   []time.Time
+	// crashAfter is the time from the beginning of an answer with the deadly part to the crash;
+	// a negative one is before the beginning.
+	crashAfter time.Duration
+	crashes    []time.Time
 	// late counts the deadly requests that reached engines later than 3 s after the fifth
 	// crash.
 	late int
@@ -48,6 +51,7 @@
 	m := &fleetModel{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0), recorders: make([]Recorder, routers),
 		lists: make([]List, routers), suspects: make([][]Key, routers), engines: make([]engineModel, engines),
+		crashAfter: 50 * time.Millisecond,
 	}
 	for i := range m.engines {
 		m.restart(&m.engines[i], 0)
@@ -63,7 +67,7 @@
 // crash ends an engine and records what each router sees of it.
 func (m *fleetModel) crash(e *engineModel) {
 	for _, r := range e.running {
-		if since := m.now.Sub(r.begin); since >= 0 && since <= GuiltWindow {
+		if !r.sound {
 			m.recorders[r.router].RecordCrash(m.now, e.incarnation, r.keys)
 		}
 	}
@@ -88,7 +92,7 @@
 	kept := e.running[:0]
 	for _, r := range e.running {
 		since := m.now.Sub(r.begin)
-		if r.keys[1] == deadlyPart && since >= 50*time.Millisecond {
+		if r.keys[1] == deadlyPart && since >= m.crashAfter {
 			m.crashes = append(m.crashes, m.now)
 			m.crash(e)
 			return
@@ -150,9 +154,20 @@
 	for _, size := range []struct {
 		routers, engines int
 		perSecond        float64
-	}{{3, 15, 20}, {5, 9, 10}, {25, 46, 90}, {103, 160, 300}} {
+		crashAfter       time.Duration
+	}{
+		{3, 15, 20, 50 * time.Millisecond},
+		{5, 9, 10, 50 * time.Millisecond},
+		{25, 46, 90, 50 * time.Millisecond},
+		{103, 160, 300, 50 * time.Millisecond},
+		{3, 15, 20, -300 * time.Millisecond},
+		{5, 9, 10, -300 * time.Millisecond},
+		{25, 46, 90, -300 * time.Millisecond},
+		{103, 160, 300, -300 * time.Millisecond},
+	} {
 		for seed := range uint64(8) {
 			m := newFleetModel(seed, size.routers, size.engines)
+			m.crashAfter = size.crashAfter
 			m.play(25*time.Second, size.perSecond, 0.01*float64(size.engines))
 			held := make(map[Key]bool)
 			for i := range m.lists {
--- a/daemon/quarantine/quarantine.go
+++ b/daemon/quarantine/quarantine.go
@@ -3,9 +3,10 @@
 // request with the same deadly part in its prompt, ends one more server.
 //
 // A crash of a server accuses all requests that were sent to it and not yet answered, each as
-// a whole, and the parts of the prompts whose answers had just begun there. An answer that
-// goes on acquits the parts of its prompt, a complete one also the request as a whole. Each router collects what it
-// sees (Recorder). The evidence of all routers is pooled (Pool), and parts that are found
+// a whole, and the parts of their prompts, unless the answer was going on already: how much of
+// an answer arrives before a crash says nothing of its cause. An answer that goes on acquits
+// the parts of its prompt, a complete one also the request as a whole. Each router collects
+// what it sees (Recorder). The evidence of all routers is pooled (Pool), and parts that are found
 // guilty are quarantined (List): requests with them are refused, but for a trial now and
 // then. The package needs no network; all methods that depend on the time take it as an
 // argument. They are safe for concurrent use.
@@ -61,8 +62,8 @@
 }
 
 const (
-	// GuiltWindow is how long after its beginning an answer may be the cause of the crash
-	// of its server. An answer that goes on for longer is sound.
+	// GuiltWindow is how long after the first event of its answer a prompt may be the cause of
+	// the crash of its server. An answer that goes on for longer is sound.
 	GuiltWindow = 500 * time.Millisecond
 	// evidenceTTL is how long a crash counts.
 	evidenceTTL = time.Minute
