quarantine: crashes in turn under one request count separately

Cause: crashes less than 50 ms apart counted as one, as servers that are lost at the same moment have another cause. Evidence: a line for each crash, all within 31 s, and no conviction. Ruled out: crashes that are missed or forgotten.

Change: a report says when the request was sent. Crashes count separately if they are 50 ms apart or the request came to the next server after the crash before. So that losses of many servers convict nothing, now that a crash also accuses the parts of waiting prompts: crashes do not count for a key when five servers without the key were lost within 250 ms; an answer that goes on until its server is lost acquits its prompt; common keys need crashes 700 ms apart; a part needs four crashes while most are not under it.

TestCrashesWithinMillisecondsCountSeparately failed before (8 late arrivals of 9 crashes, 3 allowed) and passes now.

--- a/daemon/edge/deadly_request_test.go
+++ b/daemon/edge/deadly_request_test.go
@@ -38,10 +38,10 @@
 	crashes  []time.Time
 }
 
-func startCrashingFleet(t *testing.T, store *memoryStore, head bool, delay time.Duration) *crashingFleet {
+func startCrashingFleet(t *testing.T, store *memoryStore, count int, head bool, delay time.Duration) *crashingFleet {
 	f := &crashingFleet{engines: engines{t: t, store: store}, head: head, delay: delay, byID: make(map[string]*crashingEngine)}
 	f.handler = f.serve
-	for range 6 {
+	for range count {
 		f.start()
 	}
 	return f
@@ -107,6 +107,40 @@
 	return len(slices.DeleteFunc(slices.Clone(f.arrivals), func(at time.Time) bool { return at.Before(bound) }))
 }
 
+// startThreeEdges starts three routers that know each other.
+func startThreeEdges(t *testing.T, store *memoryStore) []*testEdge {
+	edges := []*testEdge{startEngineEdge(t, store, "r0"), startEngineEdge(t, store, "r1"), startEngineEdge(t, store, "r2")}
+	for _, e := range edges {
+		eventually(t, waitTimeout, "all routers know each other", func() bool {
+			return len(e.controller.peers()) == 2 && len(e.controller.loadAggregatorAddresses()) > 0
+		})
+	}
+	return edges
+}
+
+// Guards against a request whose retries crash all engines of a service within milliseconds, so
+// that their crashes count as one, and which comes again only some seconds later.
+func TestCrashesWithinMillisecondsCountSeparately(t *testing.T) {
+	t.Parallel()
+	store := newMemoryStore()
+	store.put("config", testConfig{1})
+	fleet := startCrashingFleet(t, store, 3, false, 0)
+	edges := startThreeEdges(t, store)
+	for call := range 4 {
+		// A client sends a request that failed once more, to another router.
+		for try := range 2 {
+			status, _ := sendTo(edges[(call+try)%len(edges)], "/check/", deadlyBody, fmt.Sprint("d", call, try))
+			if status == http.StatusServiceUnavailable {
+				break
+			}
+		}
+		time.Sleep(3500 * time.Millisecond)
+	}
+	if n := fleet.lateArrivals(); n > 3 {
+		t.Errorf("the request reached engines %d times later than 3 s after its third crash of %d", n, len(fleet.crashes))
+	}
+}
+
 // Guards against one request that, repeated by its caller at any router, crashes one engine
 // after the other: of a plain service before any answer, of a model late in its answer.
 func TestRequestThatCrashesEnginesIsQuarantined(t *testing.T) {
@@ -124,13 +158,8 @@
 			t.Parallel()
 			store := newMemoryStore()
 			store.put("config", testConfig{1})
-			fleet := startCrashingFleet(t, store, c.head, c.delay)
-			edges := []*testEdge{startEngineEdge(t, store, "r0"), startEngineEdge(t, store, "r1"), startEngineEdge(t, store, "r2")}
-			for _, e := range edges {
-				eventually(t, waitTimeout, "all routers know each other", func() bool {
-					return len(e.controller.peers()) == 2 && len(e.controller.loadAggregatorAddresses()) > 0
-				})
-			}
+			fleet := startCrashingFleet(t, store, 6, c.head, c.delay)
+			edges := startThreeEdges(t, store)
 			var served, failed, refused atomic.Int32
 			var running sync.WaitGroup
 			for began, i := time.Now(), 0; time.Since(began) < 8*time.Second; i++ {
--- a/daemon/edge/quarantine.go
+++ b/daemon/edge/quarantine.go
@@ -200,7 +200,11 @@
 // of the routers differ.
 func encodeEvidence(now time.Time, e quarantine.Evidence, out *rpc.LoadReport) {
 	for _, c := range e.Crashes {
-		out.Crashes = append(out.Crashes, &rpc.ServerCrash{Server: uint64(c.Server), AgeMs: ageMS(now, c.At), Parts: encodeKeys(c.Keys)})
+		crash := &rpc.ServerCrash{Server: uint64(c.Server), AgeMs: ageMS(now, c.At), Parts: encodeKeys(c.Keys)}
+		if !c.SentAt.IsZero() {
+			crash.SentAgeMs = ageMS(now, c.SentAt)
+		}
+		out.Crashes = append(out.Crashes, crash)
 	}
 	for _, s := range e.Sound {
 		out.SoundParts = append(out.SoundParts, &rpc.SoundPart{Part: uint64(s.Key), AgeMs: ageMS(now, s.At)})
@@ -210,9 +214,11 @@
 func decodeCrashEvidence(now time.Time, in *rpc.LoadReport) quarantine.Evidence {
 	var e quarantine.Evidence
 	for _, c := range in.GetCrashes() {
-		e.Crashes = append(e.Crashes, quarantine.Crash{
-			Server: quarantine.Incarnation(c.GetServer()), At: timeAgo(now, c.GetAgeMs()), Keys: decodeKeys(c.GetParts()),
-		})
+		crash := quarantine.Crash{Server: quarantine.Incarnation(c.GetServer()), At: timeAgo(now, c.GetAgeMs()), Keys: decodeKeys(c.GetParts())}
+		if c.GetSentAgeMs() >= c.GetAgeMs() {
+			crash.SentAt = timeAgo(now, c.GetSentAgeMs())
+		}
+		e.Crashes = append(e.Crashes, crash)
 	}
 	for _, s := range in.GetSoundParts() {
 		e.Sound = append(e.Sound, quarantine.Sound{Key: quarantine.Key(s.GetPart()), At: timeAgo(now, s.GetAgeMs())})
--- a/daemon/gateway/quarantine.go
+++ b/daemon/gateway/quarantine.go
@@ -65,8 +65,13 @@
 	case a.outcome == selection.Succeeded && !a.begunAt.IsZero():
 		g.observeAnswered(a)
 	case a.closedByServer:
+		if a.sound {
+			// The answer was going on until now, so its prompt has not caused this crash, nor
+			// those before.
+			g.observeSound(a)
+		}
 		accused := a.accused()
-		g.Crashes.RecordCrash(now, a.incarnation(), accused)
+		g.Crashes.RecordCrash(now, a.sentAt, a.incarnation(), accused)
 		g.metrics.GetOrCreateCounter("cactusknot_crashes_under_requests_total").Inc()
 		g.logEvent(g.Log.Warn()).Str("request", a.call.ID).Str("server", a.target.ID).Strs("parts", keyNames(accused)).
 			Dur("since_begun_ms", a.sinceBegun(now)).Msg("backend server lost under the request; it and parts of its prompt are suspected")
--- a/daemon/quarantine/pool.go
+++ b/daemon/quarantine/pool.go
@@ -38,8 +38,20 @@
 	at time.Time
 	// knownAt is when the pool first heard of it.
 	knownAt time.Time
-	// keys holds the position of each key in its prompt.
-	keys map[Key]int
+	// settled is set once it counts.
+	settled bool
+	// keys holds what may have caused it.
+	keys map[Key]exposure
+}
+
+// exposure tells of a key that was at a server when it crashed.
+type exposure struct {
+	// position is the position of the key in its prompt.
+	position int
+	// sentAt is when the first request with the key was sent there; zero if that is not known.
+	sentAt time.Time
+	// whole is set for the key of a request as a whole, which is the last of its keys.
+	whole bool
 }
 
 // Merge replaces the evidence of a router. Its times are those of the caller's clock.
@@ -65,7 +77,7 @@
 		p.summedAt = now
 		p.sum(now)
 		p.suspects = mostAccused(p.cases)
-		p.guilty = findGuilty(settled(now, p.cases), p.sound)
+		p.guilty = findGuilty(inOrder(now, p.cases), p.sound)
 	}
 	return p.guilty, p.suspects
 }
@@ -95,7 +107,7 @@
 func (p *Pool) addCrash(now time.Time, c Crash, before *crashCase) {
 	sum := p.cases[c.Server]
 	if sum == nil {
-		sum = &crashCase{at: c.At, knownAt: now, keys: make(map[Key]int)}
+		sum = &crashCase{at: c.At, knownAt: now, keys: make(map[Key]exposure)}
 		if before != nil {
 			sum.knownAt = before.knownAt
 		}
@@ -105,7 +117,12 @@
 		sum.at = c.At
 	}
 	for position, key := range c.Keys {
-		sum.keys[key] = position
+		e, known := sum.keys[key]
+		if !known || c.SentAt.Before(e.sentAt) {
+			e.sentAt = c.SentAt
+		}
+		e.position, e.whole = position, position == len(c.Keys)-1
+		sum.keys[key] = e
 	}
 }
 
@@ -123,14 +140,12 @@
 	return list[:min(len(list), maxSuspects)]
 }
 
-// settled returns the cases that have been known for long enough, in the order of time.
-func settled(now time.Time, cases map[Incarnation]*crashCase) []*crashCase {
-	var list []*crashCase
-	for _, c := range cases {
-		if now.Sub(c.knownAt) >= settleTime {
-			list = append(list, c)
-		}
+// inOrder returns the cases in the order of time, and marks those that have been known for long
+// enough to count.
+func inOrder(now time.Time, cases map[Incarnation]*crashCase) []*crashCase {
+	list := slices.SortedFunc(maps.Values(cases), func(a, b *crashCase) int { return a.at.Compare(b.at) })
+	for _, c := range list {
+		c.settled = now.Sub(c.knownAt) >= settleTime
 	}
-	slices.SortFunc(list, func(a, b *crashCase) int { return a.at.Compare(b.at) })
 	return list
 }
--- a/daemon/quarantine/quarantine.go
+++ b/daemon/quarantine/quarantine.go
@@ -70,12 +70,23 @@
 	// settleTime is how long a crash is known before it counts. In this time all routers
 	// report which parts they have seen in answers that go on.
 	settleTime = time.Second
-	// crashesToConvict is the number of crashes since the latest sound answer from which a
-	// part is guilty.
-	crashesToConvict = 3
-	// minCrashInterval is the minimum time between crashes that count separately. Servers
-	// that are lost at the same moment are lost for another reason.
+	// crashesToConvict is the number of crashes since the latest sound answer from which a key
+	// is guilty, and crashesToConvictPart the same for a part while most crashes are not under it.
+	crashesToConvict     = 3
+	crashesToConvictPart = 4
+	// minCrashInterval is the minimum time between crashes that count separately, unless a request
+	// was at one server after the other and no other server was lost at that moment.
 	minCrashInterval = 50 * time.Millisecond
+	// massLoss is the number of servers without a key that are lost within massLossWindow of a
+	// crash from which the crash has another cause than the key.
+	massLoss       = 5
+	massLossWindow = 250 * time.Millisecond
+	// recentlySound is how long after a sound answer a key counts as common. Common requests are
+	// at all servers that are lost within a moment, so crashes under them count separately only
+	// if they are minCommonInterval apart. Three of them are known in less than the time that
+	// the routers have after the third.
+	recentlySound     = 10 * time.Second
+	minCommonInterval = 700 * time.Millisecond
 	// maxReportedCrashes bounds the crashes in the report of a router, maxSuspects the parts
 	// that the routers are asked about.
 	maxReportedCrashes = 64
@@ -86,6 +97,8 @@
 type Crash struct {
 	Server Incarnation
 	At     time.Time
+	// SentAt is when the request was sent to the server; zero if that is not known.
+	SentAt time.Time
 	// Keys are those of the accused parts in the order of the prompt; the whole request is the last.
 	Keys []Key
 }
--- a/daemon/quarantine/recorder.go
+++ b/daemon/quarantine/recorder.go
@@ -38,11 +38,12 @@
 	sound, answered generations
 }
 
-// RecordCrash records that a server crashed under a request with these keys.
-func (r *Recorder) RecordCrash(now time.Time, server Incarnation, keys []Key) {
+// RecordCrash records that a server crashed under a request with these keys that was sent to
+// it at sentAt.
+func (r *Recorder) RecordCrash(now, sentAt time.Time, server Incarnation, keys []Key) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.crashes = append(r.crashes, Crash{Server: server, At: now, Keys: keys})
+	r.crashes = append(r.crashes, Crash{Server: server, At: now, SentAt: sentAt, Keys: keys})
 	r.crashes = r.crashes[max(0, len(r.crashes)-maxReportedCrashes):]
 }
 
--- a/daemon/quarantine/verdict.go
+++ b/daemon/quarantine/verdict.go
@@ -37,15 +37,29 @@
 // sound answer are left out.
 func mostBlamed(cases []*crashCase, sound map[Key]time.Time, neverSound bool) (Key, bool) {
 	tallies := make(map[Key]tally)
-	for _, c := range cases {
-		for key, position := range c.keys {
+	for i, c := range cases {
+		if !c.settled {
+			continue
+		}
+		for key, e := range c.keys {
 			at := sound[key]
 			if neverSound && !at.IsZero() || !c.at.After(at) {
 				continue
 			}
-			tallies[key] = tallies[key].add(c.at, position)
+			if lostBeside(cases, i, key, massLossWindow) >= massLoss {
+				continue
+			}
+			t := tallies[key]
+			t.position, t.whole = max(t.position, e.position), t.whole || e.whole
+			common := c.at.Sub(at) <= recentlySound
+			inTurn := !common && t.followedBy(c.at, e) && lostBeside(cases, i, key, minCrashInterval) == 0
+			if t.apart(c.at, common) || inTurn {
+				t.crashes, t.last = t.crashes+1, c.at
+			}
+			tallies[key] = t
 		}
 	}
+	maps.DeleteFunc(tallies, func(_ Key, t tally) bool { return t.crashes < t.needed(len(cases)) })
 	if len(tallies) == 0 {
 		return 0, false
 	}
@@ -53,20 +67,58 @@
 		x, y := tallies[a], tallies[b]
 		return cmp.Or(cmp.Compare(y.crashes, x.crashes), sound[a].Compare(sound[b]), cmp.Compare(y.position, x.position), cmp.Compare(a, b))
 	})
-	return most, tallies[most].crashes >= crashesToConvict
+	return most, true
 }
 
-// tally counts the crashes of a key that are far enough apart.
+// tally counts the crashes of a key that count separately.
 type tally struct {
-	crashes  int
+	crashes int
+	// last is the time of the latest crash that was counted.
 	last     time.Time
 	position int
+	whole    bool
 }
 
-func (t tally) add(at time.Time, position int) tally {
-	if t.crashes == 0 || at.Sub(t.last) >= minCrashInterval {
-		t.crashes, t.last = t.crashes+1, at
+// needed returns how many crashes convict the key, given the number of all that are known. While
+// most servers are lost for another reason, requests that share a part are at some of them by
+// chance.
+func (t tally) needed(all int) int {
+	if !t.whole && all > 2*t.crashes {
+		return crashesToConvictPart
+	}
+	return crashesToConvict
+}
+
+// apart reports whether a crash is far enough from the one before to count separately. common
+// is set if the key was in a sound answer shortly before.
+func (t tally) apart(at time.Time, common bool) bool {
+	interval := minCrashInterval
+	if common {
+		interval = minCommonInterval
+	}
+	return t.crashes == 0 || at.Sub(t.last) >= interval
+}
+
+// followedBy reports whether the key came to a server that crashed at a time only after the crash
+// before, and while the server still ran. Servers that are lost at the same moment have their
+// requests already, but for retries of requests that another one of them has lost.
+func (t tally) followedBy(at time.Time, e exposure) bool {
+	return !e.sentAt.Before(t.last) && !at.Before(e.sentAt)
+}
+
+// lostBeside returns how many servers that did not have the key were lost within a time of crash
+// i; at most massLoss. The cases are in the order of time.
+func lostBeside(cases []*crashCase, i int, key Key, within time.Duration) (lost int) {
+	count := func(c *crashCase) {
+		if _, exposed := c.keys[key]; !exposed {
+			lost++
+		}
+	}
+	for j := i - 1; j >= 0 && lost < massLoss && cases[i].at.Sub(cases[j].at) < within; j-- {
+		count(cases[j])
+	}
+	for j := i + 1; j < len(cases) && lost < massLoss && cases[j].at.Sub(cases[i].at) < within; j++ {
+		count(cases[j])
 	}
-	t.position = max(t.position, position)
-	return t
+	return lost
 }
--- a/daemon/quarantine/verdict_test.go
+++ b/daemon/quarantine/verdict_test.go
@@ -7,34 +7,45 @@
 )
 
 // Guards against the conviction of a part for the guilt of its neighbour in the prompt or
-// on the engine, and against the acquittal of a part that has turned deadly.
+// on the engine, or for the loss of several servers at one moment, against the acquittal of a
+// part that has turned deadly, and against a request that ends one server after the other
+// within milliseconds and counts as one crash.
 func TestFindGuilty(t *testing.T) {
 	at := func(seconds float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(seconds * 1e9)) }
 	const first, deadly, beside Key = 1, 2, 3
-	crash := func(seconds float64, keys ...Key) *crashCase {
-		c := &crashCase{at: at(seconds), keys: make(map[Key]int)}
+	sentCrash := func(sent, seconds float64, keys ...Key) *crashCase {
+		c := &crashCase{at: at(seconds), settled: true, keys: make(map[Key]exposure)}
 		for i, key := range keys {
-			c.keys[key] = i
+			c.keys[key] = exposure{position: i, sentAt: at(sent)}
 		}
 		return c
 	}
+	crash := func(seconds float64, keys ...Key) *crashCase { return sentCrash(seconds-1, seconds, keys...) }
+	inTurn := []*crashCase{sentCrash(0.99, 1, 7), sentCrash(1.001, 1.003, 7), sentCrash(1.004, 1.006, 7)}
 	together := []*crashCase{crash(1, first, deadly), crash(2, first, deadly), crash(3, first, deadly)}
 	for name, c := range map[string]struct {
 		cases []*crashCase
 		sound map[Key]time.Time
 		want  []Key
 	}{
-		"the first part was sound before":    {together, map[Key]time.Time{first: at(0.5)}, []Key{deadly}},
-		"the second part was sound before":   {together, map[Key]time.Time{deadly: at(0.5)}, []Key{first}},
-		"nothing was sound":                  {together, nil, []Key{deadly}},
-		"the first part is in other crashes": {append(slices.Clone(together), crash(4, first), crash(5, first)), map[Key]time.Time{first: at(0.5)}, []Key{deadly}},
-		"a part beside it in some crashes":   {append(slices.Clone(together), crash(4, deadly, beside), crash(5, deadly, beside), crash(6, deadly, beside)), map[Key]time.Time{first: at(0.5)}, []Key{deadly}},
-		"sound since the last crash":         {together, map[Key]time.Time{first: at(4), deadly: at(4)}, nil},
-		"sound between the crashes":          {together, map[Key]time.Time{first: at(4), deadly: at(1.5)}, nil},
-		"a part that has turned deadly":      {together, map[Key]time.Time{first: at(4), deadly: at(0.5)}, []Key{deadly}},
-		"two deadly parts":                   {append(slices.Clone(together), crash(4, 7), crash(5, 7), crash(6, 7)), nil, []Key{deadly, 7}},
-		"crashes at the same moment":         {[]*crashCase{crash(1, 7), crash(1.01, 7), crash(1.02, 7)}, nil, nil},
-		"two crashes":                        {together[:2], nil, nil},
+		"the first part was sound before":     {together, map[Key]time.Time{first: at(0.5)}, []Key{deadly}},
+		"the second part was sound before":    {together, map[Key]time.Time{deadly: at(0.5)}, []Key{first}},
+		"nothing was sound":                   {together, nil, []Key{deadly}},
+		"the first part is in other crashes":  {append(slices.Clone(together), crash(4, first), crash(5, first)), map[Key]time.Time{first: at(0.5)}, []Key{deadly}},
+		"a part beside it in some crashes":    {append(slices.Clone(together), crash(4, deadly, beside), crash(5, deadly, beside), crash(6, deadly, beside)), map[Key]time.Time{first: at(0.5)}, []Key{deadly}},
+		"sound since the last crash":          {together, map[Key]time.Time{first: at(4), deadly: at(4)}, nil},
+		"sound between the crashes":           {together, map[Key]time.Time{first: at(4), deadly: at(1.5)}, nil},
+		"a part that has turned deadly":       {together, map[Key]time.Time{first: at(4), deadly: at(0.5)}, []Key{deadly}},
+		"two deadly parts":                    {append(slices.Clone(together), crash(4, 7), crash(5, 7), crash(6, 7)), nil, []Key{deadly, 7}},
+		"crashes at the same moment":          {[]*crashCase{crash(1, 7), crash(1.01, 7), crash(1.02, 7)}, nil, nil},
+		"two crashes":                         {together[:2], nil, nil},
+		"one after the other":                 {inTurn, nil, []Key{7}},
+		"one after the other, sound long ago": {inTurn, map[Key]time.Time{7: at(-10)}, []Key{7}},
+		"one after the other, just sound":     {inTurn, map[Key]time.Time{7: at(-8)}, nil},
+		"a server lost beside them":           {append(slices.Clone(inTurn), crash(1.01, 8)), nil, nil},
+		"a server lost long before them":      {append([]*crashCase{crash(0.9, 8)}, inTurn...), nil, []Key{7}},
+		"sent to servers that were gone":      {[]*crashCase{sentCrash(0.99, 1, 7), sentCrash(1.004, 1.003, 7), sentCrash(1.007, 1.006, 7)}, nil, nil},
+		"sent at unknown times":               {[]*crashCase{{at: at(1), settled: true, keys: map[Key]exposure{7: {}}}, {at: at(1.01), settled: true, keys: map[Key]exposure{7: {}}}, {at: at(1.02), settled: true, keys: map[Key]exposure{7: {}}}}, nil, nil},
 	} {
 		if got := findGuilty(c.cases, c.sound); !slices.Equal(got, c.want) {
 			t.Errorf("%s: %v, want %v", name, got, c.want)
@@ -71,7 +82,7 @@
 	for i := range 50_000 {
 		r.RecordSound(now, []Key{Key(i)})
 		r.RecordAnswered(now, Key(i))
-		r.RecordCrash(now, Incarnation(i), []Key{Key(i)})
+		r.RecordCrash(now, now, Incarnation(i), []Key{Key(i)})
 	}
 	for _, g := range []generations{r.sound, r.answered} {
 		if n := len(g.latest) + len(g.older); n > 2*soundGeneration+2 {
