gateway: responses in progress share a bound on memory

Cause: each answer is bounded, their sum was not.

Change: what answers and events in progress buffer beyond 16 KB each comes from one budget, a sixteenth of the process's memory limit. Without room an answer is passed on as it arrives.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -23,6 +23,7 @@
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/coord/limit"
 	"cactusknot.example/daemon/gateway"
+	"cactusknot.example/daemon/httplimit"
 	"cactusknot.example/daemon/mirror"
 	"cactusknot.example/daemon/rollout"
 	"cactusknot.example/daemon/selection"
@@ -168,6 +169,9 @@
 	// gcMemoryShare sets the soft memory limit of the Go runtime, as a share of the
 	// memory limit of the process.
 	gcMemoryShare = 0.4
+	// answerMemoryShare is the share of the memory limit of the process that buffered responses
+	// of backend servers may take.
+	answerMemoryShare = 1.0 / 16
 	// gcPercent keeps the heap small. The live heap is a few megabytes.
 	gcPercent = 100
 	// drainDelay is how long connections are still accepted after the process reports
@@ -242,8 +246,8 @@
 		Name: settings.VM, Codec: settings.HeaderCodec, View: e.view.Load, Observe: e.controller.observe,
 		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Retries: settings.Retries,
 		ModelPolicy: settings.ModelPolicy, ServerPolicy: settings.ServerPolicy, LateAnswerValue: settings.LateAnswerValue,
-		LimitBacklog: settings.LimitBacklog,
-		Count:        e.duties.usage.count, Log: e.log,
+		LimitBacklog: settings.LimitBacklog, AnswerBudget: settings.answerBudget(),
+		Count: e.duties.usage.count, Log: e.log,
 	})
 	e.gateway.Chooser.Announcements.DeparturesChanged = e.controller.noteDeparture
 	e.config.edge = e
@@ -255,6 +259,15 @@
 	return e
 }
 
+// answerBudget returns the bound on the responses of backend servers that are buffered at once, or
+// nil for the default. Buffers grow by doubling, so that they take up to twice as much.
+func (s *Settings) answerBudget() *httplimit.Budget {
+	if s.MemoryLimitBytes <= 0 {
+		return nil
+	}
+	return &httplimit.Budget{Max: int64(answerMemoryShare * float64(s.MemoryLimitBytes))}
+}
+
 // Run serves until ctx is cancelled and then shuts down gracefully.
 func (e *Edge) Run(ctx context.Context) error {
 	debug.SetGCPercent(gcPercent)
--- a/daemon/gateway/answer_test.go
+++ b/daemon/gateway/answer_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"cactusknot.example/daemon/httplimit"
 	"cactusknot.example/daemon/topology"
 )
 
@@ -268,7 +269,7 @@
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, body []byte) {
-		reader := newEventReader(bytes.NewReader(body))
+		reader := newEventReader(bytes.NewReader(body), &reservation{budget: &httplimit.Budget{Max: maxEventBytes}})
 		var all []byte
 		for {
 			next, err := reader.next()
--- a/daemon/gateway/dispatch.go
+++ b/daemon/gateway/dispatch.go
@@ -297,7 +297,7 @@
 	a.outcome = selection.Failed
 	a.closedByServer = errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 	a.violation = violation(err)
-	a.connectionLost = a.violation == ""
+	a.connectionLost = a.violation == "" && !errors.Is(err, errNoRoom)
 	return result.StreamBroken.With("%v", err)
 }
 
--- a/daemon/gateway/events.go
+++ b/daemon/gateway/events.go
@@ -15,6 +15,9 @@
 	maxEventBytes = 256 << 10
 )
 
+// errNoRoom is returned for a long event while all responses together have used up their budget.
+var errNoRoom = errors.New("gateway: no room for a long event")
+
 // errInvalidEvent is returned for data that is not a valid event stream.
 var errInvalidEvent = errors.New("gateway: not an event stream")
 
@@ -33,10 +36,12 @@
 type eventReader struct {
 	lines *bufio.Reader
 	raw   []byte
+	// room is taken for the first event of more than uncountedAnswer bytes and kept, as raw is.
+	room *reservation
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(body, eventBufferSize)}
+func newEventReader(body io.Reader, room *reservation) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(body, eventBufferSize), room: room}
 }
 
 // next returns the next event. With an error it returns what it has read of the event.
@@ -74,6 +79,9 @@
 func (r *eventReader) readLine() error {
 	for {
 		part, err := r.lines.ReadSlice('\n')
+		if len(r.raw)+len(part) > uncountedAnswer && r.room.bytes == 0 && !r.room.take(maxEventBytes) {
+			return errNoRoom
+		}
 		r.raw = append(r.raw, part...)
 		switch {
 		case len(r.raw) > maxEventBytes:
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"cactusknot.example/coord/limit"
 	"cactusknot.example/daemon/dispatch"
+	"cactusknot.example/daemon/httplimit"
 	"cactusknot.example/daemon/quarantine"
 	"cactusknot.example/daemon/result"
 	"cactusknot.example/daemon/selection"
@@ -74,6 +75,9 @@
 	// LateAnswerValue is the value of an answer after the latency target, as a fraction of a
 	// timely one's; 0 means DefaultLateAnswerValue.
 	LateAnswerValue float64
+	// AnswerBudget bounds the bytes of long responses that are buffered at once; nil stands for
+	// one of 32 MB.
+	AnswerBudget *httplimit.Budget
 }
 
 // Gateway is an HTTP handler that serves callers' requests.
@@ -108,6 +112,9 @@
 		Crashes: &quarantine.Recorder{}, Quarantine: &quarantine.List{},
 		budgets: make(map[string]*limit.RetryBudget), metrics: metrics.NewSet(), stop: newStop(),
 	}
+	if g.AnswerBudget == nil {
+		g.AnswerBudget = &httplimit.Budget{Max: defaultAnswerBudget}
+	}
 	g.Chooser.Policy = cfg.ServerPolicy
 	g.filters = []filter{g.match, g.authenticate, g.readBody, g.chooseService, g.checkQuarantine, g.dispatch}
 	return g
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -8,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"cactusknot.example/daemon/httplimit"
 	"cactusknot.example/daemon/result"
 	"cactusknot.example/daemon/selection"
 	"cactusknot.example/daemon/upstream"
@@ -18,6 +20,11 @@
 	// before any of it is passed on, so that an incomplete one can be replaced by
 	// another attempt's.
 	maxBufferedAnswer = 256 << 10
+	// uncountedAnswer is the size in bytes up to which a response or an event takes nothing from
+	// the budget of all responses.
+	uncountedAnswer = 16 << 10
+	// defaultAnswerBudget bounds what all responses in progress buffer beyond that, in bytes.
+	defaultAnswerBudget = 32 << 20
 	// initialAnswerBuffer is the initial size in bytes of the buffer for a response.
 	initialAnswerBuffer = 512
 	// copyBufferSize is the size in bytes of the copy buffer for longer responses.
@@ -48,9 +55,12 @@
 }
 
 // receiveBuffered reads the whole response and passes it on once it is complete. A
-// response of maxBufferedAnswer bytes or more is passed on as it arrives.
+// response of maxBufferedAnswer bytes or more is passed on as it arrives, and so is one of more
+// than uncountedAnswer bytes while all responses together have used up their budget.
 func (g *Gateway) receiveBuffered(ctx context.Context, a *attempt) (bool, *result.Error) {
-	body, err := readAll(io.LimitReader(bodyReader{a.exchange}, maxBufferedAnswer), initialAnswerBuffer)
+	reservation := &reservation{budget: g.AnswerBudget}
+	defer reservation.end()
+	body, whole, err := readAnswer(bodyReader{a.exchange}, reservation)
 	if err != nil {
 		return false, a.abort(ctx, err)
 	}
@@ -59,8 +69,11 @@
 		g.observe(a, Sample{Slow: a.slow(time.Now())})
 	}
 	g.copyResponseHeader(a)
-	if len(body) == maxBufferedAnswer {
-		return g.receiveUnbuffered(ctx, a, body)
+	if !whole {
+		if len(body) < maxBufferedAnswer {
+			g.metrics.GetOrCreateCounter("cactusknot_answers_beyond_budget_total").Inc()
+		}
+		return g.receiveUnbuffered(ctx, a, body, reservation)
 	}
 	a.exchange.Done()
 	if !a.exchange.Framed() || len(body) > 0 {
@@ -77,15 +90,50 @@
 	return true, nil
 }
 
+// readAnswer reads a body, up to the size that may be buffered. whole is false if it goes on.
+func readAnswer(r io.Reader, room *reservation) (body []byte, whole bool, err error) {
+	buffer := bytes.NewBuffer(make([]byte, 0, initialAnswerBuffer+bytes.MinRead))
+	n, err := buffer.ReadFrom(io.LimitReader(r, uncountedAnswer))
+	if err != nil || n < uncountedAnswer {
+		return buffer.Bytes(), true, err
+	}
+	if !room.take(maxBufferedAnswer) {
+		return buffer.Bytes(), false, nil
+	}
+	n, err = buffer.ReadFrom(io.LimitReader(r, maxBufferedAnswer-uncountedAnswer))
+	return buffer.Bytes(), n < maxBufferedAnswer-uncountedAnswer, err
+}
+
+// reservation is what one response has taken from the budget of all responses.
+type reservation struct {
+	budget *httplimit.Budget
+	bytes  int64
+}
+
+func (r *reservation) take(bytes int64) bool {
+	if !r.budget.Take(bytes) {
+		return false
+	}
+	r.bytes += bytes
+	return true
+}
+
+// end returns what was taken.
+func (r *reservation) end() {
+	r.budget.Return(r.bytes)
+	r.bytes = 0
+}
+
 // receiveUnbuffered passes on a response that is too long to be buffered. start is the
-// part that has been read.
-func (g *Gateway) receiveUnbuffered(ctx context.Context, a *attempt, start []byte) (bool, *result.Error) {
+// part that has been read, for which room was taken.
+func (g *Gateway) receiveUnbuffered(ctx context.Context, a *attempt, start []byte, room *reservation) (bool, *result.Error) {
 	if n := a.exchange.Length(); n >= 0 {
 		a.response.Header().Set("Content-Length", strconv.FormatInt(n, 10))
 	}
 	a.response.WriteHeader(a.exchange.Status)
 	a.started = true
 	_, err := a.response.Write(start)
+	room.end()
 	if err == nil {
 		_, err = io.CopyBuffer(struct{ io.Writer }{a.response}, bodyReader{a.exchange}, make([]byte, copyBufferSize))
 	}
@@ -134,7 +182,9 @@
 // receiveEvents passes on events as they arrive, each one whole, and skips those that
 // the caller already has.
 func (g *Gateway) receiveEvents(ctx context.Context, a *attempt) (bool, *result.Error) {
-	reader := newEventReader(a.exchange)
+	reservation := &reservation{budget: g.AnswerBudget}
+	defer reservation.end()
+	reader := newEventReader(a.exchange, reservation)
 	var firstEvent time.Time
 	// latest is the highest event ID of this attempt. A server that sends the whole stream
 	// again advances, although the caller has the events already.
