--- a/daemon/ctl/edge.go
+++ b/daemon/ctl/edge.go
@@ -22,6 +22,8 @@
 	maxEdges = 1000
 	// stateTimeout bounds the request to one process.
 	stateTimeout = 3 * time.Second
+	// maxStateBytes bounds the state that a process returns.
+	maxStateBytes = 16 << 20
 )
 
 func edgeCommands() []Command {
@@ -83,7 +85,7 @@
 		return nil, fmt.Errorf("status %d", response.StatusCode)
 	}
 	state := &edge.State{}
-	return state, json.NewDecoder(response.Body).Decode(state)
+	return state, json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(state)
 }
 
 // printStates prints a summary line for each process, followed by the servers and
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -235,8 +235,9 @@
 	store := settings.Store
 	settings.Store = meteredStore{settings.Store, calls}
 	e := &Edge{settings: settings, reload: reload, log: log.With().Str("vm", settings.VM).Logger(), mirror: mirror.New(), storeMetrics: calls}
-	e.peerHTTP = &http.Client{Timeout: peerTimeout}
-	e.pollHTTP = &http.Client{}
+	peers := newPeerTransport()
+	e.peerHTTP = &http.Client{Transport: peers, Timeout: peerTimeout}
+	e.pollHTTP = &http.Client{Transport: peers}
 	e.controller = newController(e)
 	e.duties = newDuties(e)
 	if observer, ok := store.(eraObserver); ok {
--- a/daemon/edge/peer.go
+++ b/daemon/edge/peer.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/httplimit"
 	"cactusknot.example/daemon/mirror"
 	"cactusknot.example/daemon/rollout"
 	"cactusknot.example/daemon/rpc"
@@ -21,8 +22,22 @@
 	peerTimeout = 800 * time.Millisecond
 	// maxChangesWait bounds the wait of a call for changes.
 	maxChangesWait = 2 * time.Second
+	// maxPeerResponse bounds the size in bytes of a peer's response; the complete copy of the store
+	// is the longest. maxPeerResponses bounds the sum of all responses that are being read.
+	maxPeerResponse  = 8 << 20
+	maxPeerResponses = 16 << 20
+	// maxPeerRequest bounds the size in bytes of a peer's request.
+	maxPeerRequest = 2 << 20
 )
 
+// newPeerTransport returns the transport for calls of peers. An address in the list of routers may
+// belong to another process by now, which may send anything.
+func newPeerTransport() http.RoundTripper {
+	base := http.DefaultTransport.(*http.Transport).Clone()
+	base.MaxResponseHeaderBytes = httplimit.MaxHeaderBytes
+	return httplimit.NewTransport(base, maxPeerResponse, &httplimit.Budget{Max: maxPeerResponses})
+}
+
 // peerServer implements rpc.EdgePeer, the service that routers offer to each other.
 type peerServer struct{ edge *Edge }
 
@@ -85,7 +100,9 @@
 }
 
 // peerHandler returns the HTTP handler for calls of other routers.
-func (e *Edge) peerHandler() http.Handler { return rpc.NewEdgePeerServer(peerServer{e}) }
+func (e *Edge) peerHandler() http.Handler {
+	return http.MaxBytesHandler(rpc.NewEdgePeerServer(peerServer{e}), maxPeerRequest)
+}
 
 // peerClient returns a client of the peer at address.
 func (e *Edge) peerClient(address string) rpc.EdgePeer {
--- a/daemon/node/charges.go
+++ b/daemon/node/charges.go
@@ -206,7 +206,7 @@
 	if p.VM == n.Settings.VM {
 		return n.LocalLedger
 	}
-	return rpc.NewLedgerProtobufClient("https://"+p.Address, n.Client)
+	return rpc.NewLedgerProtobufClient("https://"+p.Address, n.RPC)
 }
 
 // maxDeliverAttempts limits the routers that one delivery tries.
--- a/daemon/node/directory.go
+++ b/daemon/node/directory.go
@@ -207,7 +207,7 @@
 	defer d.mu.Unlock()
 	client, ok := d.clients[address]
 	if !ok {
-		client = rpc.NewPeerProtobufClient("https://"+address, d.node.Client)
+		client = rpc.NewPeerProtobufClient("https://"+address, d.node.RPC)
 		d.clients[address] = client
 	}
 	return client
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -21,6 +21,7 @@
 	"cactusknot.example/daemon/bundle"
 	"cactusknot.example/daemon/config"
 	"cactusknot.example/daemon/distribute"
+	"cactusknot.example/daemon/httplimit"
 	"cactusknot.example/daemon/rpc"
 )
 
@@ -46,7 +47,9 @@
 	Store       *kv.Client
 	Credentials *auth.Credentials
 	// Client calls other processes over mutual TLS and HTTP/2.
-	Client    *http.Client
+	Client *http.Client
+	// RPC is Client for calls whose responses are read whole, which are bounded.
+	RPC       *http.Client
 	Directory *Directory
 	Syncer    *distribute.Syncer
 	// LocalLedger is the ledger service of this process if it is a router, else nil.
@@ -78,6 +81,7 @@
 		Credentials: credentials,
 		Client:      newClient(credentials),
 	}
+	n.RPC = newRPCClient(n.Client)
 	n.Checker = &invariant.Checker{OnViolation: n.reportViolation}
 	n.Store = n.OpenStore(storeCalls)
 	n.Metrics.NewGauge("cactusknot_store_era", func() float64 { return float64(n.StoreEra()) })
@@ -157,14 +161,24 @@
 	pingAfter   = 2 * time.Second
 	pingTimeout = 2 * time.Second
 	dialTimeout = 2 * time.Second
+	// maxResponse bounds the size in bytes of a response that is read whole, maxResponses the sum
+	// of all that are being read. The longest is a bundle, which is a fraction of it.
+	maxResponse  = 8 << 20
+	maxResponses = 16 << 20
 )
 
+// newRPCClient returns a client like another one whose responses are bounded.
+func newRPCClient(client *http.Client) *http.Client {
+	return &http.Client{Transport: httplimit.NewTransport(client.Transport, maxResponse, &httplimit.Budget{Max: maxResponses})}
+}
+
 func newClient(credentials *auth.Credentials) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		TLSClientConfig:     credentials.ClientConfig(),
-		ForceAttemptHTTP2:   true,
-		DialContext:         dialer().DialContext,
-		TLSHandshakeTimeout: dialTimeout,
+		TLSClientConfig:        credentials.ClientConfig(),
+		ForceAttemptHTTP2:      true,
+		MaxResponseHeaderBytes: httplimit.MaxHeaderBytes,
+		DialContext:            dialer().DialContext,
+		TLSHandshakeTimeout:    dialTimeout,
 		HTTP2: &http.HTTP2Config{
 			MaxReceiveBufferPerStream: StreamBufferBytes,
 			SendPingTimeout:           pingAfter,
--- a/daemon/node/node_test.go
+++ b/daemon/node/node_test.go
@@ -29,9 +29,10 @@
 
 // newTestNode returns the node of a VM that reads the VM list from the URL list.
 func newTestNode(vm string, role auth.Role, list string) *Node {
+	client := &http.Client{}
 	n := &Node{
 		Settings: config.Node{VM: vm, Platform: config.Platform{VMList: list}},
-		Role:     role, Log: zerolog.Nop(), Clock: clock.System{}, Client: &http.Client{},
+		Role:     role, Log: zerolog.Nop(), Clock: clock.System{}, Client: client, RPC: client,
 	}
 	n.Directory = NewDirectory(n)
 	return n
--- a/daemon/router/control.go
+++ b/daemon/router/control.go
@@ -323,7 +323,7 @@
 	bounded, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	request := &rpc.ExchangeRequest{Router: r.settings.VM, BundleVersion: r.Syncer.Version(), Stops: r.Syncer.Stops().All()}
-	response, err := rpc.NewAgentProtobufClient("https://"+to.address, r.Client).Exchange(bounded, request)
+	response, err := rpc.NewAgentProtobufClient("https://"+to.address, r.RPC).Exchange(bounded, request)
 	r.Syncer.RecordControlBytes("exchange", proto.Size(request)+proto.Size(response))
 	return response.GetState(), err
 }
