quarantine: counting of crashes in a function of its own

No change of behaviour: mostBlamed did two things, and a variable in the gateway had the name of its type.

--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -58,9 +58,9 @@
 // response of maxBufferedAnswer bytes or more is passed on as it arrives, and so is one of more
 // than uncountedAnswer bytes while all responses together have used up their budget.
 func (g *Gateway) receiveBuffered(ctx context.Context, a *attempt) (bool, *result.Error) {
-	reservation := &reservation{budget: g.AnswerBudget}
-	defer reservation.end()
-	body, whole, err := readAnswer(bodyReader{a.exchange}, reservation)
+	room := &reservation{budget: g.AnswerBudget}
+	defer room.end()
+	body, whole, err := readAnswer(bodyReader{a.exchange}, room)
 	if err != nil {
 		return false, a.abort(ctx, err)
 	}
@@ -73,7 +73,7 @@
 		if len(body) < maxBufferedAnswer {
 			g.metrics.GetOrCreateCounter("cactusknot_answers_beyond_budget_total").Inc()
 		}
-		return g.receiveUnbuffered(ctx, a, body, reservation)
+		return g.receiveUnbuffered(ctx, a, body, room)
 	}
 	a.exchange.Done()
 	if !a.exchange.Framed() || len(body) > 0 {
@@ -182,9 +182,9 @@
 // receiveEvents passes on events as they arrive, each one whole, and skips those that
 // the caller already has.
 func (g *Gateway) receiveEvents(ctx context.Context, a *attempt) (bool, *result.Error) {
-	reservation := &reservation{budget: g.AnswerBudget}
-	defer reservation.end()
-	reader := newEventReader(a.exchange, reservation)
+	room := &reservation{budget: g.AnswerBudget}
+	defer room.end()
+	reader := newEventReader(a.exchange, room)
 	var firstEvent time.Time
 	// latest is the highest event ID of this attempt. A server that sends the whole stream
 	// again advances, although the caller has the events already.
--- a/daemon/quarantine/verdict.go
+++ b/daemon/quarantine/verdict.go
@@ -36,22 +36,34 @@
 // if there is none with enough crashes to convict. With neverSound, keys that were in a
 // sound answer are left out.
 func mostBlamed(cases []*crashCase, sound map[Key]time.Time, neverSound bool) (Key, bool) {
+	tallies := countCrashes(cases, sound, neverSound)
+	maps.DeleteFunc(tallies, func(_ Key, t tally) bool { return t.crashes < t.needed(len(cases)) })
+	if len(tallies) == 0 {
+		return 0, false
+	}
+	most := slices.MinFunc(slices.Collect(maps.Keys(tallies)), func(a, b Key) int {
+		x, y := tallies[a], tallies[b]
+		return cmp.Or(cmp.Compare(y.crashes, x.crashes), sound[a].Compare(sound[b]), cmp.Compare(y.position, x.position), cmp.Compare(a, b))
+	})
+	return most, true
+}
+
+// countCrashes counts the crashes of each key since its latest sound answer.
+func countCrashes(cases []*crashCase, sound map[Key]time.Time, neverSound bool) map[Key]tally {
 	tallies := make(map[Key]tally)
 	for i, c := range cases {
 		if !c.settled {
 			continue
 		}
 		for key, e := range c.keys {
-			at := sound[key]
-			if neverSound && !at.IsZero() || !c.at.After(at) {
-				continue
-			}
-			if lostBeside(cases, i, key, massLossWindow) >= massLoss {
+			soundAt := sound[key]
+			acquitted := neverSound && !soundAt.IsZero() || !c.at.After(soundAt)
+			if acquitted || lostBeside(cases, i, key, massLossWindow) >= massLoss {
 				continue
 			}
 			t := tallies[key]
 			t.position, t.whole = max(t.position, e.position), t.whole || e.whole
-			common := c.at.Sub(at) <= recentlySound
+			common := c.at.Sub(soundAt) <= recentlySound
 			inTurn := !common && t.followedBy(c.at, e) && lostBeside(cases, i, key, minCrashInterval) == 0
 			if t.apart(c.at, common) || inTurn {
 				t.crashes, t.last = t.crashes+1, c.at
@@ -59,15 +71,7 @@
 			tallies[key] = t
 		}
 	}
-	maps.DeleteFunc(tallies, func(_ Key, t tally) bool { return t.crashes < t.needed(len(cases)) })
-	if len(tallies) == 0 {
-		return 0, false
-	}
-	most := slices.MinFunc(slices.Collect(maps.Keys(tallies)), func(a, b Key) int {
-		x, y := tallies[a], tallies[b]
-		return cmp.Or(cmp.Compare(y.crashes, x.crashes), sound[a].Compare(sound[b]), cmp.Compare(y.position, x.position), cmp.Compare(a, b))
-	})
-	return most, true
+	return tallies
 }
 
 // tally counts the crashes of a key that count separately.
