--- a/daemon/quarantine/fleet_test.go
+++ b/daemon/quarantine/fleet_test.go
@@ -52,12 +52,13 @@
 	deadlyPart  Key = 999
 	firstPart   Key = 1
 	secondParts     = 300
-	// commonRequest is a request that callers repeat all the time, and maxAttempts the number
-	// of engines to which a request may be sent.
+	// commonRequest is a request that callers repeat all the time.
 	commonRequest Key = 1000
-	maxAttempts       = 3
 )
 
+// maxAttempts is the number of engines to which a request may be sent.
+const maxAttempts = 3
+
 func newFleetModel(seed uint64, routers, engines int) *fleetModel {
 	m := &fleetModel{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0), recorders: make([]Recorder, routers),
