edge: responses that are given up are counted and logged

Change: package transfer observes the bodies of responses. One line for each one that is given up (bytes, length, time, other bodies that were being read) and four metrics, for peers and for the store.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -219,6 +219,7 @@
 	prepared atomic.Bool
 	// storeMetrics holds the counters of store calls.
 	storeMetrics *metrics.Set
+	transfers    transfers
 }
 
 // Reload reloads the settings while the process runs.
@@ -235,14 +236,15 @@
 	store := settings.Store
 	settings.Store = meteredStore{settings.Store, calls}
 	e := &Edge{settings: settings, reload: reload, log: log.With().Str("vm", settings.VM).Logger(), mirror: mirror.New(), storeMetrics: calls}
-	peers := newPeerTransport()
-	e.peerHTTP = &http.Client{Transport: peers, Timeout: peerTimeout}
-	e.pollHTTP = &http.Client{Transport: peers}
+	e.setPeerTransport(newPeerTransport())
 	e.controller = newController(e)
 	e.duties = newDuties(e)
 	if observer, ok := store.(eraObserver); ok {
 		observer.ObserveEra(func(era uint64) { e.controller.noteEra(era, eraFromStore) })
 	}
+	if observer, ok := store.(transferObserver); ok {
+		observer.ObserveTransfers(&e.transfers.store, e.reportTransfer)
+	}
 	e.gateway = gateway.New(gateway.Config{
 		Name: settings.VM, Codec: settings.HeaderCodec, View: e.view.Load, Observe: e.controller.observe,
 		ColdFactor: settings.ColdFactor, ColdExtra: settings.ColdExtra, Retries: settings.Retries,
--- a/daemon/edge/metrics.go
+++ b/daemon/edge/metrics.go
@@ -13,6 +13,7 @@
 	e.controller.quarantines.writeMetrics(w)
 	e.duties.writeMetrics(w)
 	e.storeMetrics.WritePrometheus(w)
+	e.transfers.write(w)
 	now := time.Now()
 	fmt.Fprintf(w, "cactusknot_store_answer_age_seconds %.3f\n", e.controller.storeResponseAge(now).Seconds())
 	if age, ok := e.gateway.Chooser.PeerWorkAge(now); ok {
--- a/daemon/edge/peer.go
+++ b/daemon/edge/peer.go
@@ -13,6 +13,7 @@
 	"cactusknot.example/daemon/mirror"
 	"cactusknot.example/daemon/rollout"
 	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/transfer"
 )
 
 const (
@@ -38,6 +39,13 @@
 	return httplimit.NewTransport(base, maxPeerResponse, &httplimit.Budget{Max: maxPeerResponses})
 }
 
+// setPeerTransport makes this router call its peers by base.
+func (e *Edge) setPeerTransport(base http.RoundTripper) {
+	peers := transfer.NewTransport(base, &e.transfers.peers, e.reportTransfer)
+	e.peerHTTP = &http.Client{Transport: peers, Timeout: peerTimeout}
+	e.pollHTTP = &http.Client{Transport: peers}
+}
+
 // peerServer implements rpc.EdgePeer, the service that routers offer to each other.
 type peerServer struct{ edge *Edge }
 
--- a/daemon/edge/virtual_test.go
+++ b/daemon/edge/virtual_test.go
@@ -231,7 +231,7 @@
 			VM: name, PeerAddress: name + ":1", DataCentre: "dc1", StoreReaders: readers, Store: link, Decoder: testDecoder{},
 			ExposureShare: 0.15, ColdFactor: 1, Retries: limit.RetryConfig{Ratio: 0.5, Extra: 10, Window: 10 * time.Second},
 		}, Reload{}, zerolog.Nop())
-		e.peerHTTP.Transport, e.pollHTTP.Transport = f, f
+		e.setPeerTransport(f)
 		f.edges, f.links = append(f.edges, e), append(f.links, link)
 		f.peers[name+":1"] = e.peerHandler()
 	}
