--- /dev/null
+++ b/daemon/edge/thin_link_test.go
@@ -0,0 +1,170 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Rates of thin links in bytes per second.
+const (
+	tenMbit  = 10_000_000 / 8
+	fourMbit = 4_000_000 / 8
+)
+
+// thinLink delays what one router receives. The transfers on a link share it in turn.
+type thinLink struct {
+	mu sync.Mutex
+	// rate is in bytes per second; 0 means no limit.
+	rate int
+	// free is when the bytes that are already under way have arrived.
+	free     time.Time
+	received int
+}
+
+// linkUnit is the number of bytes that a transfer sends in its turn.
+const linkUnit = 16 << 10
+
+// receive waits until n more bytes have arrived, or returns the error of ctx.
+func (l *thinLink) receive(ctx context.Context, n int) error {
+	for ; n > 0; n -= linkUnit {
+		if err := l.receiveUnit(ctx, min(n, linkUnit)); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+func (l *thinLink) receiveUnit(ctx context.Context, n int) error {
+	l.mu.Lock()
+	l.received += n
+	now := time.Now()
+	if l.rate > 0 {
+		l.free = latest(l.free, now).Add(time.Duration(n) * time.Second / time.Duration(l.rate))
+	}
+	free := l.free
+	l.mu.Unlock()
+	if free.After(now) {
+		sleep(ctx, free.Sub(now))
+	}
+	return ctx.Err()
+}
+
+func (l *thinLink) setRate(rate int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rate, l.received = rate, 0
+}
+
+func (l *thinLink) bytes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.received
+}
+
+// arrivingBody is the body of a response that arrives on a link.
+type arrivingBody struct {
+	io.Reader
+	ctx  context.Context
+	link *thinLink
+}
+
+// Read implements io.Reader.
+func (b *arrivingBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p[:min(len(p), linkUnit)])
+	if n > 0 {
+		if err := b.link.receive(b.ctx, n); err != nil {
+			return 0, err
+		}
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *arrivingBody) Close() error { return nil }
+
+// testRoute has the size of a route in the platform's configuration.
+type testRoute struct {
+	Name, Hostname, Prefix, Backend, RouteType string
+	TimeoutMS, TargetLatencyMS, MaxAttempts    int
+}
+
+// largeConfig returns a configuration with some routes. The first routes of all versions are the
+// same.
+func largeConfig(version uint64, routes int) []byte {
+	random := rand.New(rand.NewPCG(1, 1))
+	name := func() string { return fmt.Sprintf("%010x", random.Uint64()>>24) }
+	list := make([]testRoute, 0, routes)
+	for range routes {
+		list = append(list, testRoute{
+			Name: "r-" + name(), Hostname: name() + ".example", Prefix: "/" + name() + "/", Backend: "backend-a", RouteType: "streaming",
+			TimeoutMS: 12_000, TargetLatencyMS: 2000, MaxAttempts: 3,
+		})
+	}
+	raw, _ := json.Marshal(struct {
+		Version uint64
+		Routes  []testRoute
+	}{version, list})
+	return raw
+}
+
+// thin gives all routers that no other router polls a thin link, and returns them.
+func (f *virtualFleet) thin(rate int) []int {
+	var routers []int
+	for i, e := range f.edges {
+		if !e.controller.isReader() {
+			f.links[i].inbound.setRate(rate)
+			routers = append(routers, i)
+		}
+	}
+	return routers
+}
+
+// Guards against a router that never gets a large configuration because each transfer on its thin
+// link is ended by a time bound that knows no size, or runs beside repetitions of itself. Versions
+// come 3.66 s apart, as operators send them to a large fleet.
+func TestLargeConfigurationsReachRoutersOnThinLinks(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		routers, readers int
+		rate             int
+		// allowed is the time from the writing of a version until it is in force.
+		allowed time.Duration
+	}{
+		{"followers of readers", 5, 2, tenMbit, DefaultConfigApply},
+		{"routers that read the store", 2, 0, tenMbit, DefaultConfigApply},
+		// The largest value takes 2 s on this link.
+		{"routers that read the store on a thinner link", 2, 0, fourMbit, DefaultConfigApply + 2*time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startVirtualFleet(t, c.routers, c.readers)
+				thin := f.thin(c.rate)
+				total := 0
+				for version := uint64(2); version <= 4; version++ {
+					value := largeConfig(version, int(version-1)*1400)
+					total += len(value)
+					written := time.Now()
+					f.store.put("config", value)
+					for _, i := range thin {
+						within(t, c.allowed-time.Since(written), fmt.Sprintf("router %d applies version %d of %d bytes", i, version, len(value)),
+							func() bool { return f.version(i) >= version })
+					}
+					time.Sleep(3660*time.Millisecond - time.Since(written))
+				}
+				for _, i := range thin {
+					// The store writes values as base64; a tenth is for all other messages.
+					if most := total*4/3 + total/10; f.links[i].inbound.bytes() > most {
+						t.Errorf("router %d received %d bytes, all versions together have %d", i, f.links[i].inbound.bytes(), total)
+					}
+				}
+			})
+		})
+	}
+}
--- a/daemon/edge/virtual_test.go
+++ b/daemon/edge/virtual_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"net/http"
@@ -38,6 +39,8 @@
 	fault   linkFault
 	broken  chan struct{}
 	latency time.Duration
+	// inbound is the link on which the answers arrive, shared with those of peers.
+	inbound *thinLink
 	calls   int
 	observe func(era uint64)
 }
@@ -81,6 +84,18 @@
 	err     error
 }
 
+// size returns the length of the answer in bytes. The store writes values as base64.
+func (a answer) size() int {
+	n := 0
+	for _, e := range a.list {
+		n += base64.StdEncoding.EncodedLen(len(e.Value))
+	}
+	for _, c := range a.changes {
+		n += base64.StdEncoding.EncodedLen(len(c.Value))
+	}
+	return n
+}
+
 // roundTrip performs a call with the faults of the link.
 func (l *storeLink) roundTrip(ctx context.Context, work func() answer) answer {
 	l.mu.Lock()
@@ -93,7 +108,9 @@
 			sleep(ctx, latency/2)
 			result := work()
 			sleep(ctx, latency/2)
-			done <- result
+			if l.inbound.receive(ctx, result.size()) == nil {
+				done <- result
+			}
 		}()
 		select {
 		case result := <-done:
@@ -195,9 +212,15 @@
 	peers map[string]http.Handler
 }
 
-// RoundTrip implements http.RoundTripper between the routers.
-func (f *virtualFleet) RoundTrip(r *http.Request) (*http.Response, error) {
-	handler, ok := f.peers[r.URL.Host]
+// peerTransport is the http.RoundTripper of one router of a virtualFleet.
+type peerTransport struct {
+	fleet   *virtualFleet
+	inbound *thinLink
+}
+
+// RoundTrip implements http.RoundTripper.
+func (p peerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	handler, ok := p.fleet.peers[r.URL.Host]
 	if !ok {
 		return nil, errors.New("no such router")
 	}
@@ -208,7 +231,9 @@
 	}()
 	select {
 	case <-done:
-		return recorder.Result(), nil
+		response := recorder.Result()
+		response.Body = &arrivingBody{Reader: response.Body, ctx: r.Context(), link: p.inbound}
+		return response, nil
 	case <-r.Context().Done():
 		return nil, r.Context().Err()
 	}
@@ -225,13 +250,15 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	for i := range n {
-		link := &storeLink{storeClient: &storeClient{store: f.store}, broken: make(chan struct{}), latency: 4 * time.Millisecond}
+		link := &storeLink{
+			storeClient: &storeClient{store: f.store}, broken: make(chan struct{}), latency: 4 * time.Millisecond, inbound: &thinLink{},
+		}
 		name := fmt.Sprint("r", i+1)
 		e := New(&Settings{
 			VM: name, PeerAddress: name + ":1", DataCentre: "dc1", StoreReaders: readers, Store: link, Decoder: testDecoder{},
 			ExposureShare: 0.15, ColdFactor: 1, Retries: limit.RetryConfig{Ratio: 0.5, Extra: 10, Window: 10 * time.Second},
 		}, Reload{}, zerolog.Nop())
-		e.setPeerTransport(f)
+		e.setPeerTransport(peerTransport{f, link.inbound})
 		f.edges, f.links = append(f.edges, e), append(f.links, link)
 		f.peers[name+":1"] = e.peerHandler()
 	}
