edge, platform: transfers end for want of progress, one at a time

Cause: an answer of a reader had to be complete within 250 or 750 ms, one of a peer within 800 ms, one of the store within 1.5 s, whatever its length and although it went on arriving. What had come was dropped and the next source began at the first byte. While an answer of the store was arriving, the same call was repeated every 300 ms beside it, so that none of them ended in time.

Change: package transfer bounds requests by progress: the time to the head, the silence between two parts, and a sum that fits the longest answer on a link with 1 Mbit/s. All calls of peers and of the store use it. A call to the store is not repeated, and its source is not changed, while an answer is arriving. A reader tells that it is receiving, so that followers do not leave it because its copy has aged meanwhile, and the age of a long answer counts from its head.

The stand-in for the store's link gets the limits of the platform's client in place of its old time bounds.

--- a/daemon/edge/config_exchange.go
+++ b/daemon/edge/config_exchange.go
@@ -10,6 +10,7 @@
 
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/transfer"
 )
 
 // startupPeers is the number of peers that a starting router asks for the configuration.
@@ -79,14 +80,14 @@
 func (c *configExchange) askOnStartup(ctx context.Context) {
 	peers := slices.Clone(c.edge.controller.peers())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	ctx, cancel := context.WithTimeout(ctx, loadExchangeTimeout)
-	defer cancel()
 	report := &rpc.LoadReport{Router: c.edge.settings.VM}
 	c.report(time.Now(), report)
 	var group sync.WaitGroup
 	for _, address := range peers[:min(startupPeers, len(peers))] {
 		group.Go(func() {
-			reply, err := c.edge.peerClient(address).ExchangeLoad(ctx, report)
+			exchange := transfer.New(ctx, loadExchangeLimits)
+			defer exchange.Stop()
+			reply, err := c.edge.peerClient(address).ExchangeLoad(exchange.Context(), report)
 			if err != nil {
 				c.edge.log.Debug().Err(err).Str("peer", address).Msg("peer did not say whether the store's configuration is the latest")
 				return
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -207,9 +207,8 @@
 	controller *controller
 	view       atomic.Pointer[topology.View]
 	stopping   atomic.Bool
-	peerHTTP   *http.Client
-	// pollHTTP has no timeout of its own; it is for calls that wait for changes.
-	pollHTTP *http.Client
+	// peerHTTP is the client for calls of other routers.
+	peerHTTP *http.Client
 	load     loadAggregator
 	// exchanged lists the kinds of facts that the routers exchange.
 	exchanged []exchanged
--- a/daemon/edge/exchange.go
+++ b/daemon/edge/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/transfer"
 )
 
 const (
@@ -16,12 +17,16 @@
 	// itself idle. It is shorter than the validity of the other routers' load, so that
 	// the load is known for the first request after an idle period.
 	idleLoadInterval = time.Second
-	// loadExchangeTimeout limits one exchange; a later reply would be stale.
+	// loadExchangeTimeout is how long an aggregator may be silent in an exchange, and
+	// maxLoadExchange bounds the exchange in sum; a later reply would be stale.
 	loadExchangeTimeout = 300 * time.Millisecond
+	maxLoadExchange     = time.Second
 	// aggregatorAvoidance is how long an aggregator that has not answered is asked last.
 	aggregatorAvoidance = 2 * time.Second
 )
 
+var loadExchangeLimits = transfer.Limits{Answer: loadExchangeTimeout, Silence: loadExchangeTimeout, Total: maxLoadExchange}
+
 // exchanged is one kind of facts that the routers exchange. Each router sends what it has
 // observed to an aggregator, which answers with what all routers together know. A report
 // states everything that still holds, so that any router can take over as aggregator.
@@ -151,9 +156,9 @@
 		e.apply(e.aggregate(time.Now(), report))
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, loadExchangeTimeout)
-	defer cancel()
-	reply, err := e.peerClient(address).ExchangeLoad(ctx, report)
+	exchange := transfer.New(ctx, loadExchangeLimits)
+	defer exchange.Stop()
+	reply, err := e.peerClient(address).ExchangeLoad(exchange.Context(), report)
 	if err != nil {
 		e.log.Debug().Err(err).Str("peer", address).Msg("exchange with peer failed")
 		return false
--- a/daemon/edge/follow.go
+++ b/daemon/edge/follow.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"cactusknot.example/daemon/relay"
 	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/transfer"
 )
 
 const (
 	// followWait is how long a reader may wait for changes before it answers. A reader
-	// that is frozen or cut off is noticed after followWait and followMargin.
+	// that is frozen or cut off is noticed after followWait and followMargin, or after
+	// followMargin while its answer arrives.
 	followWait   = 500 * time.Millisecond
 	followMargin = 250 * time.Millisecond
 	// maxReaderAge is the age of a reader's copy from which the reader is left. It exceeds
@@ -29,7 +30,7 @@
 		// has used up some.
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+followMargin)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	newerEra := s.newerEra
 	go func() {
@@ -39,22 +40,24 @@
 		case <-ctx.Done():
 		}
 	}()
-	client := rpc.NewEdgePeerProtobufClient("http://"+reader.Address, s.edge.pollHTTP)
+	poll := transfer.New(ctx, transfer.Limits{Answer: wait + followMargin, Silence: followMargin, Total: maxPeerTransfer})
+	defer poll.Stop()
 	after := s.edge.mirror.Position()
-	reply, err := client.Changes(ctx, &rpc.ChangesRequest{
+	reply, err := s.edge.peerClient(reader.Address).Changes(poll.Context(), &rpc.ChangesRequest{
 		AfterRevision: uint64(after.Revision), AfterEra: after.Era,
 		WaitMs: uint32(wait.Milliseconds()), MaxAgeMs: uint32(maxReaderAge.Milliseconds()),
 	})
-	now := time.Now()
-	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+	if err != nil && ctx.Err() != nil {
 		return
 	}
 	if err != nil {
-		s.leaveReader(now, reader, "no answer", err, 0)
+		s.leaveReader(time.Now(), reader, "no answer", err, 0)
 		return
 	}
+	// The answer was true when its head was sent; a long one takes time to arrive.
+	now := poll.HeadAt()
 	age := time.Duration(reply.GetAgeMs()) * time.Millisecond
-	if age >= maxReaderAge {
+	if age >= maxReaderAge && !reply.GetReceiving() {
 		s.leaveReader(now, reader, "copy too old", nil, age)
 		return
 	}
--- a/daemon/edge/peer.go
+++ b/daemon/edge/peer.go
@@ -19,8 +19,11 @@
 const (
 	// pullInterval is the time between requests to peers during a store outage.
 	pullInterval = 700 * time.Millisecond
-	// peerTimeout limits one call to a peer.
+	// peerTimeout is how long a peer may be silent in a call, before its answer or within it.
 	peerTimeout = 800 * time.Millisecond
+	// maxPeerTransfer bounds a call to a peer in sum: the longest answer, a copy of the store with
+	// some thousand keys, takes less on a link with 1 Mbit/s.
+	maxPeerTransfer = 10 * time.Second
 	// maxChangesWait bounds the wait of a call for changes.
 	maxChangesWait = 2 * time.Second
 	// maxPeerResponse bounds the size in bytes of a peer's response; the complete copy of the store
@@ -41,9 +44,8 @@
 
 // setPeerTransport makes this router call its peers by base.
 func (e *Edge) setPeerTransport(base http.RoundTripper) {
-	peers := transfer.NewTransport(base, &e.transfers.peers, e.reportTransfer)
-	e.peerHTTP = &http.Client{Transport: peers, Timeout: peerTimeout}
-	e.pollHTTP = &http.Client{Transport: peers}
+	limits := transfer.Limits{Answer: peerTimeout, Silence: peerTimeout, Total: maxPeerTransfer}
+	e.peerHTTP = &http.Client{Transport: transfer.NewTransport(base, limits, &e.transfers.peers, e.reportTransfer)}
 }
 
 // peerServer implements rpc.EdgePeer, the service that routers offer to each other.
@@ -68,6 +70,7 @@
 	reply := &rpc.ChangesReply{
 		AtRevision: uint64(at.Revision), AtEra: at.Era, Complete: complete, AgeMs: uint32(p.edge.controller.storeResponseAge(now).Milliseconds()),
 		OutageEndedAgoMs: uint64(p.edge.controller.outageEndedAgo(now).Milliseconds()),
+		Receiving:        now.Sub(p.edge.transfers.storeAnswers.Latest()) < followMargin,
 	}
 	for _, c := range changes {
 		reply.Changes = append(reply.Changes, &rpc.MirrorChange{
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -10,6 +10,7 @@
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/mirror"
 	"cactusknot.example/daemon/relay"
+	"cactusknot.example/daemon/transfer"
 )
 
 const (
@@ -35,7 +36,7 @@
 // syncStore keeps the mirror up to date by watching the store and, during a store
 // outage, by requesting changes from peers.
 func (e *Edge) syncStore(ctx context.Context) {
-	syncer := &storeSync{edge: e}
+	syncer := &storeSync{edge: e, arriving: &e.transfers.storeAnswers}
 	syncer.selector = relay.Selector{Self: e.settings.VM, Jitter: rand.Float64}
 	go e.pullFromPeers(ctx)
 	for ctx.Err() == nil {
@@ -46,6 +47,8 @@
 // storeSync reads the store into the mirror and detects store outages.
 type storeSync struct {
 	edge *Edge
+	// arriving records when a part of an answer of the store last arrived.
+	arriving *transfer.Progress
 	// synced is false until all keys have been read, at the start and each time that the
 	// store does not have the history.
 	synced bool
@@ -233,11 +236,11 @@
 }
 
 // call calls the store until it answers. If the first call is lost, or is not answered within
-// its allowance, further calls are started while the older ones may still be answered; the
-// first answer counts. ok is false if this router is to use another source, or ctx has ended, or
+// its allowance, further calls are started while the older ones may still be answered, unless an
+// answer is arriving; the first answer counts. ok is false if this router is to use another source, or ctx has ended, or
 // interrupt is closed before a call was lost.
 func (s *storeSync) call(ctx context.Context, first, again storeCall, allowance, interval time.Duration, interrupt <-chan struct{}) (answer storeAnswer, ok bool) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(s.arriving.Observe(ctx))
 	defer cancel()
 	s.reached = false
 	pending := pendingCalls{answers: make(chan storeAnswer), started: make(map[time.Time]bool)}
@@ -267,6 +270,11 @@
 			s.markLost(answer, !schedule.lost)
 			schedule.loseCall(time.Now())
 		case now := <-timer.C:
+			if latest := s.arriving.Latest(); now.Sub(latest) < interval {
+				// Another call would take its share of the link and answer the same.
+				schedule.due = latest.Add(interval)
+				break
+			}
 			if _, ok := s.usableReader(); ok {
 				return storeAnswer{}, false
 			}
--- a/daemon/edge/thin_link_test.go
+++ b/daemon/edge/thin_link_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"cactusknot.example/daemon/transfer"
 )
 
 // Rates of thin links in bytes per second.
@@ -37,6 +39,7 @@
 		if err := l.receiveUnit(ctx, min(n, linkUnit)); err != nil {
 			return err
 		}
+		transfer.Received(ctx)
 	}
 	return ctx.Err()
 }
--- a/daemon/edge/transfers.go
+++ b/daemon/edge/transfers.go
@@ -20,8 +20,12 @@
 	ObserveTransfers(stats *transfer.Stats, report func(transfer.Report))
 }
 
-// transfers counts what this router receives from the store and from its peers.
-type transfers struct{ store, peers transfer.Stats }
+// transfers observes what this router receives from the store and from its peers.
+type transfers struct {
+	store, peers transfer.Stats
+	// storeAnswers records when a part of an answer with the content of the store last arrived.
+	storeAnswers transfer.Progress
+}
 
 // write writes the metrics of the transfers.
 func (t *transfers) write(w io.Writer) {
--- a/daemon/edge/virtual_test.go
+++ b/daemon/edge/virtual_test.go
@@ -16,6 +16,7 @@
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/coord/limit"
 	"cactusknot.example/daemon/mirror"
+	"cactusknot.example/daemon/transfer"
 )
 
 // linkFault is what happens to the calls of one router to the store.
@@ -135,9 +136,16 @@
 	return answer{err: kv.ErrUnavailable}
 }
 
+// storeLimits returns the limits that the platform's client sets for a call that waits.
+func storeLimits(wait time.Duration) transfer.Limits {
+	const timeout = 1500 * time.Millisecond
+	return transfer.Limits{Answer: max(wait+700*time.Millisecond, timeout), Silence: timeout, Total: wait + 12*time.Second}
+}
+
 func (l *storeLink) Range(ctx context.Context, prefix string) ([]kv.Entry, kv.Position, error) {
-	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
-	defer cancel()
+	call := transfer.New(ctx, storeLimits(0))
+	defer call.Stop()
+	ctx = call.Context()
 	// A listing takes two pages.
 	if first := l.roundTrip(ctx, func() answer { return answer{} }); first.err != nil {
 		return nil, kv.Position{}, first.err
@@ -150,8 +158,9 @@
 }
 
 func (l *storeLink) Watch(ctx context.Context, _ string, after kv.Position, wait time.Duration) ([]mirror.Change, kv.Position, error) {
-	ctx, cancel := context.WithTimeout(ctx, max(wait+700*time.Millisecond, 1500*time.Millisecond))
-	defer cancel()
+	call := transfer.New(ctx, storeLimits(wait))
+	defer call.Stop()
+	ctx = call.Context()
 	l.mu.Lock()
 	cut := l.fault == linkCutsPolls && wait > pollCutAfter
 	l.mu.Unlock()
--- a/daemon/transfer/transfer_test.go
+++ b/daemon/transfer/transfer_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strconv"
 	"testing"
+	"time"
 )
 
 // Guards against a body that is given up half-way without a trace, and against reports of bodies
@@ -31,7 +32,7 @@
 		{"/none", 0, 0, 0, 0},
 	} {
 		stats, reports := &Stats{}, []Report(nil)
-		client := &http.Client{Transport: NewTransport(http.DefaultTransport, stats, func(r Report) { reports = append(reports, r) })}
+		client := &http.Client{Transport: NewTransport(http.DefaultTransport, Limits{time.Second, time.Second, time.Second}, stats, func(r Report) { reports = append(reports, r) })}
 		response, err := client.Get(server.URL + c.path)
 		if err != nil {
 			t.Fatal(err)
