--- a/daemon/edge/peer.go
+++ b/daemon/edge/peer.go
@@ -70,7 +70,7 @@
 	reply := &rpc.ChangesReply{
 		AtRevision: uint64(at.Revision), AtEra: at.Era, Complete: complete, AgeMs: uint32(p.edge.controller.storeResponseAge(now).Milliseconds()),
 		OutageEndedAgoMs: uint64(p.edge.controller.outageEndedAgo(now).Milliseconds()),
-		Receiving:        now.Sub(p.edge.transfers.storeAnswers.Latest()) < followMargin,
+		Receiving:        p.edge.transfers.receiving(now),
 	}
 	for _, c := range changes {
 		reply.Changes = append(reply.Changes, &rpc.MirrorChange{
@@ -80,11 +80,13 @@
 	return reply, nil
 }
 
-// changesWait returns how long a call of Changes may wait.
+// changesWait returns how long a call of Changes may wait. While an answer of the store is
+// arriving, the age of the copy does not matter: callers that do not leave this router would poll it
+// without a pause.
 func (p peerServer) changesWait(in *rpc.ChangesRequest) time.Duration {
-	wait := min(time.Duration(in.GetWaitMs())*time.Millisecond, maxChangesWait)
-	if in.GetMaxAgeMs() > 0 {
-		fresh := time.Duration(in.GetMaxAgeMs())*time.Millisecond - p.edge.controller.storeResponseAge(time.Now())
+	wait, now := min(time.Duration(in.GetWaitMs())*time.Millisecond, maxChangesWait), time.Now()
+	if in.GetMaxAgeMs() > 0 && !p.edge.transfers.receiving(now) {
+		fresh := time.Duration(in.GetMaxAgeMs())*time.Millisecond - p.edge.controller.storeResponseAge(now)
 		wait = min(wait, fresh)
 	}
 	return wait
--- a/daemon/edge/transfers.go
+++ b/daemon/edge/transfers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"cactusknot.example/daemon/transfer"
 )
@@ -27,6 +28,11 @@
 	storeAnswers transfer.Progress
 }
 
+// receiving reports whether an answer with the content of the store is arriving.
+func (t *transfers) receiving(now time.Time) bool {
+	return now.Sub(t.storeAnswers.Latest()) < followMargin
+}
+
 // write writes the metrics of the transfers.
 func (t *transfers) write(w io.Writer) {
 	for _, s := range []struct {
