edge: large values travel by name and in parts

What callers saw: on links with 10 Mbit/s a version of the configuration was in force 1.7 s after its acknowledgement although nothing was wrong, later with every further version behind it, and a small change behind a large value (a server that leaves) waited for it.

Cause: every change sent the whole value, up to 1 MiB, to each router, on every path: poll of a reader, pull from a peer, exchange of facts after a restore (there with each exchange, five times a second, until it had arrived within 300 ms).

The mirror takes over all changes at once; the fetcher gets what is missing, one value at a time, in parts cut by content and compressed, from any router that holds it, and from the store if two fail. Parts that are held or have arrived are not fetched again. Routers of the release before get whole values.

--- a/daemon/edge/config_exchange.go
+++ b/daemon/edge/config_exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/content"
 	"cactusknot.example/daemon/rpc"
 	"cactusknot.example/daemon/transfer"
 )
@@ -20,6 +21,8 @@
 type configInForce struct {
 	version uint64
 	entry   kv.Entry
+	// ref names the value of the entry; zero if it is not large.
+	ref content.Ref
 	// era is the latest era in which the store held it. In a later era, the store was restored
 	// from an older copy and the operators' configuration is not yet written again.
 	era uint64
@@ -30,8 +33,9 @@
 type configExchange struct {
 	edge    *Edge
 	current atomic.Pointer[configInForce]
-	// wanted is set when the aggregator has asked for this router's configuration.
-	wanted atomic.Bool
+	// wanted is set when the aggregator has asked for this router's configuration, to whether it
+	// may be named only.
+	wanted atomic.Pointer[bool]
 }
 
 func (c *configExchange) report(_ time.Time, out *rpc.LoadReport) {
@@ -40,9 +44,9 @@
 	if current == nil {
 		return
 	}
-	out.ConfigVersion, out.ConfigEra = current.version, current.era
-	if c.wanted.Swap(false) {
-		out.Config = encodeStoredValue(current.entry)
+	out.ConfigVersion, out.ConfigEra, out.ByReference = current.version, current.era, true
+	if by := c.wanted.Swap(nil); by != nil {
+		out.Config = current.encode(c.edge, *by)
 	}
 }
 
@@ -56,22 +60,23 @@
 	}
 	switch {
 	case current.version > in.GetConfigVersion() && current.era < storeEra:
-		out.Config = encodeStoredValue(current.entry)
+		out.Config = current.encode(c.edge, in.GetByReference())
 	case in.GetConfigVersion() <= current.version:
 	case in.GetConfig() != nil:
-		c.edge.controller.enqueueConfig(in.GetConfig())
+		c.take(in.GetConfig())
 	case in.GetConfigEra() < storeEra:
-		out.ConfigWanted = true
+		out.ConfigWanted, out.ByReference = true, true
 	}
 }
 
 func (c *configExchange) apply(_ time.Time, in *rpc.LoadReply) {
 	c.edge.controller.noteEra(in.GetStoreEra(), eraFromExchange)
 	if in.GetConfigWanted() {
-		c.wanted.Store(true)
+		byReference := in.GetByReference()
+		c.wanted.Store(&byReference)
 	}
 	if in.GetConfig() != nil {
-		c.edge.controller.enqueueConfig(in.GetConfig())
+		c.take(in.GetConfig())
 	}
 }
 
@@ -96,8 +101,24 @@
 		})
 	}
 	group.Wait()
+	c.edge.fetcher.waitForOffered(ctx)
 }
 
-func encodeStoredValue(e kv.Entry) *rpc.StoredValue {
-	return &rpc.StoredValue{Key: e.Key, Value: e.Value}
+// encode returns the message with a value, or with its name if it is large and the receiver
+// fetches values by their names.
+func (c *configInForce) encode(e *Edge, byReference bool) *rpc.StoredValue {
+	if c.ref == (content.Ref{}) || !byReference {
+		return &rpc.StoredValue{Key: c.entry.Key, Value: c.entry.Value}
+	}
+	e.fetcher.library.Add(c.ref, c.entry.Value)
+	return &rpc.StoredValue{Key: c.entry.Key, Content: encodeContentRef(c.ref), Holder: e.settings.PeerAddress}
+}
+
+// take takes over the configuration of a peer, or fetches it first.
+func (c *configExchange) take(in *rpc.StoredValue) {
+	if in.GetContent() != nil {
+		c.edge.fetcher.offer(in.GetKey(), decodeContentRef(in.GetContent()), in.GetHolder())
+		return
+	}
+	c.edge.controller.enqueueConfig(kv.Entry{Key: in.GetKey(), Value: in.GetValue()})
 }
--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/content"
 	"cactusknot.example/daemon/gateway"
 	"cactusknot.example/daemon/mirror"
 	"cactusknot.example/daemon/relay"
-	"cactusknot.example/daemon/rpc"
 	"cactusknot.example/daemon/topology"
 	"cactusknot.example/daemon/upstream"
 )
@@ -42,9 +42,10 @@
 	edge    *Edge
 	batches chan changeBatch
 	queries chan stateQuery
-	// departures receives a value for the control loop after a backend server has announced that
-	// it leaves, and departureNews one for the exchange with the other routers.
-	departures, departureNews chan struct{}
+	// outdated receives a value when the published view is out of date for another reason than a
+	// change of the store: a backend server has announced that it leaves, or a large value is
+	// being fetched. departureNews receives one for the exchange with the other routers.
+	outdated, departureNews chan struct{}
 
 	config *topology.Config
 	// configRevision is the store revision of the configuration, 0 for one that came from a
@@ -97,7 +98,7 @@
 func newController(e *Edge) *controller {
 	c := &controller{
 		edge: e, batches: make(chan changeBatch, changeQueueSize), queries: make(chan stateQuery),
-		departures: make(chan struct{}, 1), departureNews: make(chan struct{}, 1), servers: make(map[string]*serverState),
+		outdated: make(chan struct{}, 1), departureNews: make(chan struct{}, 1), servers: make(map[string]*serverState),
 		evacuations: make(map[string]bool), firstView: make(chan struct{}), eraNews: make(chan struct{}),
 	}
 	c.contact.bound, c.contact.minLapse, c.contact.respondedAt = e.settings.contactBound(), e.settings.minLapse(), time.Now()
@@ -114,8 +115,8 @@
 }
 
 // enqueueConfig passes the configuration of a peer to the control loop.
-func (c *controller) enqueueConfig(in *rpc.StoredValue) {
-	c.batches <- changeBatch{peerConfig: &kv.Entry{Key: in.GetKey(), Value: in.GetValue()}, receivedAt: time.Now()}
+func (c *controller) enqueueConfig(e kv.Entry) {
+	c.batches <- changeBatch{peerConfig: &e, receivedAt: time.Now()}
 }
 
 // firstViewPublished reports whether a view has been published.
@@ -257,7 +258,7 @@
 			c.mergeBatch(b)
 		case reply := <-c.queries:
 			reply <- c.state(time.Now())
-		case <-c.departures:
+		case <-c.outdated:
 			c.dirty = true
 		case now := <-ticker.C:
 			c.tick(ctx, now)
@@ -347,11 +348,15 @@
 // noteDeparture makes the control loop publish a view without the servers that have announced
 // that they leave, and the exchange tell the other routers.
 func (c *controller) noteDeparture() {
-	for _, listener := range []chan struct{}{c.departures, c.departureNews} {
-		select {
-		case listener <- struct{}{}:
-		default:
-		}
+	notify(c.outdated)
+	notify(c.departureNews)
+}
+
+// notify sends to a channel with room for one value, unless it holds one.
+func notify(listener chan<- struct{}) {
+	select {
+	case listener <- struct{}{}:
+	default:
 	}
 }
 
@@ -422,7 +427,7 @@
 func (c *controller) applyConfig(config *topology.Config, e kv.Entry, era uint64) {
 	config.InheritWithdrawals(c.config)
 	c.config, c.configRevision, c.configAppliedAt = config, uint64(e.Revision), time.Now()
-	c.edge.config.current.Store(&configInForce{version: config.Version, entry: e, era: era})
+	c.edge.config.current.Store(&configInForce{version: config.Version, entry: e, ref: content.RefOf(e.Value), era: era})
 	c.edge.log.Info().Uint64("version", config.Version).Uint64("revision", uint64(e.Revision)).Uint64("era", era).Msg("configuration applied")
 	if problems := config.Problems(); len(problems) > 0 {
 		c.edge.log.Warn().Uint64("version", config.Version).Int("count", len(problems)).Str("first", problems[0]).
@@ -441,7 +446,7 @@
 	c.peerMu.Unlock()
 	view := &topology.View{
 		At: now, Config: c.config, Servers: make(map[string][]*topology.Server),
-		Routers: c.routers.names(now),
+		Routers: c.routers.names(now), ConfigBehind: c.edge.fetcher.awaitsConfig(),
 	}
 	for _, s := range c.servers {
 		if !c.leaving(s) && !c.evacuations[s.DataCentre] {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -219,6 +219,8 @@
 	// storeMetrics holds the counters of store calls.
 	storeMetrics *metrics.Set
 	transfers    transfers
+	// fetcher fetches the large values that this router has heard of.
+	fetcher *contentFetcher
 }
 
 // Reload reloads the settings while the process runs.
@@ -236,6 +238,7 @@
 	settings.Store = meteredStore{settings.Store, calls}
 	e := &Edge{settings: settings, reload: reload, log: log.With().Str("vm", settings.VM).Logger(), mirror: mirror.New(), storeMetrics: calls}
 	e.setPeerTransport(newPeerTransport())
+	e.fetcher = newContentFetcher(e)
 	e.controller = newController(e)
 	e.duties = newDuties(e)
 	if observer, ok := store.(eraObserver); ok {
--- a/daemon/edge/follow.go
+++ b/daemon/edge/follow.go
@@ -45,7 +45,7 @@
 	after := s.edge.mirror.Position()
 	reply, err := s.edge.peerClient(reader.Address).Changes(poll.Context(), &rpc.ChangesRequest{
 		AfterRevision: uint64(after.Revision), AfterEra: after.Era,
-		WaitMs: uint32(wait.Milliseconds()), MaxAgeMs: uint32(maxReaderAge.Milliseconds()),
+		WaitMs: uint32(wait.Milliseconds()), MaxAgeMs: uint32(maxReaderAge.Milliseconds()), ByReference: true,
 	})
 	if err != nil && ctx.Err() != nil {
 		return
@@ -74,7 +74,7 @@
 		s.edge.controller.contact.inEra(now.Add(-age - contactMargin))
 	}
 	s.edge.controller.contact.followReader(now.Add(-age), holdSince)
-	s.edge.mergeReply(reply)
+	s.edge.mergeReply(reader.Address, reply)
 }
 
 // holdSince returns from when a peer's hold on vanished entries counts; zero for none.
--- a/daemon/edge/metrics.go
+++ b/daemon/edge/metrics.go
@@ -20,6 +20,9 @@
 		fmt.Fprintf(w, "cactusknot_load_report_age_seconds %.3f\n", age.Seconds())
 	}
 	fmt.Fprintf(w, "cactusknot_store_away_seconds %.3f\n", e.controller.storeOutage().Seconds())
+	if fetch := e.fetcher.current.Load(); fetch != nil {
+		fmt.Fprintf(w, "cactusknot_content_awaited_seconds %.3f\n", now.Sub(fetch.since).Seconds())
+	}
 	at := e.mirror.Position()
 	fmt.Fprintf(w, "cactusknot_mirror_revision %d\n", at.Revision)
 	fmt.Fprintf(w, "cactusknot_store_era %d\n", at.Era)
--- a/daemon/edge/peer.go
+++ b/daemon/edge/peer.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/twitchtv/twirp"
 
 	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/content"
 	"cactusknot.example/daemon/httplimit"
 	"cactusknot.example/daemon/mirror"
 	"cactusknot.example/daemon/rollout"
@@ -73,9 +75,14 @@
 		Receiving:        p.edge.transfers.receiving(now),
 	}
 	for _, c := range changes {
-		reply.Changes = append(reply.Changes, &rpc.MirrorChange{
-			Key: c.Key, Value: c.Value, Revision: uint64(c.Revision), Lease: uint64(c.Lease), Deleted: c.Deleted,
-		})
+		change := &rpc.MirrorChange{Key: c.Key, Value: c.Value, Revision: uint64(c.Revision), Lease: uint64(c.Lease), Deleted: c.Deleted}
+		switch {
+		case c.Content != (content.Ref{}) && in.GetByReference():
+			change.Value, change.Content = nil, encodeContentRef(c.Content)
+		case c.Missing():
+			return nil, twirp.Unavailable.Errorf("the value of %s is not held", c.Key)
+		}
+		reply.Changes = append(reply.Changes, change)
 	}
 	return reply, nil
 }
@@ -147,21 +154,25 @@
 // pullFrom merges the changes that a peer has received and returns their number.
 func (e *Edge) pullFrom(ctx context.Context, peer string) (count int, err error) {
 	after := e.mirror.Position()
-	reply, err := e.peerClient(peer).Changes(ctx, &rpc.ChangesRequest{AfterRevision: uint64(after.Revision), AfterEra: after.Era})
+	reply, err := e.peerClient(peer).Changes(ctx, &rpc.ChangesRequest{
+		AfterRevision: uint64(after.Revision), AfterEra: after.Era, ByReference: true,
+	})
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
 	now := time.Now()
 	e.controller.contact.peerResponse(now.Add(-time.Duration(reply.GetAgeMs())*time.Millisecond), holdSince(now, reply))
-	return e.mergeReply(reply), nil
+	return e.mergeReply(peer, reply), nil
 }
 
-// mergeReply merges the changes of a peer's reply and returns the number of new ones.
-func (e *Edge) mergeReply(reply *rpc.ChangesReply) int {
+// mergeReply merges the changes of the reply of the peer at address and returns the number of new
+// ones, but for those whose values are yet to be fetched.
+func (e *Edge) mergeReply(address string, reply *rpc.ChangesReply) int {
+	e.fetcher.prefer(address)
 	at := kv.Position{Era: reply.GetAtEra(), Revision: kv.Revision(reply.GetAtRevision())}
 	changes := make([]mirror.Change, 0, len(reply.GetChanges()))
 	for _, c := range reply.GetChanges() {
-		changes = append(changes, mirror.Change{Era: at.Era, Deleted: c.GetDeleted(), Entry: kv.Entry{
+		changes = append(changes, mirror.Change{Era: at.Era, Deleted: c.GetDeleted(), Content: decodeContentRef(c.GetContent()), Entry: kv.Entry{
 			Key: c.GetKey(), Value: c.GetValue(), Revision: kv.Revision(c.GetRevision()), Lease: kv.LeaseID(c.GetLease()),
 		}})
 	}
--- a/daemon/edge/restore_test.go
+++ b/daemon/edge/restore_test.go
@@ -93,12 +93,22 @@
 // restored from an older copy, no longer in force: at routers that start or that reach the
 // store first, before the operators' tool has written it again.
 func TestAcknowledgedConfigurationOutlivesARestore(t *testing.T) {
+	t.Run("small", func(t *testing.T) {
+		acknowledgedConfigurationOutlivesARestore(t, func(version uint64) any { return testConfig{version} })
+	})
+	t.Run("large", func(t *testing.T) {
+		acknowledgedConfigurationOutlivesARestore(t, func(version uint64) any { return largeConfig(version, 200*int(version)) })
+	})
+}
+
+func acknowledgedConfigurationOutlivesARestore(t *testing.T, config func(version uint64) any) {
+	t.Helper()
 	store := newMemoryStore()
-	store.put("config", testConfig{1})
+	store.put("config", config(1))
 	edges := []*testEdge{startExchangingEdge(t, store, "r1"), startExchangingEdge(t, store, "r2")}
 	eventually(t, waitTimeout, "the routers know each other", func() bool { return len(edges[0].controller.peers()) == 1 })
 	before := store.copy()
-	store.put("config", testConfig{2})
+	store.put("config", config(2))
 	for _, e := range edges {
 		eventually(t, waitTimeout, "the configuration is applied", func() bool { return e.configVersion() == 2 })
 	}
@@ -112,22 +122,22 @@
 	never(t, 500*time.Millisecond, "a router goes back", func() bool {
 		return slices.ContainsFunc(edges, func(e *testEdge) bool { return e.configVersion() != 2 })
 	})
-	store.put("config", testConfig{3})
+	store.put("config", config(3))
 	for _, e := range edges {
 		eventually(t, waitTimeout, "the next configuration is applied", func() bool { return e.configVersion() == 3 })
 	}
 }
 
 // Guards against the loss of an acknowledged configuration that only a router has heard of
-// which does not aggregate facts.
+// which does not aggregate facts. The configuration is large, so that it is fetched by its name.
 func TestAggregatorLearnsTheConfigurationOfARouter(t *testing.T) {
 	store := newMemoryStore()
-	store.put("config", testConfig{1})
+	store.put("config", largeConfig(1, 200))
 	aggregator, other := startExchangingEdge(t, store, "r1"), startExchangingEdge(t, store, "r2")
 	eventually(t, waitTimeout, "the routers know each other", func() bool { return len(other.controller.peers()) == 1 })
 	before := store.copy()
 	aggregator.client.hanging.Store(true)
-	store.put("config", testConfig{2})
+	store.put("config", largeConfig(2, 400))
 	eventually(t, waitTimeout, "one router has heard of the configuration", func() bool { return other.configVersion() == 2 })
 	store.restore(before)
 	aggregator.client.hanging.Store(false)
--- a/daemon/edge/routers.go
+++ b/daemon/edge/routers.go
@@ -300,10 +300,7 @@
 // storeRestored tells that the store has come back from a copy that may lack this router's
 // entry.
 func (r *routers) storeRestored() {
-	select {
-	case r.restored <- struct{}{}:
-	default:
-	}
+	notify(r.restored)
 }
 
 // waitAndRenew waits for the next renewal and extends the lease. After a restore of the store
--- a/daemon/edge/state.go
+++ b/daemon/edge/state.go
@@ -29,6 +29,9 @@
 	// duration of the current store outage; 0 while calls succeed.
 	StoreAnswerAgeMS int64 `json:"store_answer_age_ms"`
 	StoreOutageMS    int64 `json:"store_away_ms"`
+	// Fetching is the large value that this process knows of and does not hold yet; absent if there
+	// is none.
+	Fetching *FetchState `json:"fetching,omitempty"`
 	// StoreReaders are the routers that watch the store for this data centre. StoreReader is
 	// the one that this process polls; empty while it reads the store itself.
 	StoreReaders []string `json:"store_readers,omitempty"`
@@ -47,6 +50,16 @@
 	Duties []DutyState `json:"duties,omitempty"`
 }
 
+// FetchState is a large value that is being fetched.
+type FetchState struct {
+	Key string `json:"key"`
+	// Bytes is the length of the value, RemainingBytes that of the parts that have not arrived.
+	Bytes          int `json:"bytes"`
+	RemainingBytes int `json:"remaining_bytes"`
+	// AgeMS is the time since this process began to lag behind.
+	AgeMS int64 `json:"age_ms"`
+}
+
 // RouterState is a router that uses a share of the fleet's limits.
 type RouterState struct {
 	Name string `json:"name"`
@@ -166,6 +179,9 @@
 		StoreAnswerAgeMS: c.storeResponseAge(now).Milliseconds(), StoreOutageMS: c.storeOutage().Milliseconds(),
 		LoadReportAgeMS: -1, QuarantinedParts: c.quarantines.names(),
 	}
+	if fetch := e.fetcher.current.Load(); fetch != nil {
+		s.Fetching = &FetchState{Key: fetch.key, Bytes: fetch.size, RemainingBytes: fetch.remaining, AgeMS: now.Sub(fetch.since).Milliseconds()}
+	}
 	for _, reader := range c.readers() {
 		s.StoreReaders = append(s.StoreReaders, reader.Name)
 	}
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -39,6 +39,7 @@
 	syncer := &storeSync{edge: e, arriving: &e.transfers.storeAnswers}
 	syncer.selector = relay.Selector{Self: e.settings.VM, Jitter: rand.Float64}
 	go e.pullFromPeers(ctx)
+	go e.fetcher.run(ctx)
 	for ctx.Err() == nil {
 		syncer.syncOnce(ctx)
 	}
@@ -168,7 +169,7 @@
 		s.synced = false
 		return
 	}
-	s.edge.controller.enqueue(s.edge.mirror.Apply(answer.changes, answer.at))
+	s.edge.takeOver(s.edge.mirror.Apply(answer.changes, answer.at))
 	if len(answer.changes) > 0 {
 		sleep(ctx, watchPause)
 	}
@@ -194,7 +195,7 @@
 	applied := s.edge.mirror.Reset(answer.listing, answer.at)
 	s.edge.log.Info().Stringer("position", answer.at).Stringer("position_before", before).
 		Int("keys", len(answer.listing)).Int("applied", len(applied)).Msg("all keys of the store read")
-	s.edge.controller.enqueue(applied)
+	s.edge.takeOver(applied)
 }
 
 // storeAnswer is the result of a call to the store.
@@ -324,18 +325,15 @@
 func (e *Edge) mergeFromPeer(changes []mirror.Change, at kv.Position, complete bool) int {
 	var merged []mirror.Change
 	if complete {
-		listing := make([]kv.Entry, 0, len(changes))
-		for _, c := range changes {
-			listing = append(listing, c.Entry)
-		}
-		merged = e.mirror.Reset(listing, at)
+		merged = e.mirror.ResetTo(changes, at)
 	} else {
 		merged = e.mirror.Apply(changes, at)
 	}
 	// The copy comes first, so that it is not read from the store as well; the era comes
 	// before the changes, because they include removals that it makes doubtful.
 	e.controller.noteEra(at.Era, eraFromPeer)
-	e.controller.enqueue(merged)
+	e.takeOver(merged)
+	e.fetcher.wake()
 	return len(merged)
 }
 
--- a/daemon/edge/thin_link_test.go
+++ b/daemon/edge/thin_link_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -100,8 +101,11 @@
 
 // largeConfig returns a configuration with some routes. The first routes of all versions are the
 // same.
-func largeConfig(version uint64, routes int) []byte {
-	random := rand.New(rand.NewPCG(1, 1))
+func largeConfig(version uint64, routes int) []byte { return configOf(version, routes, 1) }
+
+// configOf returns a configuration with routes that depend on a seed.
+func configOf(version uint64, routes int, seed uint64) []byte {
+	random := rand.New(rand.NewPCG(seed, seed))
 	name := func() string { return fmt.Sprintf("%010x", random.Uint64()>>24) }
 	list := make([]testRoute, 0, routes)
 	for range routes {
@@ -171,3 +175,78 @@
 		})
 	}
 }
+
+// startThinFleet starts three followers of two readers, with a large configuration in force, and
+// gives the followers thin links. It returns one of them.
+func startThinFleet(t *testing.T, rate int) (f *virtualFleet, follower int) {
+	t.Helper()
+	f = startVirtualFleet(t, 5, 2)
+	f.store.put("config", largeConfig(2, 4200))
+	for i := range f.edges {
+		within(t, DefaultConfigApply, "the configuration is applied", func() bool { return f.version(i) == 2 })
+	}
+	return f, f.thin(rate)[0]
+}
+
+// Guards against a change of one route that costs as much as the whole configuration.
+func TestAChangeOfAConfigurationCostsItsOwnSize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, follower := startThinFleet(t, tenMbit)
+		f.store.put("config", bytes.Replace(largeConfig(3, 4200), []byte("streaming"), []byte("safe"), 1))
+		within(t, DefaultConfigApply, "the change is applied", func() bool { return f.version(follower) == 3 })
+		if n := f.links[follower].inbound.bytes(); n > 10_000 {
+			t.Errorf("a change of one route cost %d bytes", n)
+		}
+	})
+}
+
+// Guards against a server that gets requests after it has left because its departure waits behind
+// a large value, and against a router that does not know that it lags.
+func TestSmallChangesPassALargeValue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, follower := startThinFleet(t, fourMbit/4)
+		f.store.put("config", largeConfig(3, 4600))
+		time.Sleep(100 * time.Millisecond)
+		f.store.put("servers/a", testServer{Service: "svc", Draining: true})
+		within(t, time.Second, "the server is not used", func() bool { return !f.uses(follower, "a") })
+		if v := f.edges[follower].view.Load(); v.Config.Version != 2 || !v.ConfigBehind {
+			t.Errorf("version %d, behind %t while the new one arrives", v.Config.Version, v.ConfigBehind)
+		}
+		if s := f.edges[follower].fetcher.current.Load(); s == nil || s.key != "config" {
+			t.Errorf("fetching %+v", s)
+		}
+		within(t, 10*time.Second, "the new version is applied", func() bool { return f.version(follower) == 3 })
+		if f.edges[follower].view.Load().ConfigBehind {
+			t.Error("still behind")
+		}
+	})
+}
+
+// Guards against a value that is fetched from the first byte again when its source stops, and
+// against one that no source can hand out.
+func TestFetchGoesOnAtAnotherSource(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// frozen is the number of readers that stop in the middle of a fetch.
+		frozen  int
+		allowed time.Duration
+	}{{"one reader", 1, 4 * time.Second}, {"all readers", 2, 12 * time.Second}} {
+		synctest.Test(t, func(t *testing.T) {
+			f, follower := startThinFleet(t, fourMbit/4)
+			f.store.put("config", configOf(3, 4200, 3))
+			time.Sleep(time.Second)
+			left := f.edges[follower].fetcher.current.Load()
+			if left == nil || left.remaining == 0 || left.remaining == left.size {
+				t.Fatalf("%s: not in the middle of a fetch: %+v", c.name, left)
+			}
+			stopped := 0
+			for i, e := range f.edges {
+				if e.controller.isReader() && stopped < c.frozen {
+					f.frozen[i].Store(true)
+					stopped++
+				}
+			}
+			within(t, c.allowed, c.name+" stopped: the new version is applied", func() bool { return f.version(follower) == 3 })
+		})
+	}
+}
--- a/daemon/edge/virtual_test.go
+++ b/daemon/edge/virtual_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -219,6 +220,8 @@
 	edges []*Edge
 	links []*storeLink
 	peers map[string]http.Handler
+	// frozen makes calls of a router, by its index, hang.
+	frozen []atomic.Bool
 }
 
 // peerTransport is the http.RoundTripper of one router of a virtualFleet.
@@ -251,7 +254,7 @@
 // startVirtualFleet starts n routers in a synctest bubble and lets them find each other.
 func startVirtualFleet(t *testing.T, n, readers int) *virtualFleet {
 	t.Helper()
-	f := &virtualFleet{store: newMemoryStore(), peers: make(map[string]http.Handler)}
+	f := &virtualFleet{store: newMemoryStore(), peers: make(map[string]http.Handler), frozen: make([]atomic.Bool, n)}
 	f.store.era = 1
 	f.store.put("config", testConfig{1})
 	f.store.put("servers/a", testServer{Service: "svc"})
@@ -269,7 +272,13 @@
 		}, Reload{}, zerolog.Nop())
 		e.setPeerTransport(peerTransport{f, link.inbound})
 		f.edges, f.links = append(f.edges, e), append(f.links, link)
-		f.peers[name+":1"] = e.peerHandler()
+		handler := e.peerHandler()
+		f.peers[name+":1"] = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if f.frozen[i].Load() {
+				<-r.Context().Done()
+			}
+			handler.ServeHTTP(w, r)
+		})
 	}
 	for _, e := range f.edges {
 		go e.syncStore(ctx)
--- a/daemon/mirror/mirror.go
+++ b/daemon/mirror/mirror.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/content"
 )
 
 // maxTombstones bounds the number of deleted keys that are remembered. A peer that asks
@@ -20,6 +21,20 @@
 	// Era is the store's era of the entry's revision.
 	Era     uint64
 	Deleted bool
+	// Content names the value if it is large; zero otherwise. The value itself may then be
+	// missing.
+	Content content.Ref
+}
+
+// Missing reports whether the value is named but not known.
+func (c Change) Missing() bool { return c.Content != (content.Ref{}) && c.Value == nil }
+
+// named returns the change with the name of its value.
+func (c Change) named() Change {
+	if c.Content == (content.Ref{}) {
+		c.Content = content.RefOf(c.Value)
+	}
+	return c
 }
 
 // Position returns the position of the change.
@@ -51,7 +66,7 @@
 }
 
 // Apply merges changes that lead up to position at and returns those that changed the
-// copy. Changes of another era than the copy's are ignored: those of an older one are
+// copy, but for those whose value is missing: Resolve returns these. Changes of another era than the copy's are ignored: those of an older one are
 // void, and a newer one is entered by Reset.
 func (m *Mirror) Apply(changes []Change, at kv.Position) []Change {
 	m.mu.Lock()
@@ -65,22 +80,54 @@
 // apply merges changes; the caller holds the lock.
 func (m *Mirror) apply(changes []Change, at kv.Position) []Change {
 	var applied []Change
+	changed := false
 	for _, c := range changes {
-		if m.put(c) {
+		c, ok := m.put(c.named())
+		if !ok {
+			continue
+		}
+		changed = true
+		m.newest = latest(m.newest, c.Position())
+		if !c.Missing() {
 			applied = append(applied, c)
 		}
 	}
 	m.at = latest(m.at, at)
-	for _, c := range applied {
-		m.newest = latest(m.newest, c.Position())
-	}
-	if len(applied) > 0 {
+	if changed {
 		close(m.changed)
 		m.changed = make(chan struct{})
 	}
 	return applied
 }
 
+// Missing returns the entries whose values are missing.
+func (m *Mirror) Missing() []Change {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var missing []Change
+	for _, c := range m.entries {
+		if c.Missing() {
+			missing = append(missing, c)
+		}
+	}
+	return missing
+}
+
+// Resolve sets the value of the entries that name it and returns their changes.
+func (m *Mirror) Resolve(ref content.Ref, value []byte) []Change {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var resolved []Change
+	for key, c := range m.entries {
+		if c.Missing() && c.Content == ref {
+			c.Value = value
+			m.entries[key] = c
+			resolved = append(resolved, c)
+		}
+	}
+	return resolved
+}
+
 func latest(a, b kv.Position) kv.Position {
 	if a.After(b) {
 		return a
@@ -88,14 +135,19 @@
 	return b
 }
 
-// put merges one change and reports whether it changed the copy.
-func (m *Mirror) put(c Change) bool {
+// put merges one change and reports whether it changed the copy. It returns the change with its
+// value, if the copy held the value already.
+func (m *Mirror) put(c Change) (merged Change, changed bool) {
 	current, known := m.entries[c.Key]
-	if known && !c.Position().After(current.Position()) {
-		return false
+	brings := current.Missing() && !c.Missing() && c.Position() == current.Position()
+	if known && !c.Position().After(current.Position()) && !brings {
+		return c, false
 	}
 	if (!known || current.Deleted) && !c.Position().After(m.compacted) {
-		return false
+		return c, false
+	}
+	if c.Missing() && c.Content == current.Content {
+		c.Value = current.Value
 	}
 	if known && current.Deleted {
 		m.deleted--
@@ -107,7 +159,7 @@
 	if m.deleted > maxTombstones {
 		m.dropTombstones()
 	}
-	return true
+	return c, true
 }
 
 // dropTombstones drops all tombstones.
@@ -126,16 +178,23 @@
 // changes that changed the copy. A listing of an older era than the copy's is ignored; one
 // of a newer era changes every entry, if only in its position.
 func (m *Mirror) Reset(listing []kv.Entry, at kv.Position) []Change {
+	changes := make([]Change, 0, len(listing))
+	for _, e := range listing {
+		changes = append(changes, Change{Entry: e, Era: at.Era})
+	}
+	return m.ResetTo(changes, at)
+}
+
+// ResetTo is Reset for a complete copy, of the era of at, in which values may be missing.
+func (m *Mirror) ResetTo(changes []Change, at kv.Position) []Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if at.Era < m.at.Era {
 		return nil
 	}
-	present := make(map[string]bool, len(listing))
-	changes := make([]Change, 0, len(listing))
-	for _, e := range listing {
-		present[e.Key] = true
-		changes = append(changes, Change{Entry: e, Era: at.Era})
+	present := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		present[c.Key] = true
 	}
 	for key, c := range m.entries {
 		if !present[key] && !c.Deleted && !c.Position().After(at) {
@@ -177,7 +236,8 @@
 	return m.changed
 }
 
-// Get returns the entry of key; ok is false if the key does not exist.
+// Get returns the entry of key; ok is false if the key does not exist. The value of a large entry
+// may be missing.
 func (m *Mirror) Get(key string) (entry kv.Entry, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/daemon/mirror/mirror_test.go
+++ b/daemon/mirror/mirror_test.go
@@ -5,9 +5,11 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 
 	"cactusknot.example/coord/kv"
+	"cactusknot.example/daemon/content"
 )
 
 func entry(key string, revision int, value string) Change {
@@ -270,3 +272,62 @@
 	}
 	return values
 }
+
+// Guards against a large value that is lost between its name and its content: a later change must
+// not wait for it, it must not be fetched if it is held, and an older one must not come back.
+func TestMissingValues(t *testing.T) {
+	value, next := strings.Repeat("v", content.MinBytes), strings.Repeat("n", content.MinBytes)
+	named := func(revision int, value string) Change {
+		c := entry("large", revision, value)
+		c.Content, c.Value = content.RefOf(c.Value), nil
+		return c
+	}
+	type step struct {
+		do      func(m *Mirror) []Change
+		applied string
+		missing int
+	}
+	apply := func(changes ...Change) func(*Mirror) []Change {
+		return func(m *Mirror) []Change { return m.Apply(changes, at(int(changes[len(changes)-1].Revision))) }
+	}
+	resolve := func(value string) func(*Mirror) []Change {
+		return func(m *Mirror) []Change { return m.Resolve(content.RefOf([]byte(value)), []byte(value)) }
+	}
+	for name, steps := range map[string][]step{
+		"resolved": {
+			{apply(named(1, value), entry("small", 2, "s")), "small", 1},
+			{resolve(next), "", 1},
+			{resolve(value), "large", 0},
+			{resolve(value), "", 0},
+			{apply(named(1, value)), "", 0},
+			{apply(named(3, value)), "large", 0},
+		},
+		"superseded":          {{apply(named(1, value)), "", 1}, {apply(named(2, next)), "", 1}, {resolve(value), "", 1}, {resolve(next), "large", 0}},
+		"read from the store": {{apply(named(1, value)), "", 1}, {apply(entry("large", 1, value)), "large", 0}},
+		"removed":             {{apply(named(1, value)), "", 1}, {apply(removed("large", 2)), "large", 0}, {resolve(value), "", 0}},
+		"complete copy": {
+			{func(m *Mirror) []Change { return m.ResetTo([]Change{named(1, value), entry("small", 2, "s")}, at(2)) }, "small", 1},
+			{func(m *Mirror) []Change { return m.ResetTo([]Change{named(1, value)}, at(3)) }, "small", 1},
+			{resolve(value), "large", 0},
+			{func(m *Mirror) []Change {
+				c := named(1, value)
+				c.Era = 1
+				return m.ResetTo([]Change{c}, kv.Position{Era: 1, Revision: 1})
+			}, "large", 0},
+		},
+	} {
+		m := New()
+		for i, s := range steps {
+			var keys []string
+			for _, c := range s.do(m) {
+				keys = append(keys, c.Key)
+				if !c.Deleted && c.Value == nil {
+					t.Errorf("%s, step %d: %s without its value", name, i, c.Key)
+				}
+			}
+			if got := strings.Join(keys, " "); got != s.applied || len(m.Missing()) != s.missing {
+				t.Errorf("%s, step %d: applied %q, %d missing", name, i, got, len(m.Missing()))
+			}
+		}
+	}
+}
--- a/daemon/topology/topology.go
+++ b/daemon/topology/topology.go
@@ -243,6 +243,9 @@
 	Servers map[string][]*Server
 	// Splits holds the traffic split between the versions of each service.
 	Splits map[string]TrafficSplit
+	// ConfigBehind is set while this router knows of a newer configuration that it does not hold
+	// yet.
+	ConfigBehind bool
 	// Routers names the routers that share the fleet-wide limits, including this one.
 	Routers []string
 }
