gateway: what a newer configuration may allow is not refused for good

Cause: a router answered by the configuration in force although it knew of a newer one that it was receiving.

Change: while a router lags behind a configuration that it knows of, unknown routes and keys get 503 and Retry-After.

Evidence: TestKeys, new cases, fail without the change (404 and 401).

--- a/daemon/gateway/access_test.go
+++ b/daemon/gateway/access_test.go
@@ -23,7 +23,8 @@
 	}
 }
 
-// The API key decides the workspace, not the header that the caller sends.
+// The API key decides the workspace, not the header that the caller sends. Guards against a final
+// refusal of what a newer configuration, known and not yet received, may allow.
 func TestKeys(t *testing.T) {
 	a := newServer(t, "a", respond(200, "ok"))
 	r := newHarness(t, topology.Route{Kind: topology.Idempotent, MaxAttempts: 1}, a)
@@ -38,6 +39,14 @@
 			t.Errorf("%s with %q: got %d, want %d", c.path, c.key, got.status, c.want)
 		}
 	}
+	behind := *r.view.Load()
+	behind.ConfigBehind = true
+	r.view.Store(&behind)
+	for _, c := range cases[1:] {
+		if got := r.call(http.MethodGet, c.path, "", "Key", c.key); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+			t.Errorf("%s with %q while a newer configuration is on its way: got %d", c.path, c.key, got.status)
+		}
+	}
 	if requests := a.requests(); len(requests) != 1 || requests[0].head.Get("Workspace") != "w1" {
 		t.Errorf("requests %+v", a.requests())
 	}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -206,7 +206,7 @@
 		host = name
 	}
 	if x.route = x.view.Config.Match(host, x.call.Path); x.route == nil {
-		return result.NotFound.With("no route%s", withdrawnNote(x.view.Config.RouteWithdrawn(host, x.call.Path)))
+		return x.unknown(result.NotFound.With("no route%s", withdrawnNote(x.view.Config.RouteWithdrawn(host, x.call.Path))))
 	}
 	timeout := x.route.Timeout
 	if timeout <= 0 {
@@ -220,6 +220,15 @@
 	return g.stop.refuse(x.startedAt, x.route, x.deadline)
 }
 
+// unknown returns the refusal of a request for what the configuration in force does not have. It
+// does not say that for good while a newer configuration, which may have it, is on its way.
+func (x *requestState) unknown(refusal *result.Error) *result.Error {
+	if x.view.ConfigBehind {
+		return result.NotReady.With("a newer configuration is being received; in the one in force: %s", refusal.Detail)
+	}
+	return refusal
+}
+
 // requestHeadSize returns the size of the request line and the headers as sent over
 // HTTP/1.1, to within a few bytes.
 func requestHeadSize(r *http.Request) int64 {
@@ -240,7 +249,7 @@
 	}
 	workspace := x.view.Config.Workspace(x.call.APIKey)
 	if workspace == nil {
-		return result.Unauthenticated.With("unknown key%s", withdrawnNote(x.view.Config.KeyWithdrawn(x.call.APIKey)))
+		return x.unknown(result.Unauthenticated.With("unknown key%s", withdrawnNote(x.view.Config.KeyWithdrawn(x.call.APIKey))))
 	}
 	x.workspace, x.regions = workspace.Name, workspace.Regions
 	if workspace.HasUrgency {
--- a/daemon/result/result.go
+++ b/daemon/result/result.go
@@ -81,7 +81,7 @@
 	DeadlineTooSoon = add(2002, "deadline_too_soon", http.StatusServiceUnavailable, NotRun, true, "The deadline can't be met.")
 	NoBackend       = add(2003, "no_backend", http.StatusServiceUnavailable, NotRun, true, "No backend server can take the request now.")
 	ShuttingDown    = add(2004, "shutting_down", http.StatusServiceUnavailable, NotRun, true, "The process is stopping.")
-	NotReady        = add(2005, "not_ready", http.StatusServiceUnavailable, NotRun, true, "The process holds no configuration yet.")
+	NotReady        = add(2005, "not_ready", http.StatusServiceUnavailable, NotRun, true, "The process does not hold the configuration that the request needs yet.")
 	Isolated        = add(2006, "isolated", http.StatusServiceUnavailable, NotRun, true, "The process can't confirm that its configuration is current.")
 	LedgerFull      = add(2007, "ledger_full", http.StatusServiceUnavailable, NotRun, true, "The queue of charges is full.")
 	KeyNeedsStore   = add(2008, "key_needs_store", http.StatusServiceUnavailable, Unknown, true, "A caller-made key can't be bound while the store is down; use the suggested key only if this one was never sent before.")
