distribute: calls of peers end for want of progress

Evidence: TestLongResponseOfAPeerIsReadToItsEnd failed before (context deadline exceeded after 2 s).

--- a/daemon/distribute/distribute_test.go
+++ b/daemon/distribute/distribute_test.go
@@ -19,6 +19,7 @@
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/bundle"
 	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/transfer"
 
 	"github.com/rs/zerolog"
 )
@@ -709,3 +710,38 @@
 		})
 	})
 }
+
+// arrivingPeer is a peer whose response arrives in some steps.
+type arrivingPeer struct {
+	PeerClient
+	steps int
+	step  time.Duration
+}
+
+func (p arrivingPeer) FetchParts(ctx context.Context, _ *rpc.FetchPartsRequest) (*rpc.FetchPartsResponse, error) {
+	for range p.steps {
+		select {
+		case <-time.After(p.step):
+			transfer.Received(ctx)
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+	}
+	return new(rpc.FetchPartsResponse), nil
+}
+
+// Guards against parts that a process on a thin link never gets, because their response is ended
+// while it goes on arriving, and against one that waits for a silent peer.
+func TestLongResponseOfAPeerIsReadToItsEnd(t *testing.T) {
+	for _, c := range []struct {
+		step time.Duration
+		want error
+	}{{peerTimeout / 2, nil}, {peerTimeout * 2, transfer.ErrNoProgress}} {
+		synctest.Test(t, func(t *testing.T) {
+			p := peerSource{client: arrivingPeer{steps: 8, step: c.step}}
+			if _, err := p.fetch(t.Context(), new(rpc.FetchPartsRequest)); !errors.Is(err, c.want) {
+				t.Errorf("a part of the response every %s: %v", c.step, err)
+			}
+		})
+	}
+}
--- a/daemon/distribute/fetch.go
+++ b/daemon/distribute/fetch.go
@@ -11,6 +11,7 @@
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/bundle"
 	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/transfer"
 )
 
 // Keys of the store. Operators write them with cactusctl.
@@ -28,12 +29,19 @@
 func HistoryKey(version uint64) string { return fmt.Sprintf("%s%020d", KeyHistory, version) }
 
 const (
-	// peerTimeout limits one call to a peer. Peers respond within milliseconds.
+	// peerTimeout is how long a peer may be silent in a call, before its response or within it. Peers
+	// respond within milliseconds.
 	peerTimeout = 2 * time.Second
+	// maxPeerTransfer bounds a call in sum. The longest response, parts of 1 MB, takes less on a
+	// link with 1 Mbit/s.
+	maxPeerTransfer = 12 * time.Second
 	// storeTimeout limits one call to the store, which is slow at times.
 	storeTimeout = 3 * time.Second
 )
 
+// peerLimits bound a call to a peer by progress, so that a long response ends on a thin link.
+var peerLimits = transfer.Limits{Answer: peerTimeout, Silence: peerTimeout, Total: maxPeerTransfer}
+
 // ErrNoSource is returned when no source delivered a valid bundle.
 var ErrNoSource = errors.New("distribute: no source delivered a valid bundle")
 
@@ -55,10 +63,10 @@
 func (p peerSource) name() string { return p.member.Node }
 
 func (p peerSource) manifest(ctx context.Context) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
+	call := transfer.New(ctx, peerLimits)
+	defer call.Stop()
 	sent := p.syncer.cfg.Clock.Now()
-	out, err := p.client.FetchManifest(ctx, new(rpc.FetchManifestRequest))
+	out, err := p.client.FetchManifest(call.Context(), new(rpc.FetchManifestRequest))
 	if err != nil {
 		return nil, fmt.Errorf("distribute: manifest of %s: %w", p.member.Node, err)
 	}
@@ -97,9 +105,9 @@
 }
 
 func (p peerSource) fetch(ctx context.Context, in *rpc.FetchPartsRequest) (*rpc.FetchPartsResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	out, err := p.client.FetchParts(ctx, in)
+	call := transfer.New(ctx, peerLimits)
+	defer call.Stop()
+	out, err := p.client.FetchParts(call.Context(), in)
 	if err != nil {
 		return nil, fmt.Errorf("distribute: parts of %s: %w", p.member.Node, err)
 	}
--- a/daemon/distribute/loops.go
+++ b/daemon/distribute/loops.go
@@ -11,6 +11,7 @@
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/bundle"
 	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/transfer"
 
 	"google.golang.org/protobuf/proto"
 )
@@ -434,9 +435,9 @@
 		Counters:       s.countersToSend(),
 		StoreEra:       s.cfg.StoreEra(),
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	out, err := p.client.Sync(ctx, in)
+	call := transfer.New(ctx, peerLimits)
+	defer call.Stop()
+	out, err := p.client.Sync(call.Context(), in)
 	if err != nil {
 		s.meter.spend("sync", proto.Size(in))
 		return
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -23,6 +23,7 @@
 	"cactusknot.example/daemon/distribute"
 	"cactusknot.example/daemon/httplimit"
 	"cactusknot.example/daemon/rpc"
+	"cactusknot.example/daemon/transfer"
 )
 
 // Limits of the store calls of one process per second.
@@ -167,9 +168,11 @@
 	maxResponses = 16 << 20
 )
 
-// newRPCClient returns a client like another one whose responses are bounded.
+// newRPCClient returns a client like another one whose responses are bounded, and whose progress
+// the callers' limits see.
 func newRPCClient(client *http.Client) *http.Client {
-	return &http.Client{Transport: httplimit.NewTransport(client.Transport, maxResponse, &httplimit.Budget{Max: maxResponses})}
+	bounded := httplimit.NewTransport(client.Transport, maxResponse, &httplimit.Budget{Max: maxResponses})
+	return &http.Client{Transport: transfer.NewTransport(bounded, transfer.Limits{}, &transfer.Stats{}, func(transfer.Report) {})}
 }
 
 func newClient(credentials *auth.Credentials) *http.Client {
--- a/daemon/transfer/transfer.go
+++ b/daemon/transfer/transfer.go
@@ -35,7 +35,7 @@
 }
 
 // Transport is an http.RoundTripper that observes its responses. A request that belongs to no
-// Transfer is bounded by the limits of the Transport.
+// Transfer is bounded by the limits of the Transport, or not at all if these are zero.
 type Transport struct {
 	base   http.RoundTripper
 	limits Limits
@@ -55,7 +55,7 @@
 // a limit is ErrNoProgress or ErrTooLong.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	started, ctx, stop := time.Now(), request.Context(), func() {}
-	if !hasTransfer(ctx) {
+	if t.limits != (Limits{}) && !hasTransfer(ctx) {
 		own := New(ctx, t.limits)
 		ctx, stop = own.Context(), own.Stop
 	}
