--- a/daemon/content/content_test.go
+++ b/daemon/content/content_test.go
@@ -132,6 +132,9 @@
 	if _, err := a.Value(); !errors.Is(err, ErrMismatch) || a.Remaining() != len(value) {
 		t.Errorf("%v, %d bytes remaining", err, a.Remaining())
 	}
+	if err := a.SetParts(parts, collision); err != nil || a.Remaining() != len(value) {
+		t.Errorf("after a mismatch, %d bytes remain, %v", a.Remaining(), err)
+	}
 	if got, _, err := fetch(a, &from, &own, 50_000); err != nil || !bytes.Equal(got, value) {
 		t.Errorf("after a mismatch: %v", err)
 	}
--- a/daemon/edge/thin_link_test.go
+++ b/daemon/edge/thin_link_test.go
@@ -222,31 +222,51 @@
 	})
 }
 
-// Guards against a value that is fetched from the first byte again when its source stops, and
-// against one that no source can hand out.
-func TestFetchGoesOnAtAnotherSource(t *testing.T) {
+// Guards against a value that is fetched from the first byte again when its source stops or a newer
+// version comes, and against one that no source can hand out.
+func TestFetchGoesOnWhereItStopped(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		// frozen is the number of readers that stop in the middle of a fetch.
-		frozen  int
+		frozen int
+		// version is the version that is to be applied. Version 4 comes in the middle of a fetch.
+		version uint64
 		allowed time.Duration
-	}{{"one reader", 1, 4 * time.Second}, {"all readers", 2, 12 * time.Second}} {
+		// most bounds the bytes that are received, in calls for parts beside the compressed value;
+		// 0 means no bound.
+		most int
+	}{
+		{"one reader stops", 1, 3, 4 * time.Second, 2},
+		{"all readers stop", 2, 3, 12 * time.Second, 0},
+		{"a newer version comes", 0, 4, 4 * time.Second, 2},
+	} {
 		synctest.Test(t, func(t *testing.T) {
 			f, follower := startThinFleet(t, fourMbit/4)
-			f.store.put("config", configOf(3, 4200, 3))
-			time.Sleep(time.Second)
+			value := configOf(3, 4200, 3)
+			f.store.put("config", value)
+			time.Sleep(600 * time.Millisecond)
 			left := f.edges[follower].fetcher.current.Load()
 			if left == nil || left.remaining == 0 || left.remaining == left.size {
 				t.Fatalf("%s: not in the middle of a fetch: %+v", c.name, left)
 			}
-			stopped := 0
-			for i, e := range f.edges {
-				if e.controller.isReader() && stopped < c.frozen {
-					f.frozen[i].Store(true)
-					stopped++
-				}
+			f.freezeReaders(*f.edges[follower].controller.currentReader.Load(), c.frozen)
+			if c.version == 4 {
+				f.store.put("config", configOf(4, 4200, 3))
+			}
+			within(t, c.allowed, c.name+": the version is applied", func() bool { return f.version(follower) == c.version })
+			received, size := f.links[follower].inbound.bytes(), len(compress(value))
+			if call := size * contentBatch / len(value); c.most > 0 && received > size+c.most*call {
+				t.Errorf("%s: received %d bytes for %d", c.name, received, size)
 			}
-			within(t, c.allowed, c.name+" stopped: the new version is applied", func() bool { return f.version(follower) == 3 })
 		})
 	}
 }
+
+// freezeReaders makes calls of one reader hang, or of all if n is more than one.
+func (f *virtualFleet) freezeReaders(first string, n int) {
+	for i, e := range f.edges {
+		if e.controller.isReader() && (n > 1 || n == 1 && e.settings.VM == first) {
+			f.frozen[i].Store(true)
+		}
+	}
+}
