edge, content: lists of parts, avoided routers and empty batches are bounded

Found by reading the fetcher again, without a run that shows harm: a faulty peer could name a million parts of one byte, the map of avoided routers kept every address, and a fetched configuration of a peer passed an empty batch of changes on, which the control loop of a router that starts takes for its first listing.

--- a/daemon/content/content.go
+++ b/daemon/content/content.go
@@ -122,6 +122,9 @@
 // that have been received are dropped.
 func (a *Assembly) SetParts(parts []Part, lookup func(id uint64) []byte) error {
 	size := 0
+	if len(parts) > a.ref.Size/minPart+1 {
+		return ErrBadParts
+	}
 	for _, p := range parts {
 		if p.Size <= 0 || p.Size > maxPart {
 			return ErrBadParts
--- a/daemon/content/content_test.go
+++ b/daemon/content/content_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -100,6 +101,7 @@
 	parts, lookup := from.Parts(RefOf(value)), func(uint64) []byte { return nil }
 	for name, list := range map[string][]Part{
 		"none": nil, "too few": parts[1:], "too long": {{1, maxPart + 1}}, "empty": append([]Part{{1, 0}}, parts...), "negative": {{1, -1}},
+		"too many": slices.Repeat([]Part{{1, 1}}, len(value)),
 	} {
 		if err := NewAssembly(RefOf(value), nil).SetParts(list, lookup); !errors.Is(err, ErrBadParts) {
 			t.Errorf("%s: %v", name, err)
--- a/daemon/edge/fetcher.go
+++ b/daemon/edge/fetcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -242,13 +243,19 @@
 	case errors.Is(err, errSuperseded) || ctx.Err() != nil:
 	default:
 		current.failures++
-		f.avoided[source] = time.Now().Add(sourceAvoidance)
+		f.avoid(time.Now(), source)
 		f.edge.storeMetrics.GetOrCreateCounter("cactusknot_content_sources_left_total").Inc()
 		f.edge.log.Warn().Err(err).Str("key", current.key).Str("source", source).Int("bytes", current.ref.Size).
 			Int("remaining", current.assembly.Remaining()).Dur("took_ms", time.Since(current.began)).Msg("source of a large value left")
 	}
 }
 
+// avoid records that a router is not asked for some time, and drops what has ended.
+func (f *contentFetcher) avoid(now time.Time, source string) {
+	maps.DeleteFunc(f.avoided, func(_ string, until time.Time) bool { return now.After(until) })
+	f.avoided[source] = now.Add(sourceAvoidance)
+}
+
 // report publishes the progress of a fetch for the state and the metrics.
 func (f *contentFetcher) report(current *fetch) {
 	f.current.Store(&fetchProgress{key: current.key, size: current.ref.Size, remaining: current.assembly.Remaining(), since: current.began})
@@ -350,7 +357,9 @@
 // complete takes over a value that has been fetched.
 func (f *contentFetcher) complete(w wanted, value []byte) {
 	f.library.Add(w.ref, value)
-	f.edge.takeOver(f.edge.mirror.Resolve(w.ref, value))
+	if resolved := f.edge.mirror.Resolve(w.ref, value); len(resolved) > 0 {
+		f.edge.takeOver(resolved)
+	}
 	if w.offered != nil {
 		f.edge.controller.enqueueConfig(kv.Entry{Key: w.key, Value: value})
 		f.endOffer(w.offered)
