--- a/daemon/edge/recovery.go
+++ b/daemon/edge/recovery.go
@@ -178,16 +178,23 @@
 // cut records that a call has failed before its answer was due, as a long poll does that the
 // store cuts. It reports whether the call begins an outage for certain.
 func (c *storeContact) cut(now, started time.Time) bool {
-	c.mu.Lock()
-	if c.lostSince.IsZero() {
-		c.lostSince, c.cutCallAt = now, started
-		c.mu.Unlock()
+	if c.firstCut(now, started) {
 		return false
 	}
-	c.mu.Unlock()
 	return c.lost(now, started)
 }
 
+// firstCut records a call that was cut, if no call was lost before.
+func (c *storeContact) firstCut(now, started time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lostSince.IsZero() {
+		return false
+	}
+	c.lostSince, c.cutCallAt = now, started
+	return true
+}
+
 // resumed records that the repetition of a call that was cut has been answered. It reports
 // whether that was no outage: the answer came at once, and so soon after the one before the cut
 // that no entry of a live server can have lapsed in between. Vanished entries are not held then.
--- a/daemon/httplimit/httplimit.go
+++ b/daemon/httplimit/httplimit.go
@@ -74,13 +74,6 @@
 	return response, nil
 }
 
-// CloseIdleConnections closes the idle connections of the base transport.
-func (t *Transport) CloseIdleConnections() {
-	if base, ok := t.base.(interface{ CloseIdleConnections() }); ok {
-		base.CloseIdleConnections()
-	}
-}
-
 // body is the bounded body of a response.
 type body struct {
 	io.ReadCloser
