edge: an answer of the store that has ended does not count as arriving

Cause: noted when a part of any answer had last arrived. The head of an answer that had just ended, or a refusal, then held up the repetition of the next call for up to 300 ms, beyond the 200 ms in which a cut is no outage, and let a reader whose calls are refused count as receiving, so that its followers stayed.

Change: only calls that have not ended count. A watch may be silent after its head for as long as before it, as a store may send its head early.

Evidence: the stand-in for the store's link now reports the heads of its answers, as HTTP does. With that TestNoHoldAfterCutPolls failed, and TestRefusedReadersDelayNoChange fails with the defect.

--- a/daemon/edge/follow_test.go
+++ b/daemon/edge/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -121,3 +122,22 @@
 	f.store.put("config", testConfig{Version: 2})
 	f.wantVersion(t, time.Second, 2)
 }
+
+// Guards against readers that count as receiving because the store refuses their calls, each with
+// an answer: followers must leave them as soon as their copies are old.
+func TestRefusedReadersDelayNoChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startVirtualFleet(t, 5, 2)
+		for i, e := range f.edges {
+			if e.controller.isReader() {
+				f.links[i].set(linkRefuses)
+			}
+		}
+		f.store.put("config", testConfig{2})
+		for i, e := range f.edges {
+			if !e.controller.isReader() {
+				within(t, maxReaderAge+followWait, "a follower applies the configuration", func() bool { return f.version(i) == 2 })
+			}
+		}
+	})
+}
--- a/daemon/edge/sync.go
+++ b/daemon/edge/sync.go
@@ -10,7 +10,6 @@
 	"cactusknot.example/coord/kv"
 	"cactusknot.example/daemon/mirror"
 	"cactusknot.example/daemon/relay"
-	"cactusknot.example/daemon/transfer"
 )
 
 const (
@@ -36,7 +35,7 @@
 // syncStore keeps the mirror up to date by watching the store and, during a store
 // outage, by requesting changes from peers.
 func (e *Edge) syncStore(ctx context.Context) {
-	syncer := &storeSync{edge: e, arriving: &e.transfers.storeAnswers}
+	syncer := &storeSync{edge: e}
 	syncer.selector = relay.Selector{Self: e.settings.VM, Jitter: rand.Float64}
 	go e.pullFromPeers(ctx)
 	go e.fetcher.run(ctx)
@@ -48,8 +47,6 @@
 // storeSync reads the store into the mirror and detects store outages.
 type storeSync struct {
 	edge *Edge
-	// arriving records when a part of an answer of the store last arrived.
-	arriving *transfer.Progress
 	// synced is false until all keys have been read, at the start and each time that the
 	// store does not have the history.
 	synced bool
@@ -217,7 +214,9 @@
 
 // pendingCalls are calls to the store that have not been answered.
 type pendingCalls struct {
-	answers chan storeAnswer
+	// arriving holds the progress of the calls.
+	arriving *arrivals
+	answers  chan storeAnswer
 	// started holds when each of them was started.
 	started map[time.Time]bool
 }
@@ -227,7 +226,9 @@
 	started := time.Now()
 	p.started[started] = true
 	go func() {
-		answer := call(ctx)
+		progress := p.arriving.begin()
+		answer := call(progress.Observe(ctx))
+		p.arriving.end(progress)
 		answer.started = started
 		select {
 		case p.answers <- answer:
@@ -241,10 +242,10 @@
 // answer is arriving; the first answer counts. ok is false if this router is to use another source, or ctx has ended, or
 // interrupt is closed before a call was lost.
 func (s *storeSync) call(ctx context.Context, first, again storeCall, allowance, interval time.Duration, interrupt <-chan struct{}) (answer storeAnswer, ok bool) {
-	ctx, cancel := context.WithCancel(s.arriving.Observe(ctx))
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.reached = false
-	pending := pendingCalls{answers: make(chan storeAnswer), started: make(map[time.Time]bool)}
+	pending := pendingCalls{arriving: &s.edge.transfers.storeAnswers, answers: make(chan storeAnswer), started: make(map[time.Time]bool)}
 	schedule := callSchedule{interval: interval, jitter: rand.Float64}
 	schedule.first(time.Now(), allowance)
 	pending.start(ctx, first)
@@ -271,9 +272,9 @@
 			s.markLost(answer, !schedule.lost)
 			schedule.loseCall(time.Now())
 		case now := <-timer.C:
-			if latest := s.arriving.Latest(); now.Sub(latest) < interval {
+			if arrived := pending.arriving.latest(); now.Sub(arrived) < interval {
 				// Another call would take its share of the link and answer the same.
-				schedule.due = latest.Add(interval)
+				schedule.due = arrived.Add(interval)
 				break
 			}
 			if _, ok := s.usableReader(); ok {
--- a/daemon/edge/transfers.go
+++ b/daemon/edge/transfers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"cactusknot.example/daemon/transfer"
@@ -24,13 +25,49 @@
 // transfers observes what this router receives from the store and from its peers.
 type transfers struct {
 	store, peers transfer.Stats
-	// storeAnswers records when a part of an answer with the content of the store last arrived.
-	storeAnswers transfer.Progress
+	// storeAnswers are the answers with the content of the store that have not ended.
+	storeAnswers arrivals
+}
+
+// arrivals are answers that have not ended, with their progress. An answer that has ended does not
+// count, also if it was a refusal. It is safe for concurrent use.
+type arrivals struct {
+	mu   sync.Mutex
+	live map[*transfer.Progress]bool
+}
+
+// begin adds an answer.
+func (a *arrivals) begin() *transfer.Progress {
+	progress := &transfer.Progress{}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.live == nil {
+		a.live = make(map[*transfer.Progress]bool)
+	}
+	a.live[progress] = true
+	return progress
+}
+
+func (a *arrivals) end(progress *transfer.Progress) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.live, progress)
+}
+
+// latest returns when a part of one of the answers last arrived; zero if none has begun to.
+func (a *arrivals) latest() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var arrived time.Time
+	for progress := range a.live {
+		arrived = latest(arrived, progress.Latest())
+	}
+	return arrived
 }
 
 // receiving reports whether an answer with the content of the store is arriving.
 func (t *transfers) receiving(now time.Time) bool {
-	return now.Sub(t.storeAnswers.Latest()) < followMargin
+	return now.Sub(t.storeAnswers.latest()) < followMargin
 }
 
 // write writes the metrics of the transfers.
--- a/daemon/edge/virtual_test.go
+++ b/daemon/edge/virtual_test.go
@@ -110,6 +110,8 @@
 			sleep(ctx, latency/2)
 			result := work()
 			sleep(ctx, latency/2)
+			// The head of the answer.
+			transfer.Received(ctx)
 			if l.inbound.receive(ctx, result.size()) == nil {
 				done <- result
 			}
@@ -131,6 +133,7 @@
 	}
 	if fault == linkRefuses {
 		sleep(ctx, time.Millisecond)
+		transfer.Received(ctx)
 	} else {
 		<-ctx.Done()
 	}
