edge: a router that starts is ready once it goes by its peers' configuration

What callers would have seen: a router that starts after a restore of the store, while a large configuration of its peers is being decoded, was ready and went by the older one of the store, for as long as decoding takes.

Cause: the start waited until the configuration had been passed to the control loop, which decodes it later.

Change: it waits for the view with the configuration, still for 3 s at most.

--- a/daemon/edge/config_exchange.go
+++ b/daemon/edge/config_exchange.go
@@ -120,5 +120,5 @@
 		c.edge.fetcher.offer(in.GetKey(), decodeContentRef(in.GetContent()), in.GetHolder())
 		return
 	}
-	c.edge.controller.enqueueConfig(kv.Entry{Key: in.GetKey(), Value: in.GetValue()})
+	c.edge.controller.enqueueConfig(kv.Entry{Key: in.GetKey(), Value: in.GetValue()}, nil)
 }
--- a/daemon/edge/control.go
+++ b/daemon/edge/control.go
@@ -34,6 +34,8 @@
 	// peerConfig is a configuration that a peer goes by and the store does not hold; nil for
 	// none.
 	peerConfig *kv.Entry
+	// published is closed once a view with the changes is published; nil for none.
+	published chan struct{}
 }
 
 // controller holds this process's state of the fleet. Only the control loop changes
@@ -114,9 +116,10 @@
 	c.batches <- changeBatch{changes: changes, receivedAt: time.Now()}
 }
 
-// enqueueConfig passes the configuration of a peer to the control loop.
-func (c *controller) enqueueConfig(e kv.Entry) {
-	c.batches <- changeBatch{peerConfig: &e, receivedAt: time.Now()}
+// enqueueConfig passes the configuration of a peer to the control loop, which closes published,
+// unless it is nil, once it goes by it.
+func (c *controller) enqueueConfig(e kv.Entry, published chan struct{}) {
+	c.batches <- changeBatch{peerConfig: &e, receivedAt: time.Now(), published: published}
 }
 
 // firstViewPublished reports whether a view has been published.
@@ -256,6 +259,10 @@
 			return
 		case b := <-c.batches:
 			c.mergeBatch(b)
+			if b.published != nil {
+				c.publish(time.Now())
+				close(b.published)
+			}
 		case reply := <-c.queries:
 			reply <- c.state(time.Now())
 		case <-c.outdated:
--- a/daemon/edge/fetcher.go
+++ b/daemon/edge/fetcher.go
@@ -65,7 +65,7 @@
 	key    string
 	ref    content.Ref
 	holder string
-	// done is closed when the configuration has been passed to the control loop.
+	// done is closed when this router goes by the configuration, or has given it up.
 	done chan struct{}
 }
 
@@ -222,7 +222,8 @@
 		current.failures = 0
 		if current.offered != nil {
 			// Its holder offers it again, if it still goes by it.
-			f.endOffer(current.offered)
+			f.offered.CompareAndSwap(current.offered, nil)
+			close(current.offered.done)
 			return
 		}
 		f.readFromStore(ctx, current)
@@ -361,13 +362,8 @@
 		f.edge.takeOver(resolved)
 	}
 	if w.offered != nil {
-		f.edge.controller.enqueueConfig(kv.Entry{Key: w.key, Value: value})
-		f.endOffer(w.offered)
+		f.edge.controller.enqueueConfig(kv.Entry{Key: w.key, Value: value}, w.offered.done)
+		f.offered.CompareAndSwap(w.offered, nil)
 	}
 	notify(f.edge.controller.outdated)
 }
-
-func (f *contentFetcher) endOffer(offered *offeredConfig) {
-	f.offered.CompareAndSwap(offered, nil)
-	close(offered.done)
-}
