--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs case 10; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# Runs case 10; see claim.txt. Writes what was sent, answered and run to record.txt in this folder.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 dir="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$dir/../.." && pwd)"
 for file in target/cactusknot target/review-2/standins; do
@@ -8,4 +9,4 @@
 		exit 2
 	fi
 done
-exec "$root/target/review-2/standins" 10 "$root" "$dir"
+exec "$root/target/review-2/standins" 10 "$root" "$dir/record.txt"
--- a/review/standins-2/harness.go
+++ b/review/standins-2/harness.go
@@ -1,6 +1,6 @@
 // Command standins holds the stand-ins of the cases in review/6 and following: the store, engines,
 // clients and the platform that starts and stops the edge processes. Its argument names the case. It
-// writes record.txt in the folder of the case and exits with 1 if the rule was broken, with 0 if it
+// writes what was sent, answered and run to the file that its last argument names, and exits with 1 if the rule was broken, with 0 if it
 // held, and with 2 if the case could not run.
 package main
 
@@ -24,13 +24,13 @@
 
 // harness is the state of one run of a case.
 type harness struct {
-	root, dir, temp string
-	trouble         bool
-	began           time.Time
-	net             string
-	hosts           int
-	store           *store
-	edges           []*edge
+	root, temp string
+	trouble    bool
+	began      time.Time
+	net        string
+	hosts      int
+	store      *store
+	edges      []*edge
 
 	mu     sync.Mutex
 	record *bufio.Writer
@@ -48,7 +48,7 @@
 	// The edge processes end with the thread that has started them, which is this one.
 	runtime.LockOSThread()
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standins CASE ROOT FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standins CASE ROOT RECORD")
 		return exitNotRun
 	}
 	temp, err := os.MkdirTemp("", "case")
@@ -57,13 +57,13 @@
 		return exitNotRun
 	}
 	defer os.RemoveAll(temp)
-	file, err := os.Create(filepath.Join(os.Args[3], "record.txt"))
+	file, err := os.Create(os.Args[3])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
 	h := &harness{
-		root: os.Args[2], dir: os.Args[3], temp: temp, trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), file: file, record: bufio.NewWriter(file),
+		root: os.Args[2], temp: temp, trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), file: file, record: bufio.NewWriter(file),
 		// Each run has loopback addresses of its own, so that fixed ports are free.
 		net: fmt.Sprintf("127.%d.%d", 10+rand.IntN(240), rand.IntN(250)),
 	}
